--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Targets are stable: demo, test, lint, bench, replay, faults, capacity.
+GO ?= go
+TRACE ?=
+FAULT ?=
+
+.PHONY: demo test lint bench replay faults capacity generate build
+
+build:
+	$(GO) build -o build/ ./cmd/...
+
+generate:
+	mkdir -p build/tools
+	GOBIN=$(CURDIR)/build/tools $(GO) install tool
+	PATH=$(CURDIR)/build/tools:$$PATH protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/peer/wire/wire.proto
+	cd internal/peer/wire && sha256sum wire.proto wire.pb.go wire.twirp.go > wire.sum
+
+test:
+	$(GO) test -race -count=1 ./...
+
+lint:
+	test -z "$$(gofmt -l cmd internal)"
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	cd internal/peer/wire && sha256sum --check --quiet wire.sum
--- /dev/null
+++ b/internal/app/daemon/daemon.go
@@ -0,0 +1,256 @@
+// Package daemon assembles one router: it builds the parts, runs their loops and stops them in order.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/samber/oops"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/feed"
+	"github.com/skylarkquay/skylarkquay/internal/conf/ledger"
+	"github.com/skylarkquay/skylarkquay/internal/conf/option"
+	"github.com/skylarkquay/skylarkquay/internal/front/chat"
+	"github.com/skylarkquay/skylarkquay/internal/front/gate"
+	"github.com/skylarkquay/skylarkquay/internal/front/plain"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+	"github.com/skylarkquay/skylarkquay/internal/limit/escrow"
+	"github.com/skylarkquay/skylarkquay/internal/limit/share"
+	"github.com/skylarkquay/skylarkquay/internal/once/claim"
+	"github.com/skylarkquay/skylarkquay/internal/once/crash"
+	"github.com/skylarkquay/skylarkquay/internal/peer/lease"
+	"github.com/skylarkquay/skylarkquay/internal/peer/member"
+	"github.com/skylarkquay/skylarkquay/internal/plat/bucket"
+	"github.com/skylarkquay/skylarkquay/internal/plat/roster"
+	"github.com/skylarkquay/skylarkquay/internal/plat/table"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/fairq"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+)
+
+// Router is one router with all its parts.
+type Router struct {
+	settings option.Settings
+	log      logr.Logger
+	metrics  tally.Scope
+	counters *counters
+
+	table   *table.Dynamo
+	ledger  *ledger.Ledger
+	roster  *roster.Client
+	feed    *feed.Feed
+	members *member.Table
+	keeper  *lease.Keeper
+	limiter *escrow.Limiter
+	desk    *claim.Desk
+	crashes *crash.Book
+	fleet   *engine.Fleet
+	pool    *relay.Pool
+	queue   *fairq.Queue
+	gate    *gate.Gate
+	chat    *chat.Handler
+	plain   *plain.Handler
+	peers   *peers
+
+	listeners listeners
+	// draining is closed when the planned stop begins.
+	draining chan struct{}
+	// done is closed when the router has stopped.
+	done chan struct{}
+}
+
+// listeners are the router's three open ports.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+// New builds a router and opens its ports.
+func New(s option.Settings, log logr.Logger) (*Router, error) {
+	l, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	counters := newCounters()
+	metrics, _ := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", CachedReporter: nil, Reporter: counters}, time.Second)
+	r := &Router{
+		settings:  s,
+		log:       log,
+		metrics:   metrics,
+		counters:  counters,
+		feed:      feed.New(),
+		fleet:     engine.NewFleet(),
+		pool:      relay.NewPool(),
+		crashes:   crash.NewBook(),
+		queue:     fairq.NewQueue(s.MaxInFlight),
+		roster:    roster.NewClient(s.RosterURL),
+		listeners: l,
+		draining:  make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+	r.members = member.New(member.Member{
+		Address:     s.Peer,
+		Zone:        s.Zone,
+		Incarnation: fmt.Sprintf("%019d-%s", time.Now().UnixNano(), rand.Text()[:8]),
+	})
+	r.connect()
+	r.assemble()
+	return r, nil
+}
+
+func listen(s option.Settings) (listeners, error) {
+	var l listeners
+	var errs [3]error
+	l.callers, errs[0] = net.Listen("tcp", s.Listen)
+	l.peers, errs[1] = net.Listen("tcp", s.Peer)
+	l.admin, errs[2] = net.Listen("tcp", s.Admin)
+	return l, oops.Wrapf(errors.Join(errs[:]...), "open ports")
+}
+
+// connect builds the clients of the platform.
+func (r *Router) connect() {
+	s := r.settings
+	r.table = table.NewDynamo(table.Settings{
+		Endpoint: s.TableURL, Region: s.Region, AccessKey: s.AccessKey, SecretKey: s.SecretKey, Name: s.TableName, Timeout: s.StoreTimeout,
+	})
+	r.table.Observe = func(operation string) {
+		r.metrics.Tagged(map[string]string{"operation": operation}).Counter("store_calls").Inc(1)
+	}
+	objects := bucket.NewS3(bucket.Settings{
+		Endpoint: s.ObjectURL, Region: s.Region, AccessKey: s.AccessKey, SecretKey: s.SecretKey, Name: s.Bucket, Timeout: s.StoreTimeout,
+	})
+	r.ledger = ledger.New(r.table, objects)
+}
+
+// assemble builds the parts that decide and serve.
+func (r *Router) assemble() {
+	s := r.settings
+	self := r.members.Self()
+	r.peers = newPeers(r)
+	r.keeper = lease.NewKeeper(r.table, r.log, self.Address, self.Incarnation, s.Partitions, r.peers.probe)
+	r.limiter = escrow.NewLimiter(s.Partitions, share.NewBook(), r.keeper, r.peers)
+	r.desk = claim.NewDesk(r.table, self.Address, r.peers.resolve)
+	r.gate = gate.NewGate(r.feed, r.members.Size, s.HeaderBytes, s.BodyBytes)
+	r.chat = &chat.Handler{
+		Gate:         r.gate,
+		Limiter:      r.limiter,
+		Queue:        r.queue,
+		Fleet:        r.fleet,
+		Pool:         r.pool,
+		Heats:        picker.NewHeats(),
+		Crashes:      r.crashes,
+		Deaths:       &deaths{router: r},
+		Log:          r.log,
+		Metrics:      r.metrics.SubScope("chat"),
+		Zone:         s.Zone,
+		Instances:    func(now time.Time) int { return len(r.members.Live(now)) },
+		MaxTokens:    s.MaxTokens,
+		FirstToken:   s.FirstToken,
+		TokenIdle:    s.TokenIdle,
+		WriteTimeout: s.WriteTimeout,
+	}
+	r.plain = &plain.Handler{
+		Gate:    r.gate,
+		Queue:   r.queue,
+		Fleet:   r.fleet,
+		Pool:    r.pool,
+		Desk:    r.desk,
+		Log:     r.log,
+		Metrics: r.metrics.SubScope("plain"),
+		Zone:    s.Zone,
+	}
+}
+
+// end is how one part of the router ended.
+type end struct {
+	part string
+	err  error
+}
+
+// Run serves until the context ends, then stops gracefully. It returns the first failure of a part, or nil.
+func (r *Router) Run(ctx context.Context) error {
+	defer close(r.done)
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	servers := r.servers()
+	parts := r.loops()
+	ends := make(chan end, len(parts)+len(servers))
+	for _, p := range parts {
+		go func() { ends <- end{p.name, p.run(loops)} }()
+	}
+	for _, s := range servers {
+		go func() { ends <- end{s.name, s.http.Serve(s.listener)} }()
+	}
+	r.log.Info("router: started", "peer", r.settings.Peer, "callers", r.settings.Listen, "zone", r.settings.Zone)
+	var failure error
+	ended := 0
+	select {
+	case <-ctx.Done():
+	case e := <-ends:
+		ended++
+		failure = oops.Wrapf(e.err, "%s", e.part)
+	}
+	r.drain(servers)
+	stopLoops()
+	for ; ended < cap(ends); ended++ {
+		<-ends
+	}
+	r.log.Info("router: stopped")
+	return failure
+}
+
+// Done is closed when the router has stopped.
+func (r *Router) Done() <-chan struct{} {
+	return r.done
+}
+
+// Drain begins a planned stop's first step: the router says that it is not ready and is leaving, and goes on serving.
+func (r *Router) Drain() {
+	if r.members.Self().Leaving {
+		return
+	}
+	r.members.Leave()
+	close(r.draining)
+	r.log.Info("router: draining")
+}
+
+// drain stops without cutting a request: not ready first, then no new connections, then the hand-back of leases.
+func (r *Router) drain(servers []server) {
+	r.Drain()
+	time.Sleep(r.settings.DrainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), r.settings.DrainTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if s.name == "callers" {
+			if err := s.http.Shutdown(ctx); err != nil {
+				r.log.Info("router: requests were still open at the end of the drain", "open", r.queue.Running())
+			}
+		}
+	}
+	r.plain.Wait()
+	r.handBack(ctx)
+	for _, s := range servers {
+		_ = s.http.Close()
+	}
+}
+
+// server is one of the router's HTTP servers.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+}
+
+// part is one loop of the router.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
--- /dev/null
+++ b/internal/app/daemon/metrics.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// counters is a tally reporter that keeps the last values and serves them as text, one "name{tags} value" a line.
+type counters struct {
+	mu     sync.Mutex
+	values map[string]float64
+}
+
+func newCounters() *counters {
+	return &counters{values: make(map[string]float64)}
+}
+
+// ReportCounter implements tally.StatsReporter.
+func (c *counters) ReportCounter(name string, tags map[string]string, value int64) {
+	c.add(line(name, tags), float64(value))
+}
+
+// ReportGauge implements tally.StatsReporter.
+func (c *counters) ReportGauge(name string, tags map[string]string, value float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values[line(name, tags)] = value
+}
+
+// ReportTimer implements tally.StatsReporter.
+func (c *counters) ReportTimer(name string, tags map[string]string, interval time.Duration) {
+	c.add(line(name+"_seconds_sum", tags), interval.Seconds())
+	c.add(line(name+"_count", tags), 1)
+}
+
+// ReportHistogramValueSamples implements tally.StatsReporter.
+func (c *counters) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
+	c.add(line(fmt.Sprintf("%s_le_%g", name, upper), tags), float64(samples))
+}
+
+// ReportHistogramDurationSamples implements tally.StatsReporter.
+func (c *counters) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	c.add(line(fmt.Sprintf("%s_le_%s", name, upper), tags), float64(samples))
+}
+
+// Capabilities implements tally.StatsReporter.
+func (c *counters) Capabilities() tally.Capabilities { return c }
+
+// Reporting implements tally.Capabilities.
+func (c *counters) Reporting() bool { return true }
+
+// Tagging implements tally.Capabilities.
+func (c *counters) Tagging() bool { return true }
+
+// Flush implements tally.StatsReporter.
+func (c *counters) Flush() {}
+
+// ServeHTTP answers with all values in order of name.
+func (c *counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, 0, len(c.values))
+	for name := range c.values {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	for _, name := range names {
+		_, _ = fmt.Fprintf(w, "%s %g\n", name, c.values[name])
+	}
+}
+
+func (c *counters) add(name string, value float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values[name] += value
+}
+
+// line renders a name with its tags in order.
+func line(name string, tags map[string]string) string {
+	name = strings.ReplaceAll(name, ".", "_")
+	if len(tags) == 0 {
+		return name
+	}
+	pairs := make([]string, 0, len(tags))
+	for k, v := range tags {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", k, v))
+	}
+	sort.Strings(pairs)
+	return name + "{" + strings.Join(pairs, ",") + "}"
+}
--- /dev/null
+++ b/internal/app/daemon/peers.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/twitchtv/twirp"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/limit/share"
+	"github.com/skylarkquay/skylarkquay/internal/once/crash"
+	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
+)
+
+const (
+	beatTimeout    = time.Second
+	takeTimeout    = 150 * time.Millisecond
+	giveTimeout    = 150 * time.Millisecond
+	resolveTimeout = time.Second
+	peerDial       = 200 * time.Millisecond
+	peerIdle       = 30 * time.Second
+	peerMaxIdle    = 4
+)
+
+// peers speaks with the other entry instances, in both directions.
+type peers struct {
+	router *Router
+	client *http.Client
+}
+
+func newPeers(r *Router) *peers {
+	dialer := &net.Dialer{Timeout: peerDial}
+	return &peers{router: r, client: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: peerMaxIdle,
+		IdleConnTimeout:     peerIdle,
+	}}}
+}
+
+func (p *peers) to(address string) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address, p.client)
+}
+
+// beat builds this instance's heartbeat.
+func (p *peers) beat(now time.Time, random *rand.Rand) *wire.BeatRequest {
+	r := p.router
+	return &wire.BeatRequest{
+		Self:      r.members.Beat(),
+		Members:   r.members.Sample(now, random),
+		Revision:  r.feed.Revision(),
+		AgeMillis: r.feed.Age(now).Milliseconds(),
+		Deaths:    p.deaths(now),
+	}
+}
+
+func (p *peers) deaths(now time.Time) []*wire.Death {
+	var deaths []*wire.Death
+	for _, m := range p.router.crashes.Recent(now) {
+		deaths = append(deaths, &wire.Death{Fingerprint: m.Fingerprint, Count: uint32(m.Count), AtMillis: m.At.UnixMilli()})
+	}
+	return deaths
+}
+
+// exchange sends one heartbeat and takes in the answer.
+func (p *peers) exchange(ctx context.Context, address string, request *wire.BeatRequest) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := p.to(address).Beat(ctx, request)
+	if err != nil {
+		p.router.log.V(1).Info("member: heartbeat failed", "peer", address, "reason", err.Error())
+		return
+	}
+	p.merge(reply.Self, reply.Members, reply.Deaths)
+	p.hear(ctx, sent, address, reply.Revision, time.Duration(reply.AgeMillis)*time.Millisecond)
+}
+
+// Beat implements wire.Peer.
+func (p *peers) Beat(ctx context.Context, in *wire.BeatRequest) (*wire.BeatReply, error) {
+	if in.Self == nil {
+		return nil, twirp.RequiredArgumentError("self")
+	}
+	now := time.Now()
+	p.merge(in.Self, in.Members, in.Deaths)
+	r := p.router
+	if in.Revision > r.feed.Revision() {
+		go p.catchUp(context.WithoutCancel(ctx), in.Self.Address)
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	out := p.beat(now, random)
+	return &wire.BeatReply{Self: out.Self, Members: out.Members, Revision: out.Revision, AgeMillis: out.AgeMillis, Deaths: out.Deaths}, nil
+}
+
+func (p *peers) merge(self *wire.Member, others []*wire.Member, deaths []*wire.Death) {
+	now := time.Now()
+	p.router.members.Merge(now, self, true)
+	for _, m := range others {
+		p.router.members.Merge(now, m, false)
+	}
+	for _, d := range deaths {
+		p.router.crashes.Merge(now, crash.Mark{Fingerprint: d.Fingerprint, Count: int(d.Count), At: time.UnixMilli(d.AtMillis)})
+	}
+}
+
+// hear takes in a peer's revision, after catching up when it is newer.
+func (p *peers) hear(ctx context.Context, sent time.Time, address string, revision int64, age time.Duration) {
+	if revision > p.router.feed.Revision() {
+		p.catchUp(ctx, address)
+	}
+	p.router.feed.Hear(sent, address, revision, age)
+}
+
+// catchUp pulls the entries or the snapshot that this instance lacks.
+func (p *peers) catchUp(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	feed := p.router.feed
+	reply, err := p.to(address).Pull(ctx, &wire.PullRequest{After: feed.Revision()})
+	if err != nil {
+		p.router.log.Info("config: pull failed", "peer", address, "reason", err.Error())
+		return
+	}
+	if len(reply.Snapshot) > 0 {
+		doc, err := rules.Decode(reply.Snapshot)
+		if err != nil {
+			p.router.log.Info("config: snapshot refused", "peer", address, "reason", err.Error())
+			return
+		}
+		feed.Offer(doc)
+	}
+	entries := make([]rules.Entry, 0, len(reply.Entries))
+	for _, data := range reply.Entries {
+		var e rules.Entry
+		if json.Unmarshal(data, &e) != nil {
+			return
+		}
+		entries = append(entries, e)
+	}
+	if err := feed.Extend(entries); err != nil {
+		p.router.log.Info("config: entries refused", "peer", address, "reason", err.Error())
+		return
+	}
+	p.router.log.Info("config: in force", "revision", feed.Revision(), "source", address)
+}
+
+// Pull implements wire.Peer.
+func (p *peers) Pull(_ context.Context, in *wire.PullRequest) (*wire.PullReply, error) {
+	feed := p.router.feed
+	doc, _ := feed.Document()
+	if doc == nil {
+		return &wire.PullReply{}, nil
+	}
+	entries, ok := feed.After(in.After)
+	reply := &wire.PullReply{Revision: doc.Revision}
+	if !ok {
+		data, err := doc.Encode()
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		reply.Snapshot = data
+		return reply, nil
+	}
+	for _, e := range entries {
+		data, err := json.Marshal(e)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		reply.Entries = append(reply.Entries, data)
+	}
+	return reply, nil
+}
+
+// probe implements lease.Prober by a heartbeat that tells nothing.
+func (p *peers) probe(ctx context.Context, address string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	reply, err := p.to(address).Beat(ctx, &wire.BeatRequest{Self: p.router.members.Beat()})
+	if err != nil {
+		return "", err
+	}
+	if reply.Self == nil || reply.Self.Address != address {
+		return "", oops.Errorf("another instance answers at %s", address)
+	}
+	return reply.Self.Incarnation, nil
+}
+
+// Holder implements escrow.Peers.
+func (p *peers) Holder(now time.Time, partition int) string {
+	return p.router.members.Holder(now, uint32(partition))
+}
+
+// Take implements escrow.Peers.
+func (p *peers) Take(ctx context.Context, address string, k share.Key, want int64) (given, left int64, held bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	reply, err := p.to(address).Take(ctx, &wire.TakeRequest{Workspace: k.Workspace, Tokens: want, Partition: uint32(k.Partition)})
+	if err != nil {
+		return 0, 0, false, err
+	}
+	return reply.Given, reply.Level, reply.Held, nil
+}
+
+// Give implements escrow.Peers.
+func (p *peers) Give(ctx context.Context, address string, k share.Key, tokens int64) {
+	ctx, cancel := context.WithTimeout(ctx, giveTimeout)
+	defer cancel()
+	_, err := p.to(address).Give(ctx, &wire.GiveRequest{Workspace: k.Workspace, Tokens: tokens, Partition: uint32(k.Partition)})
+	if err != nil {
+		p.router.log.Info("limit: returned tokens were lost", "workspace", k.Workspace, "tokens", tokens, "peer", address)
+	}
+}
+
+// budget returns a workspace's rate and burst in force.
+func (p *peers) budget(workspace string) (share.Budget, bool) {
+	doc, _ := p.router.feed.Document()
+	if doc == nil {
+		return share.Budget{}, false
+	}
+	rate, ok := doc.Rates[workspace]
+	return share.Budget{PerSecond: rate.TokensPerSecond, Burst: rate.BurstTokens}, ok
+}
--- /dev/null
+++ b/internal/app/daemon/servers.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/front/admin"
+	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
+)
+
+// headerSlack lets the server read a header beyond the limit, so that it gets an answer of the closed list.
+const headerSlack = 1 << 20
+
+// servers builds the HTTP servers for callers, peers and operators.
+func (r *Router) servers() []server {
+	s := r.settings
+	callers := &http.Server{
+		Handler:           r.gate.LimitHeader(r.callerRoutes()),
+		ReadHeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:       s.IdleTimeout,
+		MaxHeaderBytes:    s.HeaderBytes + headerSlack,
+	}
+	return []server{
+		{"callers", callers, r.listeners.callers},
+		{"peers", &http.Server{Handler: wire.NewPeerServer(answers{r.peers}), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout}, r.listeners.peers},
+		{"admin", &http.Server{Handler: r.adminRoutes(), ReadHeaderTimeout: s.HeaderTimeout}, r.listeners.admin},
+	}
+}
+
+// callerRoutes sends language calls to the engines and everything else to the plain services.
+func (r *Router) callerRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.Handle("/v1/chat/completions", r.chat).Methods(http.MethodPost)
+	m.Handle("/v1/completions", r.chat).Methods(http.MethodPost)
+	m.HandleFunc("/v1/models", r.chat.Models).Methods(http.MethodGet)
+	m.NotFoundHandler = r.plain
+	m.MethodNotAllowedHandler = r.plain
+	return m
+}
+
+func (r *Router) adminRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.PathPrefix(wire.OperatorPathPrefix).Handler(wire.NewOperatorServer(&admin.Operator{
+		Feed:    r.feed,
+		Ledger:  r.ledger,
+		Members: r.members,
+		Keeper:  r.keeper,
+		Fleet:   r.fleet,
+		Open:    r.queue.Running,
+		Leave:   r.Drain,
+		Zone:    r.settings.Zone,
+		Log:     r.log,
+		Changed: r.accepted,
+	}))
+	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	m.HandleFunc("/readyz", r.ready)
+	m.Handle("/metrics", r.counters)
+	if r.settings.Profiling {
+		m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		m.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	}
+	return m
+}
+
+// ready answers whether the balancer may send requests here.
+func (r *Router) ready(w http.ResponseWriter, _ *http.Request) {
+	if r.members.Self().Leaving {
+		fault.Write(w, fault.New(fault.Draining, "the instance is leaving"))
+		return
+	}
+	if _, err := r.gate.Document(time.Now()); err != nil {
+		fault.Write(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/app/opctl/opctl.go
@@ -0,0 +1,147 @@
+// Package opctl is the operators' client: it edits sections of the routing document, issues and withdraws keys, and asks a router for its state.
+package opctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/twitchtv/twirp"
+
+	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
+)
+
+// Exit codes of the client.
+const (
+	exitOK       = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+const callTimeout = 15 * time.Second
+
+// client is one run of the command line.
+type client struct {
+	Router   string `long:"router" env:"SKYLARKCTL_ROUTER" default:"http://127.0.0.1:8082" description:"operators' address of any router"`
+	Operator string `long:"operator" env:"SKYLARKCTL_OPERATOR" description:"who makes the edit; the login name by default"`
+	JSON     bool   `long:"json" description:"print JSON"`
+
+	api    wire.Operator
+	in     io.Reader
+	out    io.Writer
+	stderr io.Writer
+}
+
+// Main runs the client and returns the exit code.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	c := &client{in: stdin, out: stdout, stderr: stderr}
+	p := flags.NewNamedParser("skylarkctl", flags.HelpFlag|flags.PassDoubleDash)
+	if err := c.register(p); err != nil {
+		panic(err)
+	}
+	p.CommandHandler = func(command flags.Commander, rest []string) error {
+		c.api = wire.NewOperatorProtobufClient(c.Router, &http.Client{Timeout: callTimeout})
+		if c.Operator == "" {
+			c.Operator = login()
+		}
+		return command.Execute(rest)
+	}
+	_, err := p.ParseArgs(args)
+	return c.exit(err)
+}
+
+// register adds all commands to the parser.
+func (c *client) register(p *flags.Parser) error {
+	if _, err := p.AddGroup("Client", "", c); err != nil {
+		return err
+	}
+	commands := []struct {
+		name, short string
+		data        flags.Commander
+	}{
+		{"status", "show a router and the members that it knows", &statusCommand{c: c}},
+		{"get", "print a section of the routing document", &getCommand{c: c}},
+		{"diff", "compare a file with a section", &diffCommand{c: c}},
+		{"apply", "replace a section by a file", &applyCommand{c: c}},
+		{"edit", "set or remove one item of a section", &editCommand{c: c}},
+		{"key-issue", "issue a key for a workspace", &issueCommand{c: c}},
+		{"key-withdraw", "withdraw a key by its name", &withdrawCommand{c: c}},
+		{"explain", "show how a prompt would be placed", &explainCommand{c: c}},
+		{"drain", "begin a router's planned stop", &drainCommand{c: c}},
+	}
+	for _, d := range commands {
+		if _, err := p.AddCommand(d.name, d.short, "", d.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exit prints an error and picks the exit code.
+func (c *client) exit(err error) int {
+	var usage *flags.Error
+	var remote twirp.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(c.stderr, usage.Message)
+		if usage.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitUsage
+	case errors.As(err, &remote):
+		_, _ = fmt.Fprintln(c.stderr, "skylarkctl:", remote.Msg())
+		if remote.Code() == twirp.FailedPrecondition {
+			return exitConflict
+		}
+		return exitFailure
+	default:
+		_, _ = fmt.Fprintln(c.stderr, "skylarkctl:", err)
+		return exitFailure
+	}
+}
+
+// print writes a value as JSON, or as text by the given function.
+func (c *client) print(value any, text func()) error {
+	if !c.JSON {
+		text()
+		return nil
+	}
+	e := json.NewEncoder(c.out)
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
+
+func (c *client) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.out, format, args...)
+}
+
+// read returns the content of a file, or of standard input for "-".
+func (c *client) read(path string) (string, error) {
+	if path == "-" {
+		data, err := io.ReadAll(c.in)
+		return string(data), err
+	}
+	data, err := os.ReadFile(path)
+	return string(data), err
+}
+
+func callContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), callTimeout)
+}
+
+func login() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/base/fault/fault.go
@@ -0,0 +1,202 @@
+// Package fault holds the closed list of error kinds and the answer that each kind gives to a caller.
+package fault
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Kind names one entry of the closed list of error kinds.
+type Kind string
+
+// The closed list of error kinds.
+const (
+	BadRequest     Kind = "bad_request"
+	BadKey         Kind = "bad_key"
+	KeyWithdrawn   Kind = "key_withdrawn"
+	UnknownModel   Kind = "unknown_model"
+	UnknownRoute   Kind = "unknown_route"
+	BodyTooLarge   Kind = "body_too_large"
+	HeaderTooLarge Kind = "header_too_large"
+	OverRate       Kind = "over_rate"
+	LimitUnready   Kind = "limit_unready"
+	Overloaded     Kind = "overloaded"
+	NotCurrent     Kind = "not_current"
+	NoUpstream     Kind = "no_upstream"
+	Draining       Kind = "draining"
+	ClaimBusy      Kind = "claim_busy"
+	ClaimMismatch  Kind = "claim_mismatch"
+	ClaimStoreDown Kind = "claim_store_down"
+	Crasher        Kind = "crashing_request"
+	UpstreamFailed Kind = "upstream_failed"
+	OutcomeUnknown Kind = "outcome_unknown"
+	Conflict       Kind = "conflict"
+	Internal       Kind = "internal"
+)
+
+// Ran says whether an upstream may have started the request.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "not run"
+	RanYes     Ran = "run"
+	RanUnknown Ran = "unknown"
+)
+
+// Headers that accompany an error answer.
+const (
+	HeaderRan  = "Skylarkquay-Ran"
+	HeaderKind = "Skylarkquay-Error"
+)
+
+// Answer is the fixed part of the answer to one kind.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Ran is what the answer says about execution.
+	Ran Ran
+	// Retry is the default Retry-After; zero means that the header is absent.
+	Retry time.Duration
+}
+
+const (
+	retrySoon  = 1 * time.Second
+	retryLater = 5 * time.Second
+)
+
+// answers maps each kind to its answer; every kind has exactly one entry.
+var answers = map[Kind]Answer{
+	BadRequest:     {http.StatusBadRequest, RanNo, 0},
+	BadKey:         {http.StatusUnauthorized, RanNo, 0},
+	KeyWithdrawn:   {http.StatusUnauthorized, RanUnknown, 0},
+	UnknownModel:   {http.StatusNotFound, RanNo, 0},
+	UnknownRoute:   {http.StatusNotFound, RanNo, 0},
+	BodyTooLarge:   {http.StatusRequestEntityTooLarge, RanNo, 0},
+	HeaderTooLarge: {http.StatusRequestHeaderFieldsTooLarge, RanNo, 0},
+	OverRate:       {http.StatusTooManyRequests, RanNo, retrySoon},
+	LimitUnready:   {http.StatusServiceUnavailable, RanNo, retrySoon},
+	Overloaded:     {http.StatusServiceUnavailable, RanNo, retrySoon},
+	NotCurrent:     {http.StatusServiceUnavailable, RanNo, retrySoon},
+	NoUpstream:     {http.StatusServiceUnavailable, RanNo, retrySoon},
+	Draining:       {http.StatusServiceUnavailable, RanNo, retrySoon},
+	ClaimBusy:      {http.StatusConflict, RanUnknown, retrySoon},
+	ClaimMismatch:  {http.StatusUnprocessableEntity, RanNo, 0},
+	ClaimStoreDown: {http.StatusServiceUnavailable, RanNo, retryLater},
+	Crasher:        {http.StatusUnprocessableEntity, RanNo, 0},
+	UpstreamFailed: {http.StatusBadGateway, RanYes, retrySoon},
+	OutcomeUnknown: {http.StatusGatewayTimeout, RanUnknown, 0},
+	Conflict:       {http.StatusConflict, RanNo, 0},
+	Internal:       {http.StatusInternalServerError, RanUnknown, 0},
+}
+
+// AnswerTo returns the answer of a kind; an unlisted kind is answered as Internal.
+func AnswerTo(k Kind) Answer {
+	a, ok := answers[k]
+	if !ok {
+		return answers[Internal]
+	}
+	return a
+}
+
+// Kinds returns all listed kinds in no particular order.
+func Kinds() []Kind {
+	all := make([]Kind, 0, len(answers))
+	for k := range answers {
+		all = append(all, k)
+	}
+	return all
+}
+
+// Error is an error of the closed list.
+type Error struct {
+	// Kind is one of the listed kinds.
+	Kind Kind
+	// Message is one sentence for the caller.
+	Message string
+	// Retry overrides the default Retry-After when positive.
+	Retry time.Duration
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return string(e.Kind) + ": " + e.Message
+}
+
+// New returns an error of the given kind.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// Later returns an error of the given kind that asks the caller to come back after the delay.
+func Later(k Kind, retry time.Duration, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...), Retry: retry}
+}
+
+// From returns the listed error inside err, or an Internal one around it.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: Internal, Message: err.Error()}
+}
+
+// Is tells whether err carries the kind.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
+
+// Detail is the error object of an answer body, in the shape that OpenAI clients read.
+type Detail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Ran     Ran    `json:"ran"`
+}
+
+// Body is an error answer body.
+type Body struct {
+	Error Detail `json:"error"`
+}
+
+// BodyOf returns the answer body for err.
+func BodyOf(err error) Body {
+	e := From(err)
+	return Body{Error: Detail{
+		Message: e.Message,
+		Type:    "skylarkquay_error",
+		Code:    string(e.Kind),
+		Ran:     AnswerTo(e.Kind).Ran,
+	}}
+}
+
+// RetryAfter returns the whole seconds for the Retry-After header, or zero for none.
+func RetryAfter(err error) int {
+	e := From(err)
+	delay := e.Retry
+	if delay <= 0 {
+		delay = AnswerTo(e.Kind).Retry
+	}
+	return int((delay + time.Second - 1) / time.Second)
+}
+
+// Write sends the answer for err.
+func Write(w http.ResponseWriter, err error) {
+	e := From(err)
+	a := AnswerTo(e.Kind)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRan, string(a.Ran))
+	h.Set(HeaderKind, string(e.Kind))
+	if seconds := RetryAfter(err); seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(a.Status)
+	_ = json.NewEncoder(w).Encode(BodyOf(err))
+}
--- /dev/null
+++ b/internal/front/chat/attempt.go
@@ -0,0 +1,176 @@
+package chat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+const (
+	// maxAttempts bounds the engines that one request is tried on.
+	maxAttempts = 4
+	probeWait   = 500 * time.Millisecond
+	// priorityLanguage is the engines' priority of language work.
+	priorityLanguage = "1"
+)
+
+// errWrong says that an engine's answer is not the one to this request.
+var errWrong = errors.New("the answer belongs to another request or to other weights")
+
+// attempt is one try of a request on one engine.
+type attempt struct {
+	engine picker.Candidate
+	number uint64
+	res    *http.Response
+	cancel context.CancelFunc
+	// silence ends the attempt when the engine says nothing.
+	silence *time.Timer
+	silent  chan struct{}
+}
+
+// open sends the request to an engine and returns once its header has come and fits.
+func (h *Handler) open(ctx context.Context, j *job, offset int64) (*attempt, error) {
+	c, err := h.choose(j)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	a := &attempt{engine: c, cancel: cancel, silent: make(chan struct{})}
+	a.silence = time.AfterFunc(h.FirstToken, func() {
+		close(a.silent)
+		cancel()
+	})
+	a.number = h.Fleet.Sent(time.Now(), c.Name, j.tokens-c.Cached)
+	req, err := newRequest(ctx, j, c, offset)
+	if err != nil {
+		h.end(a)
+		return nil, err
+	}
+	a.res, err = h.Pool.Do(req)
+	if !relay.NotSent(err) {
+		j.ran = true
+	}
+	if err == nil {
+		err = check(j, a.res)
+	}
+	if err != nil {
+		h.end(a)
+		return a, err
+	}
+	h.learn(j, a)
+	return a, nil
+}
+
+// end frees what an attempt holds.
+func (h *Handler) end(a *attempt) {
+	a.silence.Stop()
+	a.cancel()
+	if a.res != nil {
+		_ = a.res.Body.Close()
+	}
+	h.Fleet.Finished(a.engine.Name, a.number)
+}
+
+func newRequest(ctx context.Context, j *job, c picker.Candidate, offset int64) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.View().Address+j.path, bytes.NewReader(j.req.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(runner.HeaderRequest, j.id)
+	req.Header.Set(runner.HeaderPriority, priorityLanguage)
+	req.Header.Set(runner.HeaderSalt, j.caller.Workspace)
+	if offset > 0 {
+		req.Header.Set(runner.HeaderOffset, strconv.FormatInt(offset, 10))
+	}
+	return req, nil
+}
+
+// check verifies that an answer is good and is the one to this request.
+func check(j *job, res *http.Response) error {
+	if res.StatusCode != http.StatusOK {
+		return oops.Errorf("the engine answered %d", res.StatusCode)
+	}
+	if res.Header.Get(runner.HeaderRequest) != j.id || res.Header.Get(runner.HeaderWeights) != j.weights {
+		return errWrong
+	}
+	return nil
+}
+
+// learn records what the answer's header tells of the engine.
+func (h *Handler) learn(j *job, a *attempt) {
+	now := time.Now()
+	name := a.engine.Name
+	incarnation := a.res.Header.Get(runner.HeaderIncarnation)
+	h.Fleet.Succeeded(now, name, incarnation)
+	cached, err := strconv.ParseInt(a.res.Header.Get(runner.HeaderCached), 10, 64)
+	if err == nil {
+		if depth := int(cached / prefix.PieceTokens); depth < len(j.chain) && cached < a.engine.Cached {
+			h.Fleet.Correct(name, j.chain[depth:])
+		}
+	}
+	h.Fleet.Remember(now, name, incarnation, j.chain)
+}
+
+// failed records an engine's failure and finds out whether the engine died of it.
+func (h *Handler) failed(ctx context.Context, j *job, a *attempt, err error) {
+	if a == nil {
+		return
+	}
+	j.avoid[a.engine.Name] = true
+	if ctx.Err() != nil {
+		return
+	}
+	h.Log.Info("route: engine failed", "request", j.id, "engine", a.engine.Name, "reason", err.Error())
+	h.Metrics.Counter("engine_failures").Inc(1)
+	if !errors.Is(err, errWrong) {
+		h.Fleet.Failed(time.Now(), a.engine.Name)
+	}
+	select {
+	case <-a.silent:
+		h.Pool.Distrust(a.engine.View().Address)
+		return
+	default:
+	}
+	if h.died(ctx, a) {
+		j.suspect = true
+		h.Deaths.Died(j.fingerprint)
+	}
+}
+
+// died asks the engine whether it still is the incarnation that ran the request.
+func (h *Handler) died(ctx context.Context, a *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	before := a.engine.View().Incarnation
+	if a.res != nil {
+		before = a.res.Header.Get(runner.HeaderIncarnation)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.engine.View().Address+runner.LoadPath, nil)
+	if err != nil {
+		return false
+	}
+	res, err := h.Pool.DoOnce(req)
+	if err != nil {
+		// An engine that took the request and now refuses connections is gone; one that never took it proves nothing.
+		return a.res != nil && ctx.Err() == nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	var report engine.Report
+	if json.NewDecoder(res.Body).Decode(&report) != nil {
+		return false
+	}
+	return before != "" && report.Incarnation != before
+}
--- /dev/null
+++ b/internal/front/chat/chat.go
@@ -0,0 +1,222 @@
+package chat
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/front/gate"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+	"github.com/skylarkquay/skylarkquay/internal/limit/escrow"
+	"github.com/skylarkquay/skylarkquay/internal/limit/share"
+	"github.com/skylarkquay/skylarkquay/internal/once/crash"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/fairq"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+// Deaths stores the death of an upstream that ran a request, or that the request ran well after all.
+type Deaths interface {
+	Died(fingerprint string)
+	Survived(fingerprint string)
+}
+
+// Handler serves language calls.
+type Handler struct {
+	Gate    *gate.Gate
+	Limiter *escrow.Limiter
+	Queue   *fairq.Queue
+	Fleet   *engine.Fleet
+	Pool    *relay.Pool
+	Heats   *picker.Heats
+	Crashes *crash.Book
+	Deaths  Deaths
+	Log     logr.Logger
+	Metrics tally.Scope
+	// Zone is this instance's availability zone.
+	Zone string
+	// Instances tells how many instances share the traffic.
+	Instances func(now time.Time) int
+	// MaxTokens is the bound on the output of a request that names none.
+	MaxTokens int64
+	// FirstToken bounds the wait for the first event, TokenIdle the silence between two.
+	FirstToken time.Duration
+	TokenIdle  time.Duration
+	// WriteTimeout bounds the wait for a slow reader.
+	WriteTimeout time.Duration
+}
+
+// job is one admitted request.
+type job struct {
+	id          string
+	caller      gate.Caller
+	req         Request
+	path        string
+	weights     string
+	weight      int
+	chain       []prefix.Hash
+	tokens      int64
+	heat        int
+	favour      rules.Favour
+	fingerprint string
+	start       time.Time
+	avoid       map[string]bool
+	// suspect tells that an upstream died while it ran the request.
+	suspect bool
+	// ran tells that an engine may have started the request.
+	ran bool
+}
+
+// ServeHTTP handles chat/completions and completions.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, caller, leave, err := h.Gate.Enter(r, time.Now())
+	if err != nil {
+		h.refuse(w, "", err)
+		return
+	}
+	defer leave()
+	body, err := h.Gate.Body(w, r)
+	if err != nil {
+		h.refuse(w, caller.Workspace, err)
+		return
+	}
+	j, budget, err := h.prepare(time.Now(), caller, r.URL.Path, body)
+	if err != nil {
+		h.refuse(w, caller.Workspace, err)
+		return
+	}
+	h.run(ctx, w, j, budget)
+}
+
+// prepare parses and checks a request against the document in force.
+func (h *Handler) prepare(now time.Time, caller gate.Caller, path string, body []byte) (*job, *share.Budget, error) {
+	req, err := Parse(body, h.MaxTokens)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, err := h.Gate.Document(now)
+	if err != nil {
+		return nil, nil, err
+	}
+	model, ok := doc.Models[req.Model]
+	if !ok {
+		return nil, nil, fault.New(fault.UnknownModel, "model %q is not served here", req.Model)
+	}
+	fingerprint := crash.Fingerprint(caller.Workspace, body)
+	if err := h.Crashes.Check(now, fingerprint); err != nil {
+		return nil, nil, err
+	}
+	j := &job{
+		id:          rand.Text(),
+		caller:      caller,
+		req:         req,
+		path:        path,
+		weights:     model.Weights,
+		weight:      doc.Workspaces[caller.Workspace].Weight,
+		chain:       prefix.Chain(prefix.Salt{Workspace: caller.Workspace, Model: req.Model, Weights: model.Weights}, req.Prompt),
+		tokens:      prefix.Tokens(req.Prompt),
+		favour:      doc.PolicyInForce().Favour,
+		fingerprint: fingerprint,
+		start:       now,
+		avoid:       make(map[string]bool),
+		suspect:     h.Crashes.Marked(now, fingerprint),
+	}
+	if len(j.chain) > 0 {
+		busy := time.Duration(j.tokens) * picker.DefaultCosts().PerToken
+		j.heat = h.Heats.Add(now, j.chain[0], busy, h.Instances(now))
+	}
+	rate, limited := doc.Rates[caller.Workspace]
+	if !limited {
+		return j, nil, nil
+	}
+	return j, &share.Budget{PerSecond: rate.TokensPerSecond, Burst: rate.BurstTokens}, nil
+}
+
+// run takes the request's tokens and its place in the queue, runs it, and settles.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, j *job, budget *share.Budget) {
+	grant, err := h.admit(ctx, j, budget)
+	if err != nil {
+		h.refuse(w, j.caller.Workspace, cause(ctx, err))
+		return
+	}
+	if err := h.Queue.Enter(ctx, j.caller.Workspace, j.weight, j.req.Cost()); err != nil {
+		h.settle(grant, 0)
+		h.refuse(w, j.caller.Workspace, cause(ctx, err))
+		return
+	}
+	defer func() { h.Queue.Leave(time.Now()) }()
+	if grant != nil && !grant.Fresh(time.Now()) {
+		h.settle(grant, 0)
+		if grant, err = h.admit(ctx, j, budget); err != nil {
+			h.refuse(w, j.caller.Workspace, cause(ctx, err))
+			return
+		}
+	}
+	var used int64
+	if j.req.Stream {
+		used = h.stream(ctx, w, j)
+	} else {
+		used = h.whole(ctx, w, j)
+	}
+	h.settle(grant, used)
+}
+
+func (h *Handler) admit(ctx context.Context, j *job, budget *share.Budget) (*escrow.Grant, error) {
+	if budget == nil {
+		return nil, nil
+	}
+	return h.Limiter.Admit(ctx, time.Now, j.caller.Workspace, *budget, j.req.Cost())
+}
+
+// settle returns unused tokens, also when the caller has left.
+func (h *Handler) settle(g *escrow.Grant, used int64) {
+	if g == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	h.Limiter.Settle(ctx, time.Now(), g, used)
+}
+
+// choose places the request on an engine and logs the decision.
+func (h *Handler) choose(j *job) (picker.Candidate, error) {
+	now := time.Now()
+	d := picker.Decide(now, picker.Question{
+		Zone:   h.Zone,
+		Chain:  j.chain,
+		Tokens: j.tokens,
+		Heat:   j.heat,
+		Avoid:  j.avoid,
+		Favour: j.favour,
+	}, h.Fleet.Engines(now, j.req.Model), h.Fleet, picker.DefaultCosts())
+	c, ok := d.Chosen()
+	if !ok {
+		return c, fault.New(fault.NoUpstream, "no engine for model %q can take the request", j.req.Model)
+	}
+	h.Log.Info("route: chose engine", "request", j.id, "workspace", j.caller.Workspace, "engine", c.Name,
+		"reason", c.Reason, "expected", c.Total, "cached", c.Cached, "tokens", j.tokens, "candidates", len(d.Candidates))
+	return c, nil
+}
+
+// refuse answers with an error of the closed list and logs it.
+func (h *Handler) refuse(w http.ResponseWriter, workspace string, err error) {
+	e := fault.From(err)
+	h.Log.Info("route: refused request", "workspace", workspace, "kind", e.Kind, "reason", e.Message)
+	h.Metrics.Tagged(map[string]string{"kind": string(e.Kind)}).Counter("refused").Inc(1)
+	fault.Write(w, e)
+}
+
+// cause returns why a context ended when it ended for a listed fault, or else err.
+func cause(ctx context.Context, err error) error {
+	if c := context.Cause(ctx); c != nil && fault.Is(c, fault.KeyWithdrawn) {
+		return c
+	}
+	return err
+}
--- /dev/null
+++ b/internal/front/plain/forward.go
@@ -0,0 +1,65 @@
+package plain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
+)
+
+// copyBytes is the size of one step when a body is copied.
+const copyBytes = 32 << 10
+
+// newRequest builds the request for an upstream from what may be forwarded.
+func newRequest(ctx context.Context, c *call, address string) (*http.Request, error) {
+	target := "http://" + address + c.path
+	if query := relay.Query(c.query, c.caller.Key); query != "" {
+		target += "?" + query
+	}
+	req, err := http.NewRequestWithContext(ctx, c.method, target, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = relay.Forwardable(c.header, c.caller.Key)
+	req.Header.Del(HeaderWorkspace)
+	req.Header.Set(runner.HeaderRequest, c.id)
+	if c.caller.Workspace != "" {
+		req.Header.Set(HeaderWorkspace, c.caller.Workspace)
+	}
+	return req, nil
+}
+
+// copyAnswer sends an upstream's answer to the caller as it comes, with its trailers.
+func (h *Handler) copyAnswer(w http.ResponseWriter, res *http.Response) {
+	defer func() { _ = res.Body.Close() }()
+	for name, values := range relay.Answerable(res.Header) {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(res.StatusCode)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := res.Body.Read(buffer)
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return
+			}
+			_ = control.Flush()
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			// The connection is broken off so that the caller does not take the part for the whole.
+			panic(http.ErrAbortHandler)
+		}
+	}
+	for name, values := range res.Trailer {
+		for _, v := range values {
+			w.Header().Add(http.TrailerPrefix+name, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/lease/keeper.go
@@ -0,0 +1,274 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/skylarkquay/skylarkquay/internal/plat/table"
+)
+
+// Table is the part of the table service that leases use.
+type Table interface {
+	Get(ctx context.Context, part, sort string) (table.Record, bool, error)
+	List(ctx context.Context, part, after string, limit int) ([]table.Record, error)
+	Put(ctx context.Context, p table.Put) error
+}
+
+// Prober asks an address which incarnation answers there.
+type Prober func(ctx context.Context, address string) (incarnation string, err error)
+
+const (
+	leasePart = "lease"
+	// maxPartitions bounds one listing.
+	maxPartitions = 4096
+)
+
+// Keeper holds this instance's leases.
+type Keeper struct {
+	table       Table
+	log         logr.Logger
+	self        string
+	incarnation string
+	partitions  int
+	probe       Prober
+
+	mu        sync.Mutex
+	held      map[int]Held
+	freeSince map[int]time.Time
+	dead      map[string]bool
+	writes    int64
+}
+
+// NewKeeper returns a keeper without leases.
+func NewKeeper(t Table, log logr.Logger, self, incarnation string, partitions int, probe Prober) *Keeper {
+	return &Keeper{
+		table:       t,
+		log:         log,
+		self:        self,
+		incarnation: incarnation,
+		partitions:  partitions,
+		probe:       probe,
+		held:        make(map[int]Held),
+		freeSince:   make(map[int]time.Time),
+		dead:        make(map[string]bool),
+	}
+}
+
+// Get returns the lease of a partition when this instance may use it now.
+func (k *Keeper) Get(now time.Time, partition int) (Held, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, ok := k.held[partition]
+	return h, ok && h.Valid(now)
+}
+
+// Partitions returns the partitions that this instance may use now.
+func (k *Keeper) Partitions(now time.Time) []uint32 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var all []uint32
+	for p := range k.partitions {
+		if h, ok := k.held[p]; ok && h.Valid(now) {
+			all = append(all, uint32(p))
+		}
+	}
+	return all
+}
+
+// Round reads all rows, decides and carries the steps out. The clock gives the present time before each step.
+func (k *Keeper) Round(ctx context.Context, clock func() time.Time, counts map[string]int, leaving bool) error {
+	records, err := k.table.List(ctx, leasePart, "", maxPartitions)
+	if err != nil {
+		return err
+	}
+	rows := k.rows(records)
+	for _, step := range k.decide(clock(), rows, counts, leaving) {
+		k.carryOut(ctx, clock, step)
+	}
+	return nil
+}
+
+// rows decodes the listing and fills in absent rows.
+func (k *Keeper) rows(records []table.Record) []Row {
+	rows := make([]Row, k.partitions)
+	for i := range rows {
+		rows[i] = Row{Partition: i}
+	}
+	for _, r := range records {
+		var row Row
+		if json.Unmarshal(r.Data, &row) != nil || row.Partition >= k.partitions {
+			continue
+		}
+		row.Rev = r.Rev
+		rows[row.Partition] = row
+	}
+	return rows
+}
+
+func (k *Keeper) decide(now time.Time, rows []Row, counts map[string]int, leaving bool) []Step {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, row := range rows {
+		k.observe(now, row)
+	}
+	counts[k.self] = len(k.held)
+	return Decide(now, View{
+		Self:      k.self,
+		Rows:      rows,
+		Held:      k.held,
+		Counts:    counts,
+		FreeSince: k.freeSince,
+		Dead:      k.dead,
+		Leaving:   leaving,
+	})
+}
+
+// observe corrects the held leases and the free times by a row that was read.
+func (k *Keeper) observe(now time.Time, row Row) {
+	mine := row.Address == k.self && row.Incarnation == k.incarnation
+	_, ok := k.held[row.Partition]
+	if ok && !mine {
+		delete(k.held, row.Partition)
+		ok = false
+	}
+	if ok || !Free(now, row, k.dead, k.self) {
+		delete(k.freeSince, row.Partition)
+		return
+	}
+	if _, ok := k.freeSince[row.Partition]; !ok {
+		k.freeSince[row.Partition] = now
+	}
+}
+
+func (k *Keeper) carryOut(ctx context.Context, clock func() time.Time, step Step) {
+	switch step.Action {
+	case Prove:
+		k.prove(ctx, step.Row)
+	case Release:
+		k.release(ctx, step.Row)
+	default:
+		k.write(ctx, clock, step)
+	}
+}
+
+// prove learns whether the holder's process has been replaced.
+func (k *Keeper) prove(ctx context.Context, row Row) {
+	answered, err := k.probe(ctx, row.Address)
+	if err != nil || answered == row.Incarnation {
+		return
+	}
+	k.log.Info("lease: holder was replaced", "partition", row.Partition, "address", row.Address)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dead[row.Incarnation] = true
+}
+
+// release hands a partition back. The lease is dropped before the write, so that a lost answer leaves it unused.
+func (k *Keeper) release(ctx context.Context, row Row) {
+	k.mu.Lock()
+	h := k.held[row.Partition]
+	delete(k.held, row.Partition)
+	k.mu.Unlock()
+	next := Row{Partition: row.Partition, Epoch: h.Row.Epoch}
+	err := k.put(ctx, row.Rev, next)
+	k.log.Info("lease: released", "partition", row.Partition, "error", errorText(err))
+}
+
+// write acquires or renews a partition.
+func (k *Keeper) write(ctx context.Context, clock func() time.Time, step Step) {
+	now := clock()
+	row := step.Row
+	next := Row{
+		Partition:   row.Partition,
+		Address:     k.self,
+		Incarnation: k.incarnation,
+		Epoch:       row.Epoch,
+		End:         now.Round(0).Add(Length).UTC(),
+	}
+	k.mu.Lock()
+	h := k.held[row.Partition]
+	if step.Action == Acquire {
+		next.Epoch++
+		h = Held{Since: since(now, row, k.dead), Fresh: row.Rev == 0}
+	}
+	k.mu.Unlock()
+	err := k.put(ctx, row.Rev, next)
+	if errors.Is(err, table.ErrUnavailable) {
+		err = k.confirm(ctx, row.Rev+1, next)
+	}
+	if err != nil {
+		k.log.Info("lease: write failed", "action", step.Action, "partition", row.Partition, "error", err.Error())
+		return
+	}
+	next.Rev = row.Rev + 1
+	h.Row = next
+	h.Granted = now
+	k.mu.Lock()
+	k.held[row.Partition] = h
+	k.mu.Unlock()
+	k.log.V(1).Info("lease: granted", "action", step.Action, "partition", row.Partition, "epoch", next.Epoch)
+}
+
+// confirm finds out whether a write without an answer took effect.
+func (k *Keeper) confirm(ctx context.Context, rev int64, want Row) error {
+	r, ok, err := k.table.Get(ctx, leasePart, sortOf(want.Partition))
+	if err != nil {
+		return err
+	}
+	if !ok || r.Rev != rev || r.Write != k.writeID(want) {
+		return table.ErrConflict
+	}
+	return nil
+}
+
+func (k *Keeper) put(ctx context.Context, prev int64, row Row) error {
+	data, err := json.Marshal(row)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	k.writes++
+	k.mu.Unlock()
+	return k.table.Put(ctx, table.Put{Prev: prev, Record: table.Record{
+		Part:  leasePart,
+		Sort:  sortOf(row.Partition),
+		Rev:   prev + 1,
+		Write: k.writeID(row),
+		Data:  data,
+	}})
+}
+
+// writeID identifies a write: one incarnation writes one end to a row at most once.
+func (k *Keeper) writeID(row Row) string {
+	return fmt.Sprintf("%s/%d", k.incarnation, row.End.UnixNano())
+}
+
+// Writes returns the number of writes tried so far.
+func (k *Keeper) Writes() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.writes
+}
+
+func sortOf(partition int) string {
+	return fmt.Sprintf("%05d", partition)
+}
+
+// rank spreads the order in which instances try partitions.
+func rank(self string, partition int) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d", self, partition))
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/peer/lease/lease.go
@@ -0,0 +1,177 @@
+// Package lease decides and records which instance holds which partition of the fleet's limits.
+//
+// A lease is one row of the table service. Its holder uses it until the earlier of two clocks, wall and monotonic,
+// says that its end less the drift bound has come. A successor acts only after the end plus the drift bound, after a
+// release, or after another incarnation has answered at the holder's address. Silence is no proof.
+package lease
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// Length is the duration of a lease.
+	Length = 15 * time.Minute
+	// Drift bounds the difference between the wall clocks of two instances.
+	Drift = 2 * time.Second
+	// renewBelow is the remaining time at which a holder renews.
+	renewBelow = 2 * Length / 3
+	// patience is how long a free partition waits for an instance that holds fewer than its part.
+	patience = 3 * time.Second
+)
+
+// Row is the content of a lease row.
+type Row struct {
+	// Partition is the partition's number, from 0.
+	Partition int `json:"partition"`
+	// Address and Incarnation name the holder; empty after a release.
+	Address     string `json:"address,omitempty"`
+	Incarnation string `json:"incarnation,omitempty"`
+	// Epoch grows by one each time the holder changes.
+	Epoch int64 `json:"epoch"`
+	// End is the wall time at which the lease ends.
+	End time.Time `json:"end"`
+	// Rev is the table row's revision, 0 for an absent row.
+	Rev int64 `json:"-"`
+}
+
+// Held is a lease of this instance.
+type Held struct {
+	Row Row
+	// Granted is when the write that granted or renewed the lease was sent, with a monotonic reading.
+	Granted time.Time
+	// Since is the time from which the partition's budget may be counted.
+	Since time.Time
+	// Fresh tells that the partition never had a holder before.
+	Fresh bool
+}
+
+// Valid tells whether the lease may be used now, by the stricter of two clocks.
+func (h Held) Valid(now time.Time) bool {
+	elapsed := now.Sub(h.Granted)
+	if elapsed < 0 || elapsed >= Length-Drift {
+		return false
+	}
+	return now.Round(0).Before(h.Row.End.Add(-Drift))
+}
+
+// Action is one thing to do about a partition.
+type Action string
+
+// The actions.
+const (
+	Acquire Action = "acquire"
+	Renew   Action = "renew"
+	Release Action = "release"
+	// Prove asks the holder's address which incarnation answers there.
+	Prove Action = "prove"
+)
+
+// Step is an action on a row.
+type Step struct {
+	Action Action
+	Row    Row
+}
+
+// View is all that one decision is made from.
+type View struct {
+	// Self is this instance's address.
+	Self string
+	// Rows are all lease rows, one for each partition, in order.
+	Rows []Row
+	// Held are this instance's leases by partition.
+	Held map[int]Held
+	// Counts is the number of partitions that each live instance holds, this one included.
+	Counts map[string]int
+	// FreeSince is when each free partition was first seen free.
+	FreeSince map[int]time.Time
+	// Dead are the incarnations proven to have ended.
+	Dead map[string]bool
+	// Leaving tells that this instance hands everything back.
+	Leaving bool
+}
+
+// Decide returns the steps to take now, most urgent first.
+func Decide(now time.Time, v View) []Step {
+	var steps []Step
+	low := max(1, len(v.Rows)/max(1, len(v.Counts)))
+	high := (len(v.Rows) + len(v.Counts) - 1) / max(1, len(v.Counts))
+	held := 0
+	for _, row := range v.Rows {
+		h, ok := v.Held[row.Partition]
+		if !ok {
+			continue
+		}
+		held++
+		if v.Leaving || held > high || (held > low && someoneBelow(v, low)) {
+			held--
+			steps = append(steps, Step{Release, row})
+			continue
+		}
+		if h.Row.End.Sub(now.Round(0)) < renewBelow {
+			steps = append(steps, Step{Renew, row})
+		}
+	}
+	if v.Leaving {
+		return steps
+	}
+	for _, row := range preferred(v) {
+		if !Free(now, row, v.Dead, v.Self) {
+			if row.Address != "" && v.Counts[row.Address] == 0 {
+				steps = append(steps, Step{Prove, row})
+			}
+			continue
+		}
+		since, seen := v.FreeSince[row.Partition]
+		waited := seen && now.Sub(since) >= patience
+		if held < low || (held < high && waited) {
+			held++
+			steps = append(steps, Step{Acquire, row})
+		}
+	}
+	return steps
+}
+
+// someoneBelow tells whether a live instance holds fewer partitions than its part.
+func someoneBelow(v View, low int) bool {
+	for _, n := range v.Counts {
+		if n < low {
+			return true
+		}
+	}
+	return false
+}
+
+// preferred orders the partitions held by others or nobody, starting at a place of this instance's own,
+// so that instances which start together try different rows.
+func preferred(v View) []Row {
+	var rows []Row
+	for _, row := range v.Rows {
+		if _, ok := v.Held[row.Partition]; !ok {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		return rank(v.Self, rows[i].Partition) < rank(v.Self, rows[j].Partition)
+	})
+	return rows
+}
+
+// Free tells whether an instance may take over a partition that it does not hold. A row that names the instance's own
+// address is of an earlier incarnation or of a write whose answer was lost; neither is in use.
+func Free(now time.Time, row Row, dead map[string]bool, self string) bool {
+	if row.Address == "" || row.Address == self || dead[row.Incarnation] {
+		return true
+	}
+	return now.Round(0).After(row.End.Add(Drift))
+}
+
+// since returns the time from which a successor may count the partition's budget, given that it acts now.
+func since(now time.Time, row Row, dead map[string]bool) time.Time {
+	expired := row.End.Add(Drift)
+	if row.Address != "" && !dead[row.Incarnation] && now.Round(0).After(expired) {
+		return now.Add(-now.Round(0).Sub(expired))
+	}
+	return now
+}
--- /dev/null
+++ b/internal/plat/roster/roster.go
@@ -0,0 +1,71 @@
+// Package roster reads the platform's lagging list of live and leaving instances and upstreams.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// State of an entry on the list.
+type State string
+
+// The states of an entry.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Entry is one listed entry instance or upstream.
+type Entry struct {
+	// Address is HOST:PORT, the peer address of an instance or the service address of an upstream.
+	Address string `json:"address"`
+	// Zone is the availability zone.
+	Zone string `json:"zone"`
+	// State is Live or Leaving.
+	State State `json:"state"`
+}
+
+// Listing is the whole list at one time.
+type Listing struct {
+	Instances []Entry `json:"instances"`
+	Upstreams []Entry `json:"upstreams"`
+}
+
+const (
+	callTimeout     = 2 * time.Second
+	maxListingBytes = 4 << 20
+)
+
+// Client reads the list over HTTP.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// NewClient returns a client of the list at the base URL.
+func NewClient(base string) *Client {
+	return &Client{base: base, client: &http.Client{Timeout: callTimeout}}
+}
+
+// Fetch reads the list.
+func (c *Client) Fetch(ctx context.Context) (Listing, error) {
+	var l Listing
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/instances", nil)
+	if err != nil {
+		return l, oops.Wrapf(err, "instance list")
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		return l, oops.Wrapf(err, "instance list")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return l, oops.Errorf("instance list answered %d", res.StatusCode)
+	}
+	err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxListingBytes)).Decode(&l)
+	return l, oops.Wrapf(err, "instance list")
+}
--- /dev/null
+++ b/internal/stand/engine/engine.go
@@ -0,0 +1,400 @@
+// Package engine is the stand-in for a model engine: the OpenAI API with a prompt cache, a compute queue, and faults that can be switched on.
+package engine
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+// Settings are the stand-in's speeds and sizes.
+type Settings struct {
+	// PerToken is the time to compute one prompt token.
+	PerToken time.Duration
+	// PerEvent is the time between two output events.
+	PerEvent time.Duration
+	// CachePieces is the number of cached pieces before the oldest is dropped.
+	CachePieces int
+	// Weights is the loaded version by model.
+	Weights map[string]string
+}
+
+// Faults is the set of faults, set by PUT /faults.
+type Faults struct {
+	// CutAfter ends each stream after that many events; zero is never.
+	CutAfter int `json:"cut_after"`
+	// Empty ends each answer before its first event.
+	Empty bool `json:"empty"`
+	// Freeze stops all answers where they are.
+	Freeze bool `json:"freeze"`
+	// Cross answers with another request's identity.
+	Cross bool `json:"cross"`
+	// Poison makes the engine restart when a prompt contains the text.
+	Poison string `json:"poison"`
+}
+
+// Server is one engine.
+type Server struct {
+	settings Settings
+
+	mu          sync.Mutex
+	faults      Faults
+	incarnation string
+	cache       map[prefix.Hash]uint64
+	used        uint64
+	queued      int64
+	running     int
+	// ended is closed when the incarnation ends.
+	ended   chan struct{}
+	compute chan struct{}
+	// Keys are header values that must never be seen, for tests.
+	seen []string
+}
+
+// NewServer returns an engine with an empty cache.
+func NewServer(s Settings) *Server {
+	e := &Server{settings: s, compute: make(chan struct{}, 1)}
+	e.restart()
+	return e
+}
+
+// restart begins a new incarnation with an empty cache; open answers are cut.
+func (e *Server) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended != nil {
+		close(e.ended)
+	}
+	e.ended = make(chan struct{})
+	e.incarnation = rand.Text()[:12]
+	e.cache = make(map[prefix.Hash]uint64)
+	e.queued = 0
+}
+
+// SetFaults replaces the faults.
+func (e *Server) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Restart begins a new incarnation, as a crash does.
+func (e *Server) Restart() {
+	e.restart()
+}
+
+// Seen returns all header values, queries and bodies received so far, for checks that no key came through.
+func (e *Server) Seen() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.seen...)
+}
+
+// Handler returns the engine's HTTP handler.
+func (e *Server) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/v1/chat/completions", e.complete).Methods(http.MethodPost)
+	m.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
+	m.HandleFunc(runner.LoadPath, e.load).Methods(http.MethodGet)
+	m.HandleFunc("/faults", e.putFaults).Methods(http.MethodPut)
+	m.HandleFunc("/restart", func(http.ResponseWriter, *http.Request) { e.restart() }).Methods(http.MethodPost)
+	return m
+}
+
+func (e *Server) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(engine.Report{
+		Incarnation: e.incarnation,
+		Weights:     e.settings.Weights,
+		QueueTokens: e.queued,
+		Running:     e.running,
+	})
+}
+
+func (e *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+}
+
+// body is what the engine reads of a request.
+type body struct {
+	Model     string          `json:"model"`
+	Stream    bool            `json:"stream"`
+	MaxTokens int             `json:"max_tokens"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+}
+
+// work is one request in the engine.
+type work struct {
+	in     body
+	prompt []byte
+	salt   string
+	offset int
+	id     string
+	ended  <-chan struct{}
+	faults Faults
+	cached int64
+}
+
+func (e *Server) complete(w http.ResponseWriter, r *http.Request) {
+	var in body
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k := e.accept(r, in)
+	defer e.leave()
+	if k.faults.Poison != "" && strings.Contains(string(k.prompt), k.faults.Poison) {
+		e.restart()
+	}
+	e.header(w, k)
+	if !e.prefill(r.Context(), k) {
+		panic(http.ErrAbortHandler)
+	}
+	if k.faults.Empty {
+		panic(http.ErrAbortHandler)
+	}
+	if in.Stream {
+		e.stream(r.Context(), w, k)
+		return
+	}
+	e.whole(w, k)
+}
+
+// accept registers a request and looks up its cached pieces.
+func (e *Server) accept(r *http.Request, in body) *work {
+	k := &work{in: in, prompt: in.Messages, salt: r.Header.Get(runner.HeaderSalt), id: r.Header.Get(runner.HeaderRequest)}
+	if k.prompt == nil {
+		k.prompt = in.Prompt
+	}
+	k.offset, _ = strconv.Atoi(r.Header.Get(runner.HeaderOffset))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, values := range r.Header {
+		e.seen = append(e.seen, values...)
+	}
+	e.seen = append(e.seen, r.URL.RawQuery)
+	k.ended = e.ended
+	k.faults = e.faults
+	e.running++
+	for _, h := range e.chain(k) {
+		if _, ok := e.cache[h]; !ok {
+			break
+		}
+		k.cached += prefix.PieceTokens
+	}
+	e.queued += prefix.Tokens(k.prompt) - k.cached
+	return k
+}
+
+func (e *Server) chain(k *work) []prefix.Hash {
+	return prefix.Chain(prefix.Salt{Workspace: k.salt, Model: k.in.Model, Weights: e.settings.Weights[k.in.Model]}, k.prompt)
+}
+
+func (e *Server) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func (e *Server) header(w http.ResponseWriter, k *work) {
+	h := w.Header()
+	id := k.id
+	if k.faults.Cross {
+		id = "another-request"
+	}
+	h.Set(runner.HeaderRequest, id)
+	e.mu.Lock()
+	h.Set(runner.HeaderIncarnation, e.incarnation)
+	e.mu.Unlock()
+	h.Set(runner.HeaderWeights, e.settings.Weights[k.in.Model])
+	h.Set(runner.HeaderCached, strconv.FormatInt(k.cached, 10))
+	if k.in.Stream {
+		h.Set("Content-Type", "text/event-stream")
+	} else {
+		h.Set("Content-Type", "application/json")
+	}
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// prefill computes the missing part of the prompt, one request after the other.
+func (e *Server) prefill(ctx context.Context, k *work) bool {
+	missing := prefix.Tokens(k.prompt) - k.cached
+	defer func() {
+		e.mu.Lock()
+		e.queued = max(0, e.queued-missing)
+		e.mu.Unlock()
+	}()
+	select {
+	case e.compute <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	case <-k.ended:
+		return false
+	}
+	defer func() { <-e.compute }()
+	if !pause(ctx, k, time.Duration(missing)*e.settings.PerToken) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, h := range e.chain(k) {
+		e.used++
+		e.cache[h] = e.used
+	}
+	e.evict()
+	return true
+}
+
+// evict drops the pieces that were used least recently.
+func (e *Server) evict() {
+	for len(e.cache) > e.settings.CachePieces {
+		var oldest prefix.Hash
+		least := ^uint64(0)
+		for h, at := range e.cache {
+			if at < least {
+				oldest, least = h, at
+			}
+		}
+		delete(e.cache, oldest)
+	}
+}
+
+// pause waits; it returns false when the caller or the incarnation has gone.
+func pause(ctx context.Context, k *work, d time.Duration) bool {
+	var ready <-chan time.Time
+	if !k.faults.Freeze {
+		ready = time.After(d)
+	}
+	select {
+	case <-ready:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-k.ended:
+		return false
+	}
+}
+
+// Word returns the text of one output event; it depends on the prompt, so that a crossed answer shows.
+func Word(prompt []byte, number int) string {
+	sum := sha256.Sum256(prompt)
+	return fmt.Sprintf("%s-%d ", hex.EncodeToString(sum[:4]), number)
+}
+
+// chunk is one streamed event.
+type chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Text         string   `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int64        `json:"prompt_tokens"`
+	CompletionTokens int64        `json:"completion_tokens"`
+	TotalTokens      int64        `json:"total_tokens"`
+	Details          usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+func (e *Server) stream(ctx context.Context, w http.ResponseWriter, k *work) {
+	control := http.NewResponseController(w)
+	total := max(1, k.in.MaxTokens)
+	for i := 1; i <= total; i++ {
+		if i <= k.offset {
+			continue
+		}
+		if k.faults.CutAfter > 0 && i > k.faults.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if !pause(ctx, k, e.settings.PerEvent) {
+			panic(http.ErrAbortHandler)
+		}
+		data, _ := json.Marshal(e.chunk(k, i, total))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
+		_ = control.Flush()
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func (e *Server) chunk(k *work, number, total int) chunk {
+	c := chunk{ID: k.id, Object: "chat.completion.chunk", Model: k.in.Model}
+	one := choice{Delta: &message{Content: Word(k.prompt, number)}}
+	if k.in.Messages == nil {
+		one = choice{Text: Word(k.prompt, number)}
+		c.Object = "text_completion"
+	}
+	if number == total {
+		reason := "stop"
+		one.FinishReason = &reason
+		c.Usage = e.usage(k, total)
+	}
+	c.Choices = []choice{one}
+	return c
+}
+
+func (e *Server) usage(k *work, total int) *usage {
+	tokens := prefix.Tokens(k.prompt)
+	return &usage{
+		PromptTokens:     tokens,
+		CompletionTokens: int64(total),
+		TotalTokens:      tokens + int64(total),
+		Details:          usageDetails{CachedTokens: k.cached},
+	}
+}
+
+func (e *Server) whole(w http.ResponseWriter, k *work) {
+	total := max(1, k.in.MaxTokens)
+	var text strings.Builder
+	for i := 1; i <= total; i++ {
+		text.WriteString(Word(k.prompt, i))
+	}
+	reason := "stop"
+	one := choice{Message: &message{Role: "assistant", Content: text.String()}, FinishReason: &reason}
+	if k.in.Messages == nil {
+		one = choice{Text: text.String(), FinishReason: &reason}
+	}
+	_ = json.NewEncoder(w).Encode(chunk{
+		ID: k.id, Object: "chat.completion", Model: k.in.Model, Choices: []choice{one}, Usage: e.usage(k, total),
+	})
+}
--- /dev/null
+++ b/internal/stand/store/dynamo.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/skylarkquay/skylarkquay/internal/plat/table"
+)
+
+// attribute is one DynamoDB attribute value; the stand-in knows strings, numbers and binary.
+type attribute struct {
+	S string `json:"S,omitempty"`
+	N string `json:"N,omitempty"`
+	B []byte `json:"B,omitempty"`
+}
+
+// item is a row on the wire.
+type item struct {
+	Part  attribute `json:"part"`
+	Sort  attribute `json:"sort"`
+	Rev   attribute `json:"rev"`
+	Write attribute `json:"write"`
+	Data  attribute `json:"data"`
+}
+
+// values are the expression values that the product uses.
+type values struct {
+	Prev  attribute `json:":prev"`
+	Part  attribute `json:":part"`
+	After attribute `json:":after"`
+}
+
+// putInput is the body of PutItem and of a Put in a transaction.
+type putInput struct {
+	Item                      item
+	ConditionExpression       string
+	ExpressionAttributeValues values
+}
+
+// callInput is the union of the bodies of the calls that the product uses.
+type callInput struct {
+	putInput
+	Key                    struct{ Part, Sort attribute }
+	Limit                  int
+	KeyConditionExpression string
+	TransactItems          []struct{ Put putInput }
+}
+
+// Answers of the table calls.
+type getOutput struct {
+	Item *item `json:"Item,omitempty"`
+}
+
+type queryOutput struct {
+	Items []item
+	Count int
+}
+
+type errorOutput struct {
+	Type                string `json:"__type"`
+	Message             string `json:"message"`
+	CancellationReasons []struct {
+		Code string
+	} `json:",omitempty"`
+}
+
+const (
+	targetPrefix     = "DynamoDB_20120810."
+	exceptionPrefix  = "com.amazonaws.dynamodb.v20120810#"
+	codeCheckFailed  = "ConditionalCheckFailedException"
+	codeTxCanceled   = "TransactionCanceledException"
+	codeServerError  = "InternalServerError"
+	codeUnknownCall  = "UnknownOperationException"
+	contentTypeTable = "application/x-amz-json-1.0"
+)
+
+func toItem(r table.Record) item {
+	return item{
+		Part:  attribute{S: r.Part},
+		Sort:  attribute{S: r.Sort},
+		Rev:   attribute{N: strconv.FormatInt(r.Rev, 10)},
+		Write: attribute{S: r.Write},
+		Data:  attribute{B: r.Data},
+	}
+}
+
+func (in putInput) put() (table.Put, error) {
+	rev, err := strconv.ParseInt(in.Item.Rev.N, 10, 64)
+	if err != nil {
+		return table.Put{}, err
+	}
+	p := table.Put{Record: table.Record{
+		Part:  in.Item.Part.S,
+		Sort:  in.Item.Sort.S,
+		Rev:   rev,
+		Write: in.Item.Write.S,
+		Data:  in.Item.Data.B,
+	}}
+	if strings.HasPrefix(in.ConditionExpression, "attribute_not_exists") {
+		return p, nil
+	}
+	p.Prev, err = strconv.ParseInt(in.ExpressionAttributeValues.Prev.N, 10, 64)
+	return p, err
+}
+
+// serveTable answers one table call.
+func (s *Server) serveTable(w http.ResponseWriter, r *http.Request) {
+	call := strings.TrimPrefix(r.Header.Get("X-Amz-Target"), targetPrefix)
+	var in callInput
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		writeTableError(w, http.StatusBadRequest, "SerializationException", err.Error())
+		return
+	}
+	s.delay(r.Context())
+	switch call {
+	case "GetItem":
+		rec, ok, err := s.Table.Get(r.Context(), in.Key.Part.S, in.Key.Sort.S)
+		out := getOutput{}
+		if ok {
+			found := toItem(rec)
+			out.Item = &found
+		}
+		answerTable(w, out, err)
+	case "Query":
+		rows, err := s.Table.List(r.Context(), in.ExpressionAttributeValues.Part.S, in.ExpressionAttributeValues.After.S, in.Limit)
+		out := queryOutput{Count: len(rows), Items: make([]item, 0, len(rows))}
+		for _, rec := range rows {
+			out.Items = append(out.Items, toItem(rec))
+		}
+		answerTable(w, out, err)
+	case "PutItem":
+		p, err := in.put()
+		if err == nil {
+			err = s.Table.Put(r.Context(), p)
+		}
+		answerTable(w, struct{}{}, err)
+	case "TransactWriteItems":
+		s.serveTransact(w, r, in)
+	default:
+		writeTableError(w, http.StatusBadRequest, codeUnknownCall, call)
+	}
+}
+
+func (s *Server) serveTransact(w http.ResponseWriter, r *http.Request, in callInput) {
+	puts := make([]table.Put, 0, len(in.TransactItems))
+	for _, t := range in.TransactItems {
+		p, err := t.Put.put()
+		if err != nil {
+			writeTableError(w, http.StatusBadRequest, "ValidationException", err.Error())
+			return
+		}
+		puts = append(puts, p)
+	}
+	err := s.Table.Transact(r.Context(), puts)
+	if errors.Is(err, table.ErrConflict) {
+		writeTableError(w, http.StatusBadRequest, codeTxCanceled, "a condition failed")
+		return
+	}
+	answerTable(w, struct{}{}, err)
+}
+
+func answerTable(w http.ResponseWriter, out any, err error) {
+	if errors.Is(err, table.ErrConflict) {
+		writeTableError(w, http.StatusBadRequest, codeCheckFailed, "The conditional request failed")
+		return
+	}
+	if err != nil {
+		writeTableError(w, http.StatusInternalServerError, codeServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", contentTypeTable)
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func writeTableError(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", contentTypeTable)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorOutput{Type: exceptionPrefix + code, Message: message})
+}
