Configuration and claims: property tests of races, outages and lost answers

Cause: the state between instances had no proof. Ruled out as proof: example tests alone; they do not reach the orders. Change: random schedules of racing operators over a failing store with routers that read stale or old documents; random schedules of resends through three routers with kills, restarts, cuts, outages and lost answers; the store's fake fails before and after the effect.

--- a/internal/once/claim/claim.go
+++ b/internal/once/claim/claim.go
@@ -109,6 +109,8 @@
 	table   Table
 	router  string
 	resolve Resolver
+	// sleep waits; tests replace it by virtual time.
+	sleep func(ctx context.Context, d time.Duration) error
 
 	mu       sync.Mutex
 	attempts map[string]attempt
@@ -116,7 +118,7 @@
 
 // NewDesk returns a desk for one router.
 func NewDesk(t Table, router string, resolve Resolver) *Desk {
-	return &Desk{table: t, router: router, resolve: resolve, attempts: make(map[string]attempt)}
+	return &Desk{table: t, router: router, resolve: resolve, sleep: sleep, attempts: make(map[string]attempt)}
 }
 
 // ID derives a claim's identity from workspace, route and idempotency key.
@@ -282,10 +284,8 @@
 		if errors.Is(err, table.ErrConflict) {
 			return d.checkClosed(ctx, c)
 		}
-		select {
-		case <-time.After(finishPause):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := d.sleep(ctx, finishPause); err != nil {
+			return err
 		}
 	}
 	return err
@@ -354,3 +354,14 @@
 	defer d.mu.Unlock()
 	delete(d.attempts, name)
 }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/stand/store/memory.go
+++ b/internal/stand/store/memory.go
@@ -27,6 +27,8 @@
 	Down bool
 	// LoseEvery makes one in that many writes take effect with its answer lost; zero is never.
 	LoseEvery int
+	// FailEvery makes one in that many calls fail before its effect; zero is never.
+	FailEvery int
 	random    *rand.Rand
 }
 
@@ -49,6 +51,13 @@
 	m.LoseEvery = n
 }
 
+// SetFailEvery sets how often a call fails.
+func (m *Memory) SetFailEvery(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.FailEvery = n
+}
+
 // Counts returns the calls that took effect so far.
 func (m *Memory) Counts() (reads, writes int64) {
 	m.mu.Lock()
@@ -60,7 +69,7 @@
 func (m *Memory) Get(_ context.Context, part, sort string) (table.Record, bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.Down {
+	if m.Down || m.strikes(m.FailEvery) {
 		return table.Record{}, false, table.ErrUnavailable
 	}
 	m.Reads++
@@ -72,10 +81,21 @@
 func (m *Memory) List(_ context.Context, part, after string, limit int) ([]table.Record, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.Down {
+	if m.Down || m.strikes(m.FailEvery) {
 		return nil, table.ErrUnavailable
 	}
 	m.Reads++
+	return m.list(part, after, limit), nil
+}
+
+// Peek returns the rows of a part, whatever the faults.
+func (m *Memory) Peek(part string) []table.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list(part, "", len(m.rows))
+}
+
+func (m *Memory) list(part, after string, limit int) []table.Record {
 	var rows []table.Record
 	for k, r := range m.rows {
 		if k.part == part && k.sort > after {
@@ -86,7 +106,7 @@
 	if len(rows) > limit {
 		rows = rows[:limit]
 	}
-	return rows, nil
+	return rows
 }
 
 // Put writes one row under its condition.
@@ -98,7 +118,7 @@
 func (m *Memory) Transact(_ context.Context, puts []table.Put) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.Down {
+	if m.Down || m.strikes(m.FailEvery) {
 		return table.ErrUnavailable
 	}
 	for _, p := range puts {
@@ -110,8 +130,13 @@
 		m.rows[key{p.Record.Part, p.Record.Sort}] = p.Record
 	}
 	m.Writes++
-	if m.LoseEvery > 0 && m.random.IntN(m.LoseEvery) == 0 {
+	if m.strikes(m.LoseEvery) {
 		return table.ErrUnavailable
 	}
 	return nil
 }
+
+// strikes tells whether a fault that hits one in so many writes hits this one.
+func (m *Memory) strikes(every int) bool {
+	return every > 0 && m.random.IntN(every) == 0
+}
