Whole site in one process, with tests of every promise under failure

Cause: the promises were tried by hand only. Found: a crashing request was not recognised, because the stand-in told the new incarnation in the header of the answer that it cut; ruled out the router's probe (it compared rightly). The stand-in now tells the one that accepted.

--- a/internal/conf/ledger/ledger_test.go
+++ b/internal/conf/ledger/ledger_test.go
@@ -115,7 +115,6 @@
 
 // operator is one operator's client in the random schedules.
 type operator struct {
-	base    int64
 	pending *Edit
 }
 
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -61,7 +61,7 @@
 	// ended is closed when the incarnation ends.
 	ended   chan struct{}
 	compute chan struct{}
-	// Keys are header values that must never be seen, for tests.
+	// seen holds the header values and queries received so far.
 	seen []string
 }
 
@@ -104,6 +104,13 @@
 	return append([]string(nil), e.seen...)
 }
 
+// Running returns the requests in progress.
+func (e *Server) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // Handler returns the engine's HTTP handler.
 func (e *Server) Handler() http.Handler {
 	m := mux.NewRouter()
@@ -154,6 +161,8 @@
 	ended  <-chan struct{}
 	faults Faults
 	cached int64
+	// incarnation is the one that accepted the request.
+	incarnation string
 }
 
 func (e *Server) complete(w http.ResponseWriter, r *http.Request) {
@@ -196,6 +205,7 @@
 	e.seen = append(e.seen, r.URL.RawQuery)
 	k.ended = e.ended
 	k.faults = e.faults
+	k.incarnation = e.incarnation
 	e.running++
 	for _, h := range e.chain(k) {
 		if _, ok := e.cache[h]; !ok {
@@ -224,9 +234,7 @@
 		id = "another-request"
 	}
 	h.Set(runner.HeaderRequest, id)
-	e.mu.Lock()
-	h.Set(runner.HeaderIncarnation, e.incarnation)
-	e.mu.Unlock()
+	h.Set(runner.HeaderIncarnation, k.incarnation)
 	h.Set(runner.HeaderWeights, e.settings.Weights[k.in.Model])
 	h.Set(runner.HeaderCached, strconv.FormatInt(k.cached, 10))
 	if k.in.Stream {
--- /dev/null
+++ b/internal/trial/site/chat_test.go
@@ -0,0 +1,222 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	routerOptions "github.com/skylarkquay/skylarkquay/internal/conf/option"
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/stand/engine"
+)
+
+var ample = rules.Rate{TokensPerSecond: 1_000_000, BurstTokens: 5_000_000}
+
+func start(t *testing.T, p Plan) *Site {
+	t.Helper()
+	p.Log = logr.Discard()
+	if p.Rates == nil {
+		p.Rates = map[string]rules.Rate{"acme": ample, "other": ample}
+	}
+	if p.Engine.PerEvent == 0 {
+		p.Engine.PerEvent = time.Millisecond
+	}
+	if p.Adjust == nil {
+		p.Adjust = func(o *routerOptions.Settings) { o.FirstToken, o.TokenIdle = time.Second, time.Second }
+	}
+	s, err := Start(p)
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func client(n *Node, key string) openai.Client {
+	return openai.NewClient(option.WithBaseURL(n.URL()+"/v1/"), option.WithAPIKey(key), option.WithMaxRetries(0))
+}
+
+// prompt returns messages and the content that an engine hashes for them.
+func params(text string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     Model,
+		MaxTokens: openai.Int(tokens),
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+	}
+}
+
+// wantText is the whole answer to a prompt.
+func wantText(text string, tokens int) string {
+	messages := fmt.Sprintf(`[{"content":%q,"role":"user"}]`, text)
+	var want strings.Builder
+	for i := range tokens {
+		want.WriteString(engine.Word([]byte(messages), i+1))
+	}
+	return want.String()
+}
+
+// streamText streams a prompt through the official client and returns the joined text.
+func streamText(ctx context.Context, n *Node, key, text string, tokens int64) (string, error) {
+	c := client(n, key)
+	stream := c.Chat.Completions.NewStreaming(ctx, params(text, tokens))
+	var got strings.Builder
+	for stream.Next() {
+		if choices := stream.Current().Choices; len(choices) > 0 {
+			got.WriteString(choices[0].Delta.Content)
+		}
+	}
+	return got.String(), stream.Err()
+}
+
+func TestOfficialClientStreams(t *testing.T) {
+	s := start(t, Plan{Routers: 3, Engines: 3})
+	var wg sync.WaitGroup
+	errs := make(chan error, 60)
+	for i := range cap(errs) {
+		wg.Go(func() {
+			text := fmt.Sprintf("prompt %d", i)
+			got, err := streamText(t.Context(), s.Routers[i%3], s.Keys["acme"], text, 20)
+			if err == nil && got != wantText(text, 20) {
+				err = fmt.Errorf("prompt %d: got %q", i, got)
+			}
+			errs <- err
+		})
+	}
+	wg.Wait()
+	for range cap(errs) {
+		must.NoError(t, <-errs)
+	}
+}
+
+func TestOfficialClientWholeAnswerAndModels(t *testing.T) {
+	s := start(t, Plan{Routers: 1, Engines: 2})
+	c := client(s.Routers[0], s.Keys["acme"])
+	answer, err := c.Chat.Completions.New(t.Context(), params("hello", 5))
+	must.NoError(t, err)
+	must.Eq(t, wantText("hello", 5), answer.Choices[0].Message.Content)
+	must.Eq(t, 5, answer.Usage.CompletionTokens)
+	list, err := c.Models.List(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, Model, list.Data[0].ID)
+}
+
+// TestStreamGoesOnElsewhere brings about the failures of one engine and checks that the caller sees one whole stream.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults engine.Faults
+	}{
+		{"cut", engine.Faults{CutAfter: 5}},
+		{"empty", engine.Faults{Empty: true}},
+		{"crossed", engine.Faults{Cross: true}},
+		{"frozen", engine.Faults{Freeze: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Plan{Routers: 1, Engines: 3})
+			s.Engines[0].SetFaults(c.faults)
+			s.Engines[1].SetFaults(c.faults)
+			for i := range 3 {
+				text := fmt.Sprintf("%s %d", c.name, i)
+				ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+				got, err := streamText(ctx, s.Routers[0], s.Keys["acme"], text, 12)
+				cancel()
+				must.NoError(t, err)
+				must.Eq(t, wantText(text, 12), got)
+			}
+		})
+	}
+}
+
+func TestAllEnginesFail(t *testing.T) {
+	s := start(t, Plan{Routers: 1, Engines: 2})
+	for _, e := range s.Engines {
+		e.SetFaults(engine.Faults{Empty: true})
+	}
+	res := post(t, s.Routers[0], s.Keys["acme"], "/v1/chat/completions", `{"model":"quotes","messages":[{"role":"user","content":"x"}]}`, nil)
+	must.Eq(t, http.StatusBadGateway, res.StatusCode)
+	must.Eq(t, string(fault.UpstreamFailed), res.Header.Get(fault.HeaderKind))
+	must.Eq(t, string(fault.RanYes), res.Header.Get(fault.HeaderRan))
+}
+
+// post sends one request and reads its body into the answer's Status field-free body.
+func post(t *testing.T, n *Node, key, path, body string, header http.Header) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.URL()+path, strings.NewReader(body))
+	must.NoError(t, err)
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	data, err := io.ReadAll(res.Body)
+	must.NoError(t, err)
+	_ = res.Body.Close()
+	res.Body = io.NopCloser(strings.NewReader(string(data)))
+	return res
+}
+
+func TestRefusalsNameTheirKind(t *testing.T) {
+	s := start(t, Plan{Routers: 1, Engines: 1, Services: 1, Rates: map[string]rules.Rate{"acme": {TokensPerSecond: 100, BurstTokens: 1000}}})
+	key := s.Keys["acme"]
+	good := `{"model":"quotes","max_tokens":1,"messages":[]}`
+	cases := []struct {
+		name   string
+		key    string
+		path   string
+		body   string
+		header http.Header
+		kind   fault.Kind
+	}{
+		{"malformed", key, "/v1/chat/completions", `{"model":`, nil, fault.BadRequest},
+		{"not an object", key, "/v1/chat/completions", `[1]`, nil, fault.BadRequest},
+		{"no model", key, "/v1/chat/completions", `{}`, nil, fault.BadRequest},
+		{"no prompt", key, "/v1/chat/completions", `{"model":"quotes"}`, nil, fault.BadRequest},
+		{"unknown model", key, "/v1/chat/completions", `{"model":"x","messages":[]}`, nil, fault.UnknownModel},
+		{"no key", "", "/v1/chat/completions", good, nil, fault.BadKey},
+		{"bad key", "nonsense", "/v1/chat/completions", good, nil, fault.BadKey},
+		{"ten megabytes", key, "/v1/chat/completions", strings.Repeat("x", 10<<20), nil, fault.BodyTooLarge},
+		{"header", key, "/v1/chat/completions", good, http.Header{"X-Long": {strings.Repeat("h", 40<<10)}}, fault.HeaderTooLarge},
+		{"beyond burst", key, "/v1/chat/completions", `{"model":"quotes","max_tokens":2000,"messages":[]}`, nil, fault.BadRequest},
+		{"no route", key, "/nowhere", "", nil, fault.UnknownRoute},
+		{"route without key", "", "/bookings", "{}", nil, fault.BadKey},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			res := post(t, s.Routers[0], c.key, c.path, c.body, c.header)
+			must.Eq(t, string(c.kind), res.Header.Get(fault.HeaderKind))
+			must.Eq(t, string(fault.RanNo), res.Header.Get(fault.HeaderRan))
+			must.Eq(t, fault.AnswerTo(c.kind).Status, res.StatusCode)
+		})
+	}
+	must.Eq(t, 200, post(t, s.Routers[0], key, "/v1/chat/completions", good, nil).StatusCode)
+}
+
+func TestOverRateIsRefusedAcrossRouters(t *testing.T) {
+	s := start(t, Plan{Routers: 3, Engines: 2, Rates: map[string]rules.Rate{"acme": {TokensPerSecond: 1, BurstTokens: 2400}}})
+	waitPartitions(t, s)
+	body := `{"model":"quotes","max_tokens":99,"messages":[]}`
+	admitted := 0
+	for i := range 60 {
+		res := post(t, s.Routers[i%3], s.Keys["acme"], "/v1/chat/completions", body, nil)
+		if res.StatusCode == http.StatusOK {
+			admitted++
+			continue
+		}
+		must.Eq(t, string(fault.OverRate), res.Header.Get(fault.HeaderKind))
+		must.NotEq(t, "", res.Header.Get("Retry-After"))
+	}
+	must.Between(t, 20, admitted, 25)
+}
