Replay of recorded traces in virtual time, with baselines and an oracle

Cause: routing had no measure. Change: trace format, seeded generator for both sites (steady, shift, crash, flood), engines as small fakes, policies side by side over the product's own fleet and picker.

--- /dev/null
+++ b/internal/app/trials/trials.go
@@ -0,0 +1,73 @@
+// Package trials is the command line of the replay, load and demonstration tool.
+package trials
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// tool is one run of the command line.
+type tool struct {
+	JSON bool `long:"json" description:"print JSON"`
+
+	out    io.Writer
+	stderr io.Writer
+}
+
+// Main runs the tool and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	t := &tool{out: stdout, stderr: stderr}
+	p := flags.NewNamedParser("skylarkload", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Tool", "", t); err != nil {
+		panic(err)
+	}
+	commands := []struct {
+		name, short string
+		data        flags.Commander
+	}{
+		{"record", "generate the recorded traces anew", &recordCommand{t: t}},
+		{"replay", "replay traces under every policy", &replayCommand{t: t}},
+	}
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
+			panic(err)
+		}
+	}
+	_, err := p.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(stderr, usage.Message)
+		if usage.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	default:
+		_, _ = fmt.Fprintln(stderr, "skylarkload:", err)
+		return 1
+	}
+}
+
+func (t *tool) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.out, format, args...)
+}
+
+// save writes a value as JSON to a file, making its folder.
+func save(path string, value any) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
--- a/internal/route/prefix/prefix.go
+++ b/internal/route/prefix/prefix.go
@@ -65,3 +65,8 @@
 	_, _ = d.Write(piece)
 	return Hash(d.Sum64())
 }
+
+// Named returns the hash of a prefix that is known by a name instead of its text, as in recorded traces.
+func Named(s Salt, name string) Hash {
+	return link(seed(s), []byte(name))
+}
--- /dev/null
+++ b/internal/trial/replay/policy.go
@@ -0,0 +1,145 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+// Policy names a way of choosing engines.
+type Policy string
+
+// The policies. All but Ours are baselines; Oracle knows every cache and queue.
+const (
+	Random    Policy = "random"
+	LeastLoad Policy = "least-load"
+	Workspace Policy = "workspace-hash"
+	History   Policy = "own-history"
+	Ours      Policy = "skylarkquay"
+	Oracle    Policy = "oracle"
+)
+
+// Policies lists all policies, ours last but one.
+var Policies = []Policy{Random, LeastLoad, Workspace, History, Ours, Oracle}
+
+// question is one request to place.
+type question struct {
+	workspace string
+	chain     []prefix.Hash
+	tokens    int64
+	router    *router
+	avoid     map[string]bool
+}
+
+// router is one router's own knowledge.
+type router struct {
+	zone  string
+	fleet *engine.Fleet
+	heats *picker.Heats
+}
+
+// choose returns the name of the engine that a policy picks, or "".
+func (r *run) choose(p Policy, now time.Time, q question) string {
+	views := r.open(q.router.fleet.Engines(now, model), q.avoid)
+	if len(views) == 0 {
+		return ""
+	}
+	switch p {
+	case Random:
+		return views[r.random.IntN(len(views))].Name
+	case LeastLoad:
+		return least(views, func(v engine.View) time.Duration { return r.load(v) }, r.random)
+	case Workspace:
+		return views[int(xxhash.Sum64String(q.workspace)%uint64(len(views)))].Name
+	case History:
+		return r.byHistory(now, q, views)
+	case Oracle:
+		return r.byTruth(now, q, views)
+	default:
+		return r.ours(now, q, views)
+	}
+}
+
+// open drops the engines that failed this request.
+func (r *run) open(views []engine.View, avoid map[string]bool) []engine.View {
+	var open []engine.View
+	for _, v := range views {
+		if !avoid[v.Name] && !v.Ejected {
+			open = append(open, v)
+		}
+	}
+	return open
+}
+
+func (r *run) load(v engine.View) time.Duration {
+	return time.Duration(v.QueueTokens)*r.costs.PerToken + time.Duration(v.Running)*r.costs.PerRunning
+}
+
+// byHistory weighs what this router itself has sent, and the load.
+func (r *run) byHistory(now time.Time, q question, views []engine.View) string {
+	names := make([]string, len(views))
+	for i := range views {
+		names[i] = views[i].Name
+	}
+	depths := q.router.fleet.Cached(now, names, q.chain)
+	cost := make(map[string]time.Duration, len(views))
+	for i, v := range views {
+		missing := q.tokens - int64(depths[i])*prefix.PieceTokens
+		cost[v.Name] = r.load(v) + time.Duration(missing)*r.costs.PerToken
+	}
+	return least(views, func(v engine.View) time.Duration { return cost[v.Name] }, r.random)
+}
+
+// byTruth weighs the true caches and queues.
+func (r *run) byTruth(now time.Time, q question, views []engine.View) string {
+	return least(views, func(v engine.View) time.Duration {
+		f := r.engines[v.Name]
+		missing := q.tokens - int64(f.depth(q.chain))*prefix.PieceTokens
+		return max(0, f.busyUntil.Sub(now)) + time.Duration(missing)*f.perToken + r.hop(q.router.zone, f.zone)
+	}, r.random)
+}
+
+func (r *run) ours(now time.Time, q question, views []engine.View) string {
+	heat := 0
+	if len(q.chain) > 0 {
+		heat = q.router.heats.Add(now, q.chain[0], time.Duration(q.tokens)*r.costs.PerToken, len(r.routers))
+	}
+	d := picker.Decide(now, picker.Question{
+		Zone:   q.router.zone,
+		Chain:  q.chain,
+		Tokens: q.tokens,
+		Heat:   heat,
+		Favour: rules.Favour(r.trace.Header.Favour),
+	}, views, q.router.fleet, r.costs)
+	c, ok := d.Chosen()
+	if !ok {
+		return ""
+	}
+	return c.Name
+}
+
+// least returns the view of least cost, drawing among equals.
+func least(views []engine.View, cost func(engine.View) time.Duration, random *rand.Rand) string {
+	best := ""
+	var lowest time.Duration
+	equals := 0
+	for _, v := range views {
+		c := cost(v)
+		switch {
+		case best == "" || c < lowest:
+			best, lowest, equals = v.Name, c, 1
+		case c == lowest:
+			equals++
+			if random.IntN(equals) == 0 {
+				best = v.Name
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/trial/replay/replay.go
@@ -0,0 +1,357 @@
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+	"github.com/skylarkquay/skylarkquay/internal/trial/trace"
+)
+
+const (
+	model = "m"
+	// reportEvery and reportLag say how old a load report is when it is used.
+	reportEvery = 500 * time.Millisecond
+	reportLag   = 200 * time.Millisecond
+	// target is the time to first token that counts as good service.
+	target = 1900 * time.Millisecond
+	// patience is the expected wait beyond which a request is refused at once.
+	patience    = 10 * time.Second
+	maxAttempts = 4
+	// retryDelay is the time in which a router notices that an engine has crashed.
+	retryDelay = 20 * time.Millisecond
+)
+
+// Result is the row of one trace under one policy.
+type Result struct {
+	Trace  string `json:"trace"`
+	Policy Policy `json:"policy"`
+	// Requests is the number of requests in the trace.
+	Requests int `json:"requests"`
+	// Hit is the fraction of prompt tokens found in a cache.
+	Hit float64 `json:"hit"`
+	// P50, P95 and P99 are times to first token in seconds.
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	// Waste is the tokens recomputed though another engine had them, per prompt token.
+	Waste float64 `json:"waste"`
+	// Worst is the least fraction of a workspace's requests within rate that had their first token in time.
+	Worst float64 `json:"worst"`
+	// Wrongful is the fraction of the requests within rate that were refused.
+	Wrongful float64 `json:"wrongful"`
+}
+
+// event is something that happens at a virtual time.
+type event struct {
+	at    time.Time
+	order int
+	do    func(now time.Time)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// run is one replay.
+type run struct {
+	trace   trace.Trace
+	policy  Policy
+	costs   picker.Costs
+	random  *rand.Rand
+	start   time.Time
+	engines map[string]*fake
+	names   []string
+	routers []*router
+	pending events
+	order   int
+	left    int
+	tally   tally
+	buckets map[string]*bucket
+}
+
+// tally collects the outcomes.
+type tally struct {
+	times    []float64
+	prompt   int64
+	cached   int64
+	wasted   int64
+	good     map[string]int
+	within   map[string]int
+	wrongful int
+}
+
+// bucket is a workspace's whole budget, which tells requests within rate from others.
+type bucket struct {
+	level float64
+	last  time.Time
+}
+
+// Run replays a trace under a policy.
+func Run(t trace.Trace, p Policy) Result {
+	r := newRun(t, p)
+	r.schedule()
+	for r.left > 0 && len(r.pending) > 0 {
+		e := heap.Pop(&r.pending).(event)
+		e.do(e.at)
+	}
+	return r.result()
+}
+
+func newRun(t trace.Trace, p Policy) *run {
+	perToken := time.Duration(t.Header.TokenMicros * float64(time.Microsecond))
+	r := &run{
+		trace:   t,
+		policy:  p,
+		costs:   picker.DefaultCosts(),
+		random:  rand.New(rand.NewPCG(11, 13)),
+		start:   time.Unix(1_800_000_000, 0),
+		engines: make(map[string]*fake),
+		left:    len(t.Rows),
+		tally:   tally{good: make(map[string]int), within: make(map[string]int)},
+		buckets: make(map[string]*bucket),
+	}
+	r.costs.PerToken = perToken
+	r.costs.Hop = time.Duration(t.Header.HopMillis * float64(time.Millisecond))
+	upstreams := make(map[string]rules.Upstream)
+	for i := range t.Header.Engines {
+		name := fmt.Sprintf("e%02d", i)
+		zone := t.Header.Zones[i%len(t.Header.Zones)]
+		r.names = append(r.names, name)
+		r.engines[name] = &fake{name: name, zone: zone, perToken: perToken, capacity: t.Header.CachePieces, cache: make(map[prefix.Hash]uint64)}
+		upstreams[name] = rules.Upstream{Address: name, Zone: zone, Kind: rules.Engine, Models: []string{model}}
+	}
+	for i := range t.Header.Routers {
+		router := &router{zone: t.Header.Zones[i%len(t.Header.Zones)], fleet: engine.NewFleet(), heats: picker.NewHeats()}
+		router.fleet.Permit(upstreams)
+		r.routers = append(r.routers, router)
+	}
+	return r
+}
+
+// schedule enters arrivals, load reports and faults.
+func (r *run) schedule() {
+	for _, row := range r.trace.Rows {
+		r.at(r.start.Add(seconds(row.At)), func(now time.Time) { r.arrive(now, row) })
+	}
+	for i, router := range r.routers {
+		first := r.start.Add(reportEvery * time.Duration(i) / time.Duration(len(r.routers)))
+		r.at(first, func(now time.Time) { r.reports(now, router) })
+	}
+	for _, f := range r.trace.Header.Faults {
+		r.at(r.start.Add(seconds(f.At)), func(now time.Time) {
+			r.engines[r.names[f.Engine]].crash(now, seconds(f.Seconds))
+		})
+	}
+}
+
+func (r *run) at(when time.Time, do func(now time.Time)) {
+	r.order++
+	heap.Push(&r.pending, event{at: when, order: r.order, do: do})
+}
+
+// reports takes the engines' loads, which a router learns after the lag.
+func (r *run) reports(now time.Time, router *router) {
+	for _, name := range r.names {
+		f := r.engines[name]
+		if now.Before(f.downUntil) {
+			r.at(now.Add(reportLag), func(now time.Time) { router.fleet.Failed(now, name) })
+			continue
+		}
+		report := f.report(now)
+		r.at(now.Add(reportLag), func(time.Time) { router.fleet.Reported(now, name, report) })
+	}
+	r.at(now.Add(reportEvery), func(now time.Time) { r.reports(now, router) })
+}
+
+// request is one request under way.
+type request struct {
+	row      trace.Row
+	arrived  time.Time
+	within   bool
+	attempts int
+	question question
+}
+
+func (r *run) arrive(now time.Time, row trace.Row) {
+	q := &request{row: row, arrived: now, within: r.spend(now, row)}
+	if !q.within {
+		r.left--
+		return
+	}
+	r.tally.within[row.Workspace]++
+	q.question = question{
+		workspace: row.Workspace,
+		chain:     row.Chain(),
+		tokens:    row.Tokens(),
+		router:    r.routers[row.Router],
+		avoid:     make(map[string]bool),
+	}
+	r.place(now, q)
+}
+
+// spend takes the request's tokens from its workspace's whole budget.
+func (r *run) spend(now time.Time, row trace.Row) bool {
+	rate, ok := r.trace.Header.Rates[row.Workspace]
+	if !ok {
+		return true
+	}
+	b, ok := r.buckets[row.Workspace]
+	if !ok {
+		b = &bucket{level: float64(rate.Burst), last: now}
+		r.buckets[row.Workspace] = b
+	}
+	b.level = min(float64(rate.Burst), b.level+now.Sub(b.last).Seconds()*float64(rate.PerSecond))
+	b.last = now
+	need := float64(row.Tokens() + row.Output)
+	if b.level < need {
+		return false
+	}
+	b.level -= need
+	return true
+}
+
+// place sends a request to the engine that the policy picks.
+func (r *run) place(now time.Time, q *request) {
+	q.attempts++
+	name := r.choose(r.policy, now, q.question)
+	f := r.engines[name]
+	if name == "" || q.attempts > maxAttempts || max(0, f.busyUntil.Sub(now)) > patience {
+		r.tally.wrongful++
+		r.left--
+		return
+	}
+	fleet := q.question.router.fleet
+	missing := q.question.tokens - int64(fleet.Cached(now, []string{name}, q.question.chain)[0])*prefix.PieceTokens
+	number := fleet.Sent(now, name, missing)
+	arrival := now.Add(r.hop(q.question.router.zone, f.zone))
+	if arrival.Before(f.downUntil) {
+		r.retry(now, q, name, number)
+		return
+	}
+	best := r.bestDepth(q.question.chain)
+	cached, ready := f.accept(arrival, q.question.chain, q.question.tokens)
+	incarnation := f.incarnation()
+	f.running++
+	r.at(ready, func(now time.Time) {
+		if f.incarnation() != incarnation {
+			r.retry(now, q, name, number)
+			return
+		}
+		fleet.Computed(name, number)
+		r.learn(now, q, name, incarnation, cached)
+		r.count(now, q, cached, best)
+		output := time.Duration(float64(q.row.Output) * r.trace.Header.EventMillis * float64(time.Millisecond))
+		r.at(now.Add(output), func(time.Time) {
+			fleet.Finished(name, number)
+			if f.incarnation() == incarnation {
+				f.running--
+			}
+		})
+	})
+}
+
+// retry tries another engine after a failure.
+func (r *run) retry(now time.Time, q *request, name string, number uint64) {
+	fleet := q.question.router.fleet
+	fleet.Finished(name, number)
+	fleet.Failed(now, name)
+	q.question.avoid[name] = true
+	r.at(now.Add(retryDelay), func(now time.Time) { r.place(now, q) })
+}
+
+// learn records what the answer tells the router, as the chat handler does.
+func (r *run) learn(now time.Time, q *request, name, incarnation string, cached int64) {
+	fleet := q.question.router.fleet
+	fleet.Succeeded(now, name, incarnation)
+	chain := q.question.chain
+	if depth := int(cached / prefix.PieceTokens); depth < len(chain) {
+		fleet.Correct(name, chain[depth:])
+	}
+	fleet.Remember(now, name, incarnation, chain)
+}
+
+func (r *run) bestDepth(chain []prefix.Hash) int64 {
+	best := 0
+	for _, f := range r.engines {
+		best = max(best, f.depth(chain))
+	}
+	return int64(best) * prefix.PieceTokens
+}
+
+func (r *run) count(now time.Time, q *request, cached, best int64) {
+	r.left--
+	took := now.Sub(q.arrived) + r.hop(q.question.router.zone, "")
+	r.tally.times = append(r.tally.times, took.Seconds())
+	r.tally.prompt += q.question.tokens
+	r.tally.cached += cached
+	r.tally.wasted += max(0, best-cached)
+	if took <= target {
+		r.tally.good[q.row.Workspace]++
+	}
+}
+
+func (r *run) hop(a, b string) time.Duration {
+	if a == b {
+		return 0
+	}
+	return r.costs.Hop
+}
+
+func (r *run) result() Result {
+	t := r.tally
+	sort.Float64s(t.times)
+	res := Result{
+		Trace:    r.trace.Header.Trace,
+		Policy:   r.policy,
+		Requests: len(r.trace.Rows),
+		Hit:      float64(t.cached) / float64(max(1, t.prompt)),
+		P50:      quantile(t.times, 0.50),
+		P95:      quantile(t.times, 0.95),
+		P99:      quantile(t.times, 0.99),
+		Waste:    float64(t.wasted) / float64(max(1, t.prompt)),
+		Worst:    1,
+	}
+	within := 0
+	for workspace, n := range t.within {
+		within += n
+		res.Worst = min(res.Worst, float64(t.good[workspace])/float64(n))
+	}
+	res.Wrongful = float64(t.wrongful) / float64(max(1, within))
+	return res
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
