Routing: one instance places a model's prompts; failed tries of deterministic homes noted

Change: an instance chosen by rendezvous hashing over the live ones places a model's prompts (setting: how many share it, by workspace); the others ask it, and decide by themselves when it does not answer within 50 ms.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/fairq"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 )
 
 // Router is one router with all its parts.
@@ -52,6 +53,7 @@
 	desk    *claim.Desk
 	crashes *crash.Book
 	fleet   *engine.Fleet
+	placer  *placer.Placer
 	pool    *relay.Pool
 	queue   *fairq.Queue
 	gate    *gate.Gate
@@ -87,7 +89,7 @@
 		metrics:   metrics,
 		counters:  counters,
 		feed:      feed.New(),
-		fleet:     engine.NewFleet(),
+		fleet:     engine.NewFleet(picker.DefaultCosts().PerToken),
 		pool:      relay.NewPool(),
 		crashes:   crash.NewBook(),
 		queue:     fairq.NewQueue(s.MaxInFlight),
@@ -139,19 +141,19 @@
 	r.limiter = escrow.NewLimiter(s.Partitions, share.NewBook(), r.keeper, r.peers)
 	r.desk = claim.NewDesk(r.table, self.Address, r.peers.resolve)
 	r.gate = gate.NewGate(r.feed, r.members.Size, s.HeaderBytes, s.BodyBytes)
+	r.placer = placer.NewPlacer(r.fleet, placers{r.members}, r.peers)
 	r.chat = &chat.Handler{
 		Gate:         r.gate,
 		Limiter:      r.limiter,
 		Queue:        r.queue,
 		Fleet:        r.fleet,
 		Pool:         r.pool,
-		Heats:        picker.NewHeats(),
+		Placer:       r.placer,
 		Crashes:      r.crashes,
 		Deaths:       &deaths{router: r},
 		Log:          r.log,
 		Metrics:      r.metrics.SubScope("chat"),
 		Zone:         s.Zone,
-		Instances:    func(now time.Time) int { return len(r.members.Live(now)) },
 		MaxTokens:    s.MaxTokens,
 		FirstToken:   s.FirstToken,
 		TokenIdle:    s.TokenIdle,
--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/plat/roster"
 	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 )
 
 const (
@@ -39,6 +40,7 @@
 		{"leases", r.keepLeases},
 		{"watch", r.watch},
 		{"loads", r.pollLoads},
+		{"outcomes", r.flushOutcomes},
 	}
 }
 
@@ -180,6 +182,10 @@
 		doc, changed := r.feed.Document()
 		if doc != nil {
 			r.fleet.Permit(doc.Upstreams)
+			policy := doc.PolicyInForce()
+			perToken := time.Duration(policy.TokenMicros) * time.Microsecond
+			r.fleet.SetPerToken(perToken)
+			r.placer.Configure(perToken, policy.Placers)
 			addresses := make(map[string]bool, len(doc.Upstreams))
 			for _, u := range doc.Upstreams {
 				addresses[u.Address] = true
@@ -238,3 +244,11 @@
 		r.fleet.Reported(asked, name, report)
 	}
 }
+
+// flushOutcomes tells the placers what became of their prompts.
+func (r *Router) flushOutcomes(ctx context.Context) error {
+	return every(ctx, func(ctx context.Context) time.Duration {
+		r.placer.Flush(ctx)
+		return placer.FlushEvery
+	})
+}
--- /dev/null
+++ b/internal/app/daemon/placing.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/peer/member"
+	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
+	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+const (
+	placeTimeout = 50 * time.Millisecond
+	learnTimeout = 500 * time.Millisecond
+)
+
+// placers implements placer.Members on the member table.
+type placers struct {
+	members *member.Table
+}
+
+// Self implements placer.Members.
+func (p placers) Self() string {
+	return p.members.Self().Address
+}
+
+// Candidates implements placer.Members.
+func (p placers) Candidates(now time.Time) []string {
+	var addresses []string
+	for _, m := range p.members.Live(now) {
+		if !m.Leaving {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
+// Place implements placer.Peers.
+func (p *peers) Place(ctx context.Context, address string, q picker.Question) (placer.Choice, error) {
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	request := &wire.PlaceRequest{Model: q.Model, Chain: numbers(q.Chain), Tokens: q.Tokens, Zone: q.Zone, Seed: q.Seed}
+	for name := range q.Avoid {
+		request.Avoid = append(request.Avoid, name)
+	}
+	reply, err := p.to(address).Place(ctx, request)
+	if err != nil {
+		return placer.Choice{}, err
+	}
+	return placer.Choice{
+		Engine:     reply.Upstream,
+		Cached:     reply.CachedTokens,
+		Total:      time.Duration(reply.TotalMicros) * time.Microsecond,
+		Considered: int(reply.Considered),
+	}, nil
+}
+
+// Learn implements placer.Peers.
+func (p *peers) Learn(ctx context.Context, address string, outcomes []placer.Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	request := &wire.LearnRequest{}
+	for _, o := range outcomes {
+		request.Outcomes = append(request.Outcomes, &wire.Outcome{
+			Upstream: o.Engine, Incarnation: o.Incarnation, Chain: numbers(o.Chain), CachedTokens: o.Cached, Failed: o.Failed,
+		})
+	}
+	if _, err := p.to(address).Learn(ctx, request); err != nil {
+		p.router.log.V(1).Info("route: outcomes were lost", "peer", address, "reason", err.Error())
+	}
+}
+
+// Place answers a peer's question by this instance's knowledge.
+func (a answers) Place(_ context.Context, in *wire.PlaceRequest) (*wire.PlaceReply, error) {
+	avoid := make(map[string]bool, len(in.Avoid))
+	for _, name := range in.Avoid {
+		avoid[name] = true
+	}
+	c := a.router.placer.Decide(time.Now(), picker.Question{
+		Model:  in.Model,
+		Seed:   in.Seed,
+		Zone:   in.Zone,
+		Chain:  hashes(in.Chain),
+		Tokens: in.Tokens,
+		Avoid:  avoid,
+		Favour: a.favour(),
+	})
+	return &wire.PlaceReply{
+		Upstream: c.Engine, CachedTokens: c.Cached, TotalMicros: c.Total.Microseconds(), Considered: int32(c.Considered),
+	}, nil
+}
+
+// Learn takes in what became of prompts that this instance has placed for a peer.
+func (a answers) Learn(_ context.Context, in *wire.LearnRequest) (*wire.LearnReply, error) {
+	now := time.Now()
+	for _, o := range in.Outcomes {
+		a.router.placer.Absorb(now, placer.Outcome{
+			Engine: o.Upstream, Incarnation: o.Incarnation, Chain: hashes(o.Chain), Cached: o.CachedTokens, Failed: o.Failed,
+		})
+	}
+	return &wire.LearnReply{}, nil
+}
+
+// favour returns the site's favour in force.
+func (p *peers) favour() rules.Favour {
+	doc, _ := p.router.feed.Document()
+	if doc == nil {
+		return rules.TailLatency
+	}
+	return doc.PolicyInForce().Favour
+}
+
+func numbers(chain []prefix.Hash) []uint64 {
+	all := make([]uint64, len(chain))
+	for i, h := range chain {
+		all[i] = uint64(h)
+	}
+	return all
+}
+
+func hashes(chain []uint64) []prefix.Hash {
+	all := make([]prefix.Hash, len(chain))
+	for i, n := range chain {
+		all[i] = prefix.Hash(n)
+	}
+	return all
+}
--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -49,7 +49,7 @@
 		Ledger:  r.ledger,
 		Members: r.members,
 		Keeper:  r.keeper,
-		Fleet:   r.fleet,
+		Placer:  r.placer,
 		Open:    r.queue.Running,
 		Leave:   r.Drain,
 		Zone:    r.settings.Zone,
--- a/internal/app/opctl/state.go
+++ b/internal/app/opctl/state.go
@@ -52,11 +52,11 @@
 		return err
 	}
 	return e.c.print(reply, func() {
-		e.c.printf("chosen: %s (%s), %d prompt tokens\n", reply.Chosen, reply.Why, reply.PromptTokens)
-		e.c.printf("%-16s %-8s %-8s %10s %10s %10s %10s %10s\n", "engine", "zone", "reason", "queue", "compute", "hop", "total", "cached")
+		e.c.printf("chosen: %s (%s), %d prompt tokens, placed by %s\n", reply.Chosen, reply.Why, reply.PromptTokens, reply.Placer)
+		e.c.printf("%-16s %-8s %10s %10s %10s %10s %10s\n", "engine", "zone", "queue", "compute", "hop", "total", "cached")
 		for _, c := range reply.Candidates {
-			e.c.printf("%-16s %-8s %-8s %10.4f %10.4f %10.4f %10.4f %10d\n",
-				c.Upstream, c.Zone, c.Reason, c.QueueSeconds, c.ComputeSeconds, c.HopSeconds, c.TotalSeconds, c.CachedTokens)
+			e.c.printf("%-16s %-8s %10.4f %10.4f %10.4f %10.4f %10d\n",
+				c.Upstream, c.Zone, c.QueueSeconds, c.ComputeSeconds, c.HopSeconds, c.TotalSeconds, c.CachedTokens)
 		}
 	})
 }
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -104,6 +104,10 @@
 	Favour Favour `yaml:"favour" json:"favour" validate:"oneof=tail_latency fairness"`
 	// MaxLoads bounds the runners that load weights at once.
 	MaxLoads int `yaml:"max_loads" json:"max_loads" validate:"gte=1,lte=1000"`
+	// Placers is the number of instances over which the placement of one model's prompts is spread, by workspace.
+	Placers int `yaml:"placers" json:"placers" validate:"gte=1,lte=1000"`
+	// TokenMicros is the time in microseconds in which an engine computes one prompt token.
+	TokenMicros int `yaml:"token_micros" json:"token_micros" validate:"gte=1,lte=1000000"`
 }
 
 // PolicyName is the name of the policy item.
@@ -141,5 +145,5 @@
 	if p, ok := d.Site[PolicyName]; ok {
 		return p
 	}
-	return Policy{Favour: TailLatency, MaxLoads: 2}
+	return Policy{Favour: TailLatency, MaxLoads: 2, Placers: 1, TokenMicros: 100}
 }
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -15,8 +15,8 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/lease"
 	"github.com/skylarkquay/skylarkquay/internal/peer/member"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
-	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 )
 
@@ -26,7 +26,7 @@
 	Ledger  *ledger.Ledger
 	Members *member.Table
 	Keeper  *lease.Keeper
-	Fleet   *engine.Fleet
+	Placer  *placer.Placer
 	Log     logr.Logger
 	Zone    string
 	// Open returns the requests in progress.
@@ -101,13 +101,18 @@
 	}
 	prompt := []byte(in.Prompt)
 	question := picker.Question{
+		Model:  in.Model,
 		Zone:   o.Zone,
 		Chain:  prefix.Chain(prefix.Salt{Workspace: in.Workspace, Model: in.Model, Weights: model.Weights}, prompt),
 		Tokens: prefix.Tokens(prompt),
 		Favour: doc.PolicyInForce().Favour,
 	}
-	d := picker.Decide(now, question, o.Fleet.Engines(now, in.Model), o.Fleet, picker.DefaultCosts())
-	reply := &wire.ExplainReply{PromptTokens: question.Tokens, Why: "no engine can take the request"}
+	d := o.Placer.Weigh(now, question)
+	reply := &wire.ExplainReply{
+		PromptTokens: question.Tokens,
+		Why:          "no engine can take the request",
+		Placer:       o.Placer.Owner(now, in.Model, in.Workspace),
+	}
 	if c, ok := d.Chosen(); ok {
 		reply.Chosen = c.Name
 		reply.Why = "lowest expected time to first token"
@@ -121,7 +126,6 @@
 			HopSeconds:     c.Hop.Seconds(),
 			TotalSeconds:   c.Total.Seconds(),
 			CachedTokens:   c.Cached,
-			Reason:         string(c.Reason),
 		})
 	}
 	return reply, nil
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -14,8 +14,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
-	"github.com/skylarkquay/skylarkquay/internal/route/picker"
-	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 )
 
 const (
@@ -31,8 +30,8 @@
 
 // attempt is one try of a request on one engine.
 type attempt struct {
-	engine picker.Candidate
-	number uint64
+	choice placer.Choice
+	view   engine.View
 	res    *http.Response
 	cancel context.CancelFunc
 	// silence ends the attempt when the engine says nothing.
@@ -42,20 +41,19 @@
 
 // open sends the request to an engine and returns once its header has come and fits.
 func (h *Handler) open(ctx context.Context, j *job, offset int64) (*attempt, error) {
-	c, err := h.choose(j)
+	c, v, err := h.choose(ctx, j)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{engine: c, cancel: cancel, silent: make(chan struct{})}
+	a := &attempt{choice: c, view: v, cancel: cancel, silent: make(chan struct{})}
 	a.silence = time.AfterFunc(h.FirstToken, func() {
 		close(a.silent)
 		cancel()
 	})
-	a.number = h.Fleet.Sent(time.Now(), c.Name, j.tokens-c.Cached)
-	req, err := newRequest(ctx, j, c, offset)
+	req, err := newRequest(ctx, j, v.Address, offset)
 	if err != nil {
-		h.end(a)
+		a.end()
 		return nil, err
 	}
 	a.res, err = h.Pool.Do(req)
@@ -66,7 +64,7 @@
 		err = check(j, a.res)
 	}
 	if err != nil {
-		h.end(a)
+		a.end()
 		return a, err
 	}
 	h.learn(j, a)
@@ -74,17 +72,16 @@
 }
 
 // end frees what an attempt holds.
-func (h *Handler) end(a *attempt) {
+func (a *attempt) end() {
 	a.silence.Stop()
 	a.cancel()
 	if a.res != nil {
 		_ = a.res.Body.Close()
 	}
-	h.Fleet.Finished(a.engine.Name, a.number)
 }
 
-func newRequest(ctx context.Context, j *job, c picker.Candidate, offset int64) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.View().Address+j.path, bytes.NewReader(j.req.Body))
+func newRequest(ctx context.Context, j *job, address string, offset int64) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+j.path, bytes.NewReader(j.req.Body))
 	if err != nil {
 		return nil, err
 	}
@@ -111,17 +108,16 @@
 
 // learn records what the answer's header tells of the engine.
 func (h *Handler) learn(j *job, a *attempt) {
-	now := time.Now()
-	name := a.engine.Name
-	incarnation := a.res.Header.Get(runner.HeaderIncarnation)
-	h.Fleet.Succeeded(now, name, incarnation)
 	cached, err := strconv.ParseInt(a.res.Header.Get(runner.HeaderCached), 10, 64)
-	if err == nil {
-		if depth := int(cached / prefix.PieceTokens); depth < len(j.chain) && cached < a.engine.Cached {
-			h.Fleet.Correct(name, j.chain[depth:])
-		}
+	if err != nil {
+		cached = a.choice.Cached
 	}
-	h.Fleet.Remember(now, name, incarnation, j.chain)
+	h.Placer.Learn(time.Now(), a.choice.By, placer.Outcome{
+		Engine:      a.choice.Engine,
+		Incarnation: a.res.Header.Get(runner.HeaderIncarnation),
+		Chain:       j.chain,
+		Cached:      cached,
+	})
 }
 
 // failed records an engine's failure and finds out whether the engine died of it.
@@ -129,18 +125,18 @@
 	if a == nil {
 		return
 	}
-	j.avoid[a.engine.Name] = true
+	j.avoid[a.choice.Engine] = true
 	if ctx.Err() != nil {
 		return
 	}
-	h.Log.Info("route: engine failed", "request", j.id, "engine", a.engine.Name, "reason", err.Error())
+	h.Log.Info("route: engine failed", "request", j.id, "engine", a.choice.Engine, "reason", err.Error())
 	h.Metrics.Counter("engine_failures").Inc(1)
 	if !errors.Is(err, errWrong) {
-		h.Fleet.Failed(time.Now(), a.engine.Name)
+		h.Placer.Learn(time.Now(), a.choice.By, placer.Outcome{Engine: a.choice.Engine, Failed: true})
 	}
 	select {
 	case <-a.silent:
-		h.Pool.Distrust(a.engine.View().Address)
+		h.Pool.Distrust(a.view.Address)
 		return
 	default:
 	}
@@ -154,11 +150,11 @@
 func (h *Handler) died(ctx context.Context, a *attempt) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
-	before := a.engine.View().Incarnation
+	before := a.view.Incarnation
 	if a.res != nil {
 		before = a.res.Header.Get(runner.HeaderIncarnation)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.engine.View().Address+runner.LoadPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.view.Address+runner.LoadPath, nil)
 	if err != nil {
 		return false
 	}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/fairq"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 )
 
@@ -35,15 +36,13 @@
 	Queue   *fairq.Queue
 	Fleet   *engine.Fleet
 	Pool    *relay.Pool
-	Heats   *picker.Heats
+	Placer  *placer.Placer
 	Crashes *crash.Book
 	Deaths  Deaths
 	Log     logr.Logger
 	Metrics tally.Scope
 	// Zone is this instance's availability zone.
 	Zone string
-	// Instances tells how many instances share the traffic.
-	Instances func(now time.Time) int
 	// MaxTokens is the bound on the output of a request that names none.
 	MaxTokens int64
 	// FirstToken bounds the wait for the first event, TokenIdle the silence between two.
@@ -63,7 +62,6 @@
 	weight      int
 	chain       []prefix.Hash
 	tokens      int64
-	heat        int
 	favour      rules.Favour
 	fingerprint string
 	start       time.Time
@@ -128,10 +126,6 @@
 		avoid:       make(map[string]bool),
 		suspect:     h.Crashes.Marked(now, fingerprint),
 	}
-	if len(j.chain) > 0 {
-		busy := time.Duration(j.tokens) * picker.DefaultCosts().PerToken
-		j.heat = h.Heats.Add(now, j.chain[0], busy, h.Instances(now))
-	}
 	rate, limited := doc.Rates[caller.Workspace]
 	if !limited {
 		return j, nil, nil
@@ -196,23 +190,23 @@
 }
 
 // choose places the request on an engine and logs the decision.
-func (h *Handler) choose(j *job) (picker.Candidate, error) {
+func (h *Handler) choose(ctx context.Context, j *job) (placer.Choice, engine.View, error) {
 	now := time.Now()
-	d := picker.Decide(now, picker.Question{
+	c := h.Placer.Place(ctx, now, j.caller.Workspace, picker.Question{
+		Model:  j.req.Model,
 		Zone:   h.Zone,
 		Chain:  j.chain,
 		Tokens: j.tokens,
-		Heat:   j.heat,
 		Avoid:  j.avoid,
 		Favour: j.favour,
-	}, h.Fleet.Engines(now, j.req.Model), h.Fleet, picker.DefaultCosts())
-	c, ok := d.Chosen()
+	})
+	v, ok := h.Fleet.Engine(now, c.Engine, j.req.Model)
 	if !ok {
-		return c, fault.New(fault.NoUpstream, "no engine for model %q can take the request", j.req.Model)
+		return c, v, fault.New(fault.NoUpstream, "no engine for model %q can take the request", j.req.Model)
 	}
-	h.Log.Info("route: chose engine", "request", j.id, "workspace", j.caller.Workspace, "engine", c.Name,
-		"reason", c.Reason, "expected", c.Total, "cached", c.Cached, "tokens", j.tokens, "candidates", len(d.Candidates))
-	return c, nil
+	h.Log.Info("route: chose engine", "request", j.id, "workspace", j.caller.Workspace, "engine", c.Engine,
+		"expected", c.Total, "cached", c.Cached, "tokens", j.tokens, "considered", c.Considered, "placer", c.By)
+	return c, v, nil
 }
 
 // refuse answers with an error of the closed list and logs it.
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -34,7 +34,7 @@
 		a, err := h.open(ctx, j, out.sent)
 		if err == nil {
 			err = h.relay(j, a, out)
-			h.end(a)
+			a.end()
 		}
 		if err == nil {
 			h.finish(j, out.sent)
@@ -69,7 +69,6 @@
 		a.silence.Reset(h.TokenIdle)
 		if first {
 			first = false
-			h.Fleet.Computed(a.engine.Name, a.number)
 			if out.sent == 0 {
 				h.Metrics.Timer("first_token").Record(time.Since(j.start))
 			}
@@ -135,7 +134,7 @@
 			if err == nil && !json.Valid(answer) {
 				err = relay.ErrCut
 			}
-			h.end(a)
+			a.end()
 			if err == nil {
 				h.finish(j, 1)
 				w.Header().Set("Content-Type", "application/json")
--- a/internal/front/plain/plain.go
+++ b/internal/front/plain/plain.go
@@ -218,8 +218,7 @@
 	if err != nil {
 		return nil, err
 	}
-	number := h.Fleet.Sent(time.Now(), v.Name, 0)
-	defer h.Fleet.Finished(v.Name, number)
+	h.Fleet.Sent(time.Now(), v.Name, 0)
 	return do(req)
 }
 
--- a/internal/route/engine/engine.go
+++ b/internal/route/engine/engine.go
@@ -1,7 +1,8 @@
-// Package engine keeps what this instance knows of each upstream: its load, its incarnation, its failures and what its cache may hold.
+// Package engine keeps what this instance knows of each upstream: its load, its incarnation, its failures, and which prefixes it was sent.
 package engine
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -16,10 +17,8 @@
 	ejectMost  = 15 * time.Second
 	// slowStart is how long a new incarnation gets less than its part.
 	slowStart = 10 * time.Second
-	// HistoryTTL is how long a sent prefix is believed to be cached.
-	HistoryTTL = 120 * time.Second
-	// maxHistory bounds the remembered prefixes of one upstream.
-	maxHistory = 8192
+	// flightMost is how long a sent request counts when no load report comes.
+	flightMost = 5 * time.Second
 )
 
 // Report is an upstream's load as it told it.
@@ -51,7 +50,7 @@
 	Starting bool
 }
 
-// flight is a request that this instance has sent and that is not finished.
+// flight is a request sent since the last load report.
 type flight struct {
 	tokens int64
 	sent   time.Time
@@ -59,29 +58,34 @@
 
 // state is what is kept of one upstream.
 type state struct {
+	name        string
 	upstream    rules.Upstream
 	incarnation string
 	seen        time.Time
 	report      Report
 	reportedAt  time.Time
-	flights     map[uint64]flight
-	failures    int
-	ejected     time.Time
-	// history maps prefixes to the time they were last sent; it is of this incarnation alone.
-	history map[prefix.Hash]time.Time
-	leaving bool
+	// flights are in order of time.
+	flights []flight
+	// busyUntil estimates when the queued prompts will have been computed.
+	busyUntil time.Time
+	failures  int
+	ejected   time.Time
+	leaving   bool
 }
 
 // Fleet is what this instance knows of all upstreams. It is safe for concurrent use.
 type Fleet struct {
 	mu     sync.Mutex
 	states map[string]*state
-	next   uint64
+	// ordered are the states in order of name.
+	ordered  []*state
+	holders  *holders
+	perToken time.Duration
 }
 
-// NewFleet returns an empty fleet.
-func NewFleet() *Fleet {
-	return &Fleet{states: make(map[string]*state)}
+// NewFleet returns an empty fleet of upstreams that take so long to compute one prompt token.
+func NewFleet(perToken time.Duration) *Fleet {
+	return &Fleet{states: make(map[string]*state), holders: newHolders(), perToken: perToken}
 }
 
 // Permit makes the fleet equal to the permitted upstreams, keeping what is known of those that stay.
@@ -96,11 +100,16 @@
 	for name, u := range upstreams {
 		s, ok := f.states[name]
 		if !ok || s.upstream.Address != u.Address {
-			s = &state{flights: make(map[uint64]flight), history: make(map[prefix.Hash]time.Time)}
+			s = &state{name: name}
 			f.states[name] = s
 		}
 		s.upstream = u
 	}
+	f.ordered = f.ordered[:0]
+	for _, s := range f.states {
+		f.ordered = append(f.ordered, s)
+	}
+	sort.Slice(f.ordered, func(i, j int) bool { return f.ordered[i].name < f.ordered[j].name })
 }
 
 // Leave records which addresses are leaving; they get no new work.
@@ -112,83 +121,88 @@
 	}
 }
 
+// SetPerToken sets the time in which an engine computes one prompt token.
+func (f *Fleet) SetPerToken(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.perToken = d
+}
+
+// Engine returns the view of one engine; false when it is not permitted for the model or is leaving.
+func (f *Fleet) Engine(now time.Time, name, model string) (View, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.states[name]
+	if !ok || s.leaving || s.upstream.Kind != rules.Engine || !slices.Contains(s.upstream.Models, model) {
+		return View{}, false
+	}
+	return s.view(now, f.perToken), true
+}
+
 // Engines returns the views of the engines that serve a model, in order of name.
 func (f *Fleet) Engines(now time.Time, model string) []View {
-	return f.views(now, func(u rules.Upstream) bool {
-		return u.Kind == rules.Engine && contains(u.Models, model)
+	return f.views(now, func(u *rules.Upstream) bool {
+		return u.Kind == rules.Engine && slices.Contains(u.Models, model)
 	})
 }
 
 // Services returns the views of the upstreams that run a plain service, in order of name.
 func (f *Fleet) Services(now time.Time, service string) []View {
-	return f.views(now, func(u rules.Upstream) bool {
+	return f.views(now, func(u *rules.Upstream) bool {
 		return u.Kind == rules.Service && u.Service == service
 	})
 }
 
-func (f *Fleet) views(now time.Time, match func(rules.Upstream) bool) []View {
+func (f *Fleet) views(now time.Time, match func(*rules.Upstream) bool) []View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var views []View
-	for name, s := range f.states {
-		if s.leaving || !match(s.upstream) {
-			continue
+	views := make([]View, 0, len(f.ordered))
+	for _, s := range f.ordered {
+		if !s.leaving && match(&s.upstream) {
+			views = append(views, s.view(now, f.perToken))
 		}
-		views = append(views, s.view(now, name))
 	}
-	sort.Slice(views, func(i, j int) bool { return views[i].Name < views[j].Name })
 	return views
 }
 
-func (s *state) view(now time.Time, name string) View {
-	v := View{
-		Name:        name,
+func (s *state) view(now time.Time, perToken time.Duration) View {
+	s.land(now.Add(-flightMost))
+	return View{
+		Name:        s.name,
 		Zone:        s.upstream.Zone,
 		Address:     s.upstream.Address,
 		Incarnation: s.incarnation,
-		QueueTokens: s.report.QueueTokens,
-		Running:     s.report.Running,
+		QueueTokens: int64(max(0, s.busyUntil.Sub(now)) / perToken),
+		Running:     s.report.Running + len(s.flights),
 		Ejected:     now.Before(s.ejected),
-		Starting:    s.incarnation != "" && now.Sub(s.seen) < slowStart,
-	}
-	for _, fl := range s.flights {
-		if fl.sent.After(s.reportedAt) {
-			v.QueueTokens += fl.tokens
-			v.Running++
-		}
+		Starting:    !s.seen.IsZero() && now.Sub(s.seen) < slowStart,
 	}
-	return v
 }
 
-// Sent records a request on its way to an upstream and returns its number for Finished.
-func (f *Fleet) Sent(now time.Time, name string, tokens int64) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.next++
-	if s, ok := f.states[name]; ok {
-		s.flights[f.next] = flight{tokens: tokens, sent: now}
+// land drops the flights that were sent up to a time.
+func (s *state) land(until time.Time) {
+	for len(s.flights) > 0 && !s.flights[0].sent.After(until) {
+		s.flights = s.flights[1:]
 	}
-	return f.next
 }
 
-// Computed records that a sent request's prompt has been computed, so that it no longer waits in the queue.
-func (f *Fleet) Computed(name string, number uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[name]; ok {
-		if fl, ok := s.flights[number]; ok {
-			fl.tokens = 0
-			s.flights[number] = fl
-		}
+// enqueue adds a prompt to the estimated queue, which is worked off as time goes by.
+func (s *state) enqueue(fl flight, perToken time.Duration) {
+	if fl.sent.After(s.busyUntil) {
+		s.busyUntil = fl.sent
 	}
+	s.busyUntil = s.busyUntil.Add(time.Duration(fl.tokens) * perToken)
 }
 
-// Finished records the end of a sent request.
-func (f *Fleet) Finished(name string, number uint64) {
+// Sent records a request on its way to an upstream and the prompt tokens that it leaves to compute. It counts until a
+// load report that is newer.
+func (f *Fleet) Sent(now time.Time, name string, tokens int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.states[name]; ok {
-		delete(s.flights, number)
+		fl := flight{tokens: tokens, sent: now}
+		s.flights = append(s.flights, fl)
+		s.enqueue(fl, f.perToken)
 	}
 }
 
@@ -210,12 +224,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.states[name]
-	if !ok {
+	if !ok || now.Before(s.ejected) {
 		return
 	}
-	delay := min(ejectMost, ejectFirst<<min(s.failures, 5))
+	s.ejected = now.Add(min(ejectMost, ejectFirst<<min(s.failures, 5)))
 	s.failures++
-	s.ejected = now.Add(delay)
 }
 
 // Reported records a load report that describes the time it was asked for.
@@ -229,9 +242,14 @@
 	s.meet(asked, r.Incarnation)
 	s.report = r
 	s.reportedAt = asked
+	s.land(asked)
+	s.busyUntil = asked.Add(time.Duration(r.QueueTokens) * f.perToken)
+	for _, fl := range s.flights {
+		s.enqueue(fl, f.perToken)
+	}
 }
 
-// meet forgets what a dead incarnation had cached.
+// meet notes a new incarnation; what its predecessor held is no longer believed.
 func (s *state) meet(now time.Time, incarnation string) {
 	if incarnation == "" || incarnation == s.incarnation {
 		return
@@ -240,22 +258,14 @@
 		s.seen = now
 	}
 	s.incarnation = incarnation
-	s.history = make(map[prefix.Hash]time.Time)
 }
 
-// Remember records that an incarnation of an upstream now holds the prefixes of a chain.
+// Remember records that an incarnation of an upstream holds the prefixes of a chain.
 func (f *Fleet) Remember(now time.Time, name, incarnation string, chain []prefix.Hash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.states[name]
-	if !ok || s.incarnation != incarnation {
-		return
-	}
-	if len(s.history)+len(chain) > maxHistory {
-		s.prune(now)
-	}
-	for _, h := range chain {
-		s.history[h] = now
+	if s, ok := f.states[name]; ok && s.incarnation == incarnation {
+		f.holders.add(now, name, incarnation, chain)
 	}
 }
 
@@ -263,50 +273,23 @@
 func (f *Fleet) Correct(name string, missing []prefix.Hash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s, ok := f.states[name]; ok {
-		for _, h := range missing {
-			delete(s.history, h)
-		}
-	}
+	f.holders.remove(name, missing)
 }
 
-func (s *state) prune(now time.Time) {
-	for h, at := range s.history {
-		if now.Sub(at) > HistoryTTL/4 {
-			delete(s.history, h)
-		}
-	}
-	if len(s.history) > maxHistory/2 {
-		s.history = make(map[prefix.Hash]time.Time)
-	}
+// Holding says how many leading pieces of a chain an upstream is believed to hold.
+type Holding struct {
+	Name  string
+	Depth int
 }
 
-// Cached returns how many leading pieces of a chain each named upstream is believed to hold.
-func (f *Fleet) Cached(now time.Time, names []string, chain []prefix.Hash) []int {
+// Holdings returns the upstreams that are believed to hold some of a chain, deepest first.
+func (f *Fleet) Holdings(now time.Time, chain []prefix.Hash) []Holding {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	depths := make([]int, len(names))
-	for i, name := range names {
-		s, ok := f.states[name]
-		if !ok {
-			continue
-		}
-		for depth := len(chain); depth > 0; depth-- {
-			at, ok := s.history[chain[depth-1]]
-			if ok && now.Sub(at) <= HistoryTTL {
-				depths[i] = depth
-				break
-			}
-		}
-	}
-	return depths
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
+	return f.holders.find(now, chain, func(name string) string {
+		if s, ok := f.states[name]; ok {
+			return s.incarnation
 		}
-	}
-	return false
+		return ""
+	})
 }
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -1,5 +1,4 @@
-// Package picker chooses the engine for a prompt: the one with the lowest expected time to first token among the
-// engines where all instances agree to keep the prompt's prefixes, those known to hold them, and the least loaded.
+// Package picker chooses the engine for a prompt: the one with the lowest expected time to first token.
 package picker
 
 import (
@@ -27,28 +26,30 @@
 }
 
 const (
-	// spread is the number of engines over which the first level of a prefix is kept at the least.
-	spread = 4
-	// narrow is the number of engines kept for each deeper level.
-	narrow = 2
-	// leastLoaded is the number of idle engines that are always considered.
-	leastLoaded = 2
 	// startingPenalty is added to an engine that has just started.
 	startingPenalty = 50 * time.Millisecond
 	// ejectable is the largest part of the engines that may be passed over, as a divisor.
 	ejectable = 2
+	// recomputeTail and recomputeFair weigh the time to compute what is not cached, which also delays the prompts behind it
+	// and displaces cached pieces: more where the worst-served workspace matters most.
+	recomputeTail = 1.25
+	recomputeFair = 2.0
+	// told is the number of candidates that a decision names.
+	told = 8
 )
 
 // Question is one request to place.
 type Question struct {
+	// Model is the model that must be served.
+	Model string
+	// Seed draws between engines of equal cost.
+	Seed uint64
 	// Zone is the asking instance's availability zone.
 	Zone string
 	// Chain is the prompt's prefix hashes.
 	Chain []prefix.Hash
 	// Tokens is the prompt's length.
 	Tokens int64
-	// Heat is the number of engines that the traffic of the prompt's first piece needs.
-	Heat int
 	// Avoid are engines that failed this request already.
 	Avoid map[string]bool
 	// Favour is the site's measure.
@@ -57,36 +58,26 @@
 
 // Candidate is one engine with its expected cost.
 type Candidate struct {
-	Name   string
-	Zone   string
-	Reason Reason
+	Name    string
+	Zone    string
+	Address string
+	// Incarnation is the engine's last known one, or "".
+	Incarnation string
 	// Cached is the number of prompt tokens believed to be cached.
 	Cached  int64
 	Queue   time.Duration
 	Compute time.Duration
 	Hop     time.Duration
-	Total   time.Duration
-	view    engine.View
+	// Total is the sum by which engines are compared, with Compute weighed by the site's favour.
+	Total time.Duration
+	draw  uint64
 }
 
-// View returns the engine as the decision saw it.
-func (c Candidate) View() engine.View {
-	return c.view
-}
-
-// Reason says why an engine was considered.
-type Reason string
-
-// The reasons.
-const (
-	Home    Reason = "home"
-	History Reason = "history"
-	Idle    Reason = "idle"
-)
-
 // Decision is the outcome for one question.
 type Decision struct {
-	// Candidates are in order of expected cost; the first is chosen.
+	// Considered is the number of engines that were weighed.
+	Considered int
+	// Candidates are the best engines in order of expected cost; the first is chosen.
 	Candidates []Candidate
 }
 
@@ -98,168 +89,89 @@
 	return d.Candidates[0], true
 }
 
-// Memory tells how many leading pieces of a chain engines are believed to hold.
-type Memory interface {
-	Cached(now time.Time, names []string, chain []prefix.Hash) []int
-}
-
-// Decide weighs the engines for a question.
-func Decide(now time.Time, q Question, engines []engine.View, memory Memory, costs Costs) Decision {
-	usable := admit(q, engines)
-	if len(usable) == 0 {
-		return Decision{}
+// Decide weighs the engines for a question, given which of them are believed to hold how much of its chain.
+func Decide(q Question, engines []engine.View, holdings []engine.Holding, costs Costs) Decision {
+	depths := make(map[string]int, len(holdings))
+	for _, h := range holdings {
+		depths[h.Name] = h.Depth
 	}
-	reasons := consider(now, q, usable, memory)
-	names := make([]string, 0, len(reasons))
-	views := make([]engine.View, 0, len(reasons))
-	for i := range usable {
-		if _, ok := reasons[i]; ok {
-			names = append(names, usable[i].Name)
-			views = append(views, usable[i])
-		}
-	}
-	depths := memory.Cached(now, names, q.Chain)
-	d := Decision{Candidates: make([]Candidate, 0, len(views))}
-	index := 0
-	for i := range usable {
-		reason, ok := reasons[i]
-		if !ok {
+	useEjected := mustUseEjected(q, engines)
+	d := Decision{Candidates: make([]Candidate, 0, told+1)}
+	for i := range engines {
+		e := &engines[i]
+		if q.Avoid[e.Name] || (e.Ejected && !useEjected) {
 			continue
 		}
-		d.Candidates = append(d.Candidates, weigh(q, usable[i], reason, depths[index], costs))
-		index++
+		d.Considered++
+		d.insert(weigh(q, e, depths[e.Name], costs))
 	}
-	sort.SliceStable(d.Candidates, func(i, j int) bool { return d.Candidates[i].Total < d.Candidates[j].Total })
 	return d
 }
 
-// admit drops avoided and ejected engines, but never more than a part of all for being ejected.
-func admit(q Question, engines []engine.View) []engine.View {
-	var open, ejected []engine.View
-	for _, e := range engines {
+// mustUseEjected tells whether so many engines are ejected that they are used all the same.
+func mustUseEjected(q Question, engines []engine.View) bool {
+	open, ejected := 0, 0
+	for i := range engines {
 		switch {
-		case q.Avoid[e.Name]:
-		case e.Ejected:
-			ejected = append(ejected, e)
+		case q.Avoid[engines[i].Name]:
+		case engines[i].Ejected:
+			ejected++
 		default:
-			open = append(open, e)
+			open++
 		}
 	}
-	if len(ejected) > len(engines)/ejectable || len(open) == 0 {
-		open = append(open, ejected...)
-	}
-	return open
+	return open == 0 || ejected > len(engines)/ejectable
 }
 
-// consider picks the engines to weigh and says why.
-func consider(now time.Time, q Question, engines []engine.View, memory Memory) map[int]Reason {
-	reasons := make(map[int]Reason)
-	for _, i := range idlest(engines) {
-		reasons[i] = Idle
-	}
-	if len(q.Chain) == 0 {
-		return reasons
-	}
-	for _, i := range homes(q, engines) {
-		reasons[i] = Home
+// insert keeps the best candidates in order.
+func (d *Decision) insert(c Candidate) {
+	if len(d.Candidates) == told && !before(c, d.Candidates[told-1]) {
+		return
 	}
-	if len(engines) > maxScanned {
-		return reasons
-	}
-	names := make([]string, len(engines))
-	for i := range engines {
-		names[i] = engines[i].Name
-	}
-	for i, depth := range memory.Cached(now, names, q.Chain) {
-		if _, ok := reasons[i]; !ok && depth > 0 {
-			reasons[i] = History
-		}
-	}
-	return reasons
-}
-
-// maxScanned is the number of engines above which their histories are not searched one by one.
-const maxScanned = 64
-
-// idlest returns the engines with the shortest queues.
-func idlest(engines []engine.View) []int {
-	best := make([]int, 0, leastLoaded+1)
-	for i := range engines {
-		at := len(best)
-		for at > 0 && less(engines[i], engines[best[at-1]]) {
-			at--
-		}
-		if at >= leastLoaded {
-			continue
-		}
-		best = append(best, 0)
-		copy(best[at+1:], best[at:])
-		best[at] = i
-		best = best[:min(len(best), leastLoaded)]
-	}
-	return best
+	at := sort.Search(len(d.Candidates), func(i int) bool { return before(c, d.Candidates[i]) })
+	d.Candidates = append(d.Candidates, Candidate{})
+	copy(d.Candidates[at+1:], d.Candidates[at:])
+	d.Candidates[at] = c
+	d.Candidates = d.Candidates[:min(told, len(d.Candidates))]
 }
 
-func less(a, b engine.View) bool {
-	if a.QueueTokens != b.QueueTokens {
-		return a.QueueTokens < b.QueueTokens
+func before(a, b Candidate) bool {
+	if a.Total != b.Total {
+		return a.Total < b.Total
 	}
-	return a.Running < b.Running
+	return a.draw < b.draw
 }
 
-// homes narrows the engines level by level: the first piece's engines are the highest by rendezvous hashing, and each
-// deeper piece chooses among those of the level before.
-func homes(q Question, engines []engine.View) []int {
-	width := min(len(engines), max(spread, q.Heat))
-	chosen := rendezvous(q.Chain[0], engines, nil, width)
-	for _, h := range q.Chain[1:] {
-		if len(chosen) <= narrow {
-			break
-		}
-		chosen = rendezvous(h, engines, chosen, max(narrow, (len(chosen)+1)/2))
-	}
-	return chosen
-}
-
-// rendezvous returns the count highest engines for a hash, out of those at the given places or all.
-func rendezvous(h prefix.Hash, engines []engine.View, among []int, count int) []int {
-	type scored struct {
-		place int
-		score uint64
+// weigh computes one engine's expected time to first token.
+func weigh(q Question, e *engine.View, depth int, costs Costs) Candidate {
+	cached := min(q.Tokens, int64(depth)*prefix.PieceTokens)
+	c := Candidate{
+		Name:        e.Name,
+		Zone:        e.Zone,
+		Address:     e.Address,
+		Incarnation: e.Incarnation,
+		Cached:      cached,
+		Queue:       time.Duration(e.QueueTokens)*costs.PerToken + time.Duration(e.Running)*costs.PerRunning,
+		Compute:     time.Duration(q.Tokens-cached) * costs.PerToken,
+		draw:        Draw(q.Seed, e.Name),
 	}
-	consider := len(among)
-	if among == nil {
-		consider = len(engines)
+	if e.Zone != q.Zone {
+		c.Hop = costs.Hop
 	}
-	top := make([]scored, 0, count+1)
-	for k := range consider {
-		place := k
-		if among != nil {
-			place = among[k]
-		}
-		s := scored{place, score(uint64(h), engines[place].Name)}
-		at := len(top)
-		for at > 0 && s.score > top[at-1].score {
-			at--
-		}
-		if at >= count {
-			continue
-		}
-		top = append(top, scored{})
-		copy(top[at+1:], top[at:])
-		top[at] = s
-		top = top[:min(len(top), count)]
+	if e.Starting {
+		c.Queue += startingPenalty
 	}
-	places := make([]int, 0, len(top))
-	for _, s := range top {
-		places = append(places, s.place)
+	weight := recomputeTail
+	if q.Favour == rules.Fairness {
+		weight = recomputeFair
 	}
-	return places
+	c.Total = c.Queue + time.Duration(float64(c.Compute)*weight) + c.Hop
+	return c
 }
 
-// score mixes a prefix and an engine's name by FNV-1a and the splitmix64 finaliser.
-func score(h uint64, name string) uint64 {
-	x := h ^ 0xcbf29ce484222325
+// Draw mixes a seed and a name by FNV-1a and the splitmix64 finaliser.
+func Draw(seed uint64, name string) uint64 {
+	x := seed ^ 0xcbf29ce484222325
 	for i := range len(name) {
 		x = (x ^ uint64(name[i])) * 0x100000001b3
 	}
@@ -267,25 +179,3 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-// weigh computes one engine's expected time to first token.
-func weigh(q Question, e engine.View, reason Reason, depth int, costs Costs) Candidate {
-	cached := min(q.Tokens, int64(depth)*prefix.PieceTokens)
-	c := Candidate{
-		Name:    e.Name,
-		Zone:    e.Zone,
-		Reason:  reason,
-		Cached:  cached,
-		Queue:   time.Duration(e.QueueTokens)*costs.PerToken + time.Duration(e.Running)*costs.PerRunning,
-		Compute: time.Duration(q.Tokens-cached) * costs.PerToken,
-		view:    e,
-	}
-	if e.Zone != q.Zone {
-		c.Hop = costs.Hop
-	}
-	if e.Starting {
-		c.Queue += startingPenalty
-	}
-	c.Total = c.Queue + c.Compute + c.Hop
-	return c
-}
--- a/internal/trial/replay/policy.go
+++ b/internal/trial/replay/policy.go
@@ -41,7 +41,6 @@
 type router struct {
 	zone  string
 	fleet *engine.Fleet
-	heats *picker.Heats
 }
 
 // choose returns the name of the engine that a policy picks, or "".
@@ -83,14 +82,13 @@
 
 // byHistory weighs what this router itself has sent, and the load.
 func (r *run) byHistory(now time.Time, q question, views []engine.View) string {
-	names := make([]string, len(views))
-	for i := range views {
-		names[i] = views[i].Name
+	depths := make(map[string]int)
+	for _, h := range q.router.fleet.Holdings(now, q.chain) {
+		depths[h.Name] = h.Depth
 	}
-	depths := q.router.fleet.Cached(now, names, q.chain)
 	cost := make(map[string]time.Duration, len(views))
-	for i, v := range views {
-		missing := q.tokens - int64(depths[i])*prefix.PieceTokens
+	for _, v := range views {
+		missing := q.tokens - int64(depths[v.Name])*prefix.PieceTokens
 		cost[v.Name] = r.load(v) + time.Duration(missing)*r.costs.PerToken
 	}
 	return least(views, func(v engine.View) time.Duration { return cost[v.Name] }, r.random)
@@ -106,17 +104,13 @@
 }
 
 func (r *run) ours(now time.Time, q question, views []engine.View) string {
-	heat := 0
-	if len(q.chain) > 0 {
-		heat = q.router.heats.Add(now, q.chain[0], time.Duration(q.tokens)*r.costs.PerToken, len(r.routers))
-	}
-	d := picker.Decide(now, picker.Question{
+	d := picker.Decide(picker.Question{
+		Seed:   r.random.Uint64(),
 		Zone:   q.router.zone,
 		Chain:  q.chain,
 		Tokens: q.tokens,
-		Heat:   heat,
 		Favour: rules.Favour(r.trace.Header.Favour),
-	}, views, q.router.fleet, r.costs)
+	}, views, q.router.fleet.Holdings(now, q.chain), r.costs)
 	c, ok := d.Chosen()
 	if !ok {
 		return ""
--- a/internal/trial/replay/replay.go
+++ b/internal/trial/replay/replay.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
+	"github.com/skylarkquay/skylarkquay/internal/route/placer"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 	"github.com/skylarkquay/skylarkquay/internal/trial/trace"
 )
@@ -146,7 +147,7 @@
 		upstreams[name] = rules.Upstream{Address: name, Zone: zone, Kind: rules.Engine, Models: []string{model}}
 	}
 	for i := range t.Header.Routers {
-		router := &router{zone: t.Header.Zones[i%len(t.Header.Zones)], fleet: engine.NewFleet(), heats: picker.NewHeats()}
+		router := &router{zone: t.Header.Zones[i%len(t.Header.Zones)], fleet: engine.NewFleet(perToken)}
 		router.fleet.Permit(upstreams)
 		r.routers = append(r.routers, router)
 	}
@@ -211,6 +212,10 @@
 		router:    r.routers[row.Router],
 		avoid:     make(map[string]bool),
 	}
+	if r.policy == Ours && len(q.question.chain) > 0 {
+		// All routers ask the one that places the model's prompts.
+		q.question.router = r.routers[0]
+	}
 	r.place(now, q)
 }
 
@@ -246,11 +251,16 @@
 		return
 	}
 	fleet := q.question.router.fleet
-	missing := q.question.tokens - int64(fleet.Cached(now, []string{name}, q.question.chain)[0])*prefix.PieceTokens
-	number := fleet.Sent(now, name, missing)
-	arrival := now.Add(r.hop(q.question.router.zone, f.zone))
+	missing := q.question.tokens
+	for _, h := range fleet.Holdings(now, q.question.chain) {
+		if h.Name == name {
+			missing -= int64(h.Depth) * prefix.PieceTokens
+		}
+	}
+	fleet.Sent(now, name, missing)
+	arrival := now.Add(r.askDelay() + r.hop(q.question.router.zone, f.zone))
 	if arrival.Before(f.downUntil) {
-		r.retry(now, q, name, number)
+		r.retry(now, q, name)
 		return
 	}
 	best := r.bestDepth(q.question.chain)
@@ -259,15 +269,13 @@
 	f.running++
 	r.at(ready, func(now time.Time) {
 		if f.incarnation() != incarnation {
-			r.retry(now, q, name, number)
+			r.retry(now, q, name)
 			return
 		}
-		fleet.Computed(name, number)
-		r.learn(now, q, name, incarnation, cached)
+		r.at(now.Add(r.learnDelay()), func(now time.Time) { r.learn(now, q, name, incarnation, cached) })
 		r.count(now, q, cached, best)
 		output := time.Duration(float64(q.row.Output) * r.trace.Header.EventMillis * float64(time.Millisecond))
 		r.at(now.Add(output), func(time.Time) {
-			fleet.Finished(name, number)
 			if f.incarnation() == incarnation {
 				f.running--
 			}
@@ -275,11 +283,25 @@
 	})
 }
 
+// askDelay is the time to ask the placer and get its answer.
+func (r *run) askDelay() time.Duration {
+	if r.policy != Ours {
+		return 0
+	}
+	return 2 * r.costs.Hop
+}
+
+// learnDelay is the time until the placer hears of an answer.
+func (r *run) learnDelay() time.Duration {
+	if r.policy != Ours {
+		return 0
+	}
+	return placer.FlushEvery + r.costs.Hop
+}
+
 // retry tries another engine after a failure.
-func (r *run) retry(now time.Time, q *request, name string, number uint64) {
-	fleet := q.question.router.fleet
-	fleet.Finished(name, number)
-	fleet.Failed(now, name)
+func (r *run) retry(now time.Time, q *request, name string) {
+	q.question.router.fleet.Failed(now, name)
 	q.question.avoid[name] = true
 	r.at(now.Add(retryDelay), func(now time.Time) { r.place(now, q) })
 }
