--- a/internal/app/daemon/placing.go
+++ b/internal/app/daemon/placing.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/peer/member"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
@@ -86,7 +85,6 @@
 		Chain:  hashes(in.Chain),
 		Tokens: in.Tokens,
 		Avoid:  avoid,
-		Favour: a.favour(),
 	})
 	return &wire.PlaceReply{
 		Upstream: c.Engine, CachedTokens: c.Cached, TotalMicros: c.Total.Microseconds(), Considered: int32(c.Considered),
@@ -104,15 +102,6 @@
 	return &wire.LearnReply{}, nil
 }
 
-// favour returns the site's favour in force.
-func (p *peers) favour() rules.Favour {
-	doc, _ := p.router.feed.Document()
-	if doc == nil {
-		return rules.TailLatency
-	}
-	return doc.PolicyInForce().Favour
-}
-
 func numbers(chain []prefix.Hash) []uint64 {
 	all := make([]uint64, len(chain))
 	for i, h := range chain {
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -89,21 +89,8 @@
 	TimeoutMillis int `yaml:"timeout_millis" json:"timeout_millis" validate:"gte=10,lte=600000"`
 }
 
-// Favour says which measure a site weighs most.
-type Favour string
-
-// The measures that a site can weigh most.
-const (
-	TailLatency Favour = "tail_latency"
-	Fairness    Favour = "fairness"
-)
-
 // Policy is the only item of the site section; its name is "policy".
 type Policy struct {
-	// Favour is the measure that decides between otherwise equal choices.
-	Favour Favour `yaml:"favour" json:"favour" validate:"oneof=tail_latency fairness"`
-	// MaxLoads bounds the runners that load weights at once.
-	MaxLoads int `yaml:"max_loads" json:"max_loads" validate:"gte=1,lte=1000"`
 	// Placers is the number of instances over which the placement of one model's prompts is spread, by workspace.
 	Placers int `yaml:"placers" json:"placers" validate:"gte=1,lte=1000"`
 	// TokenMicros is the time in microseconds in which an engine computes one prompt token.
@@ -145,5 +132,5 @@
 	if p, ok := d.Site[PolicyName]; ok {
 		return p
 	}
-	return Policy{Favour: TailLatency, MaxLoads: 2, Placers: 1, TokenMicros: 100}
+	return Policy{Placers: 1, TokenMicros: 100}
 }
--- a/internal/conf/rules/rules_test.go
+++ b/internal/conf/rules/rules_test.go
@@ -94,7 +94,7 @@
 func FuzzReplace(f *testing.F) {
 	f.Add("workspaces", "a: {title: A, weight: 1}\n")
 	f.Add("routes", "r: {method: GET, path: /x}\n")
-	f.Add("site", "policy: {favour: fairness, max_loads: 3, placers: 1, token_micros: 100}\n")
+	f.Add("site", "policy: {placers: 1, token_micros: 100}\n")
 	f.Fuzz(func(t *testing.T, section, text string) {
 		doc, err := Empty().Replace(Section(section), text)
 		if err != nil {
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -105,7 +105,6 @@
 		Zone:   o.Zone,
 		Chain:  prefix.Chain(prefix.Salt{Workspace: in.Workspace, Model: in.Model, Weights: model.Weights}, prompt),
 		Tokens: prefix.Tokens(prompt),
-		Favour: doc.PolicyInForce().Favour,
 	}
 	d := o.Placer.Weigh(now, question)
 	reply := &wire.ExplainReply{
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
-	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/limit/escrow"
@@ -62,7 +61,6 @@
 	weight      int
 	chain       []prefix.Hash
 	tokens      int64
-	favour      rules.Favour
 	fingerprint string
 	start       time.Time
 	avoid       map[string]bool
@@ -120,7 +118,6 @@
 		weight:      doc.Workspaces[caller.Workspace].Weight,
 		chain:       prefix.Chain(prefix.Salt{Workspace: caller.Workspace, Model: req.Model, Weights: model.Weights}, req.Prompt),
 		tokens:      prefix.Tokens(req.Prompt),
-		favour:      doc.PolicyInForce().Favour,
 		fingerprint: fingerprint,
 		start:       now,
 		avoid:       make(map[string]bool),
@@ -198,7 +195,6 @@
 		Chain:  j.chain,
 		Tokens: j.tokens,
 		Avoid:  j.avoid,
-		Favour: j.favour,
 	})
 	v, ok := h.Fleet.Engine(now, c.Engine, j.req.Model)
 	if !ok {
--- a/internal/route/engine/engine.go
+++ b/internal/route/engine/engine.go
@@ -2,11 +2,14 @@
 package engine
 
 import (
+	"iter"
 	"slices"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 )
@@ -48,6 +51,10 @@
 	Ejected bool
 	// Starting tells that the incarnation is new.
 	Starting bool
+	// Depth is the number of leading pieces of the asked chain that the upstream is believed to hold.
+	Depth int
+	// Hash is the hash of the name.
+	Hash uint64
 }
 
 // flight is a request sent since the last load report.
@@ -59,6 +66,7 @@
 // state is what is kept of one upstream.
 type state struct {
 	name        string
+	hash        uint64
 	upstream    rules.Upstream
 	incarnation string
 	seen        time.Time
@@ -71,14 +79,17 @@
 	failures  int
 	ejected   time.Time
 	leaving   bool
+	// depth is set while one question is answered.
+	depth int
 }
 
 // Fleet is what this instance knows of all upstreams. It is safe for concurrent use.
 type Fleet struct {
 	mu     sync.Mutex
 	states map[string]*state
-	// ordered are the states in order of name.
+	// ordered are the states in order of name; engines are those of each model.
 	ordered  []*state
+	engines  map[string][]*state
 	holders  *holders
 	perToken time.Duration
 }
@@ -100,7 +111,7 @@
 	for name, u := range upstreams {
 		s, ok := f.states[name]
 		if !ok || s.upstream.Address != u.Address {
-			s = &state{name: name}
+			s = &state{name: name, hash: xxhash.Sum64String(name)}
 			f.states[name] = s
 		}
 		s.upstream = u
@@ -110,6 +121,15 @@
 		f.ordered = append(f.ordered, s)
 	}
 	sort.Slice(f.ordered, func(i, j int) bool { return f.ordered[i].name < f.ordered[j].name })
+	f.engines = make(map[string][]*state)
+	for _, s := range f.ordered {
+		if s.upstream.Kind != rules.Engine {
+			continue
+		}
+		for _, model := range s.upstream.Models {
+			f.engines[model] = append(f.engines[model], s)
+		}
+	}
 }
 
 // Leave records which addresses are leaving; they get no new work.
@@ -139,26 +159,49 @@
 	return s.view(now, f.perToken), true
 }
 
-// Engines returns the views of the engines that serve a model, in order of name.
-func (f *Fleet) Engines(now time.Time, model string) []View {
-	return f.views(now, func(u *rules.Upstream) bool {
-		return u.Kind == rules.Engine && slices.Contains(u.Models, model)
-	})
+// Each yields the engines that serve a model, in order of name, with what they are believed to hold of a chain.
+// The view is valid only until the next one; the fleet must not be used in between.
+func (f *Fleet) Each(now time.Time, model string, chain []prefix.Hash) iter.Seq[*View] {
+	return func(yield func(*View) bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		held := f.mark(now, chain)
+		defer func() {
+			for _, s := range held {
+				s.depth = 0
+			}
+		}()
+		var v View
+		for _, s := range f.engines[model] {
+			if s.leaving {
+				continue
+			}
+			s.see(now, f.perToken, &v)
+			if !yield(&v) {
+				return
+			}
+		}
+	}
 }
 
-// Services returns the views of the upstreams that run a plain service, in order of name.
-func (f *Fleet) Services(now time.Time, service string) []View {
-	return f.views(now, func(u *rules.Upstream) bool {
-		return u.Kind == rules.Service && u.Service == service
-	})
+// mark sets the depths of the upstreams that hold some of a chain and returns them.
+func (f *Fleet) mark(now time.Time, chain []prefix.Hash) []*state {
+	var held []*state
+	for _, h := range f.holdings(now, chain) {
+		s := f.states[h.Name]
+		s.depth = h.Depth
+		held = append(held, s)
+	}
+	return held
 }
 
-func (f *Fleet) views(now time.Time, match func(*rules.Upstream) bool) []View {
+// Services returns the views of the upstreams that run a plain service, in order of name.
+func (f *Fleet) Services(now time.Time, service string) []View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	views := make([]View, 0, len(f.ordered))
+	var views []View
 	for _, s := range f.ordered {
-		if !s.leaving && match(&s.upstream) {
+		if !s.leaving && s.upstream.Kind == rules.Service && s.upstream.Service == service {
 			views = append(views, s.view(now, f.perToken))
 		}
 	}
@@ -166,17 +209,29 @@
 }
 
 func (s *state) view(now time.Time, perToken time.Duration) View {
-	s.land(now.Add(-flightMost))
-	return View{
-		Name:        s.name,
-		Zone:        s.upstream.Zone,
-		Address:     s.upstream.Address,
-		Incarnation: s.incarnation,
-		QueueTokens: int64(max(0, s.busyUntil.Sub(now)) / perToken),
-		Running:     s.report.Running + len(s.flights),
-		Ejected:     now.Before(s.ejected),
-		Starting:    !s.seen.IsZero() && now.Sub(s.seen) < slowStart,
+	var v View
+	s.see(now, perToken, &v)
+	return v
+}
+
+// see fills a view in.
+func (s *state) see(now time.Time, perToken time.Duration, v *View) {
+	if len(s.flights) > 0 {
+		s.land(now.Add(-flightMost))
+	}
+	v.Name = s.name
+	v.Hash = s.hash
+	v.Zone = s.upstream.Zone
+	v.Address = s.upstream.Address
+	v.Incarnation = s.incarnation
+	v.QueueTokens = 0
+	if busy := s.busyUntil.Sub(now); busy > 0 {
+		v.QueueTokens = int64(busy / perToken)
 	}
+	v.Running = s.report.Running + len(s.flights)
+	v.Ejected = now.Before(s.ejected)
+	v.Starting = !s.seen.IsZero() && now.Sub(s.seen) < slowStart
+	v.Depth = s.depth
 }
 
 // land drops the flights that were sent up to a time.
@@ -282,10 +337,8 @@
 	Depth int
 }
 
-// Holdings returns the upstreams that are believed to hold some of a chain, deepest first.
-func (f *Fleet) Holdings(now time.Time, chain []prefix.Hash) []Holding {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// holdings returns the upstreams that are believed to hold some of a chain, deepest first.
+func (f *Fleet) holdings(now time.Time, chain []prefix.Hash) []Holding {
 	return f.holders.find(now, chain, func(name string) string {
 		if s, ok := f.states[name]; ok {
 			return s.incarnation
@@ -293,3 +346,10 @@
 		return ""
 	})
 }
+
+// Holdings returns the upstreams that are believed to hold some of a chain, deepest first.
+func (f *Fleet) Holdings(now time.Time, chain []prefix.Hash) []Holding {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holdings(now, chain)
+}
--- /dev/null
+++ b/internal/route/engine/engine_test.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
+)
+
+// init fixes seed and size, so that every run gives the same verdict; flags override them.
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "500")
+}
+
+const perToken = 100 * time.Microsecond
+
+var start = time.Unix(1_800_000_000, 0)
+
+func fleet(names ...string) *Fleet {
+	f := NewFleet(perToken)
+	upstreams := make(map[string]rules.Upstream)
+	for _, n := range names {
+		upstreams[n] = rules.Upstream{Address: n, Zone: "a", Kind: rules.Engine, Models: []string{"m"}}
+	}
+	f.Permit(upstreams)
+	return f
+}
+
+func queue(f *Fleet, now time.Time, name string) int64 {
+	v, _ := f.Engine(now, name, "m")
+	return v.QueueTokens
+}
+
+func TestQueueIsWorkedOff(t *testing.T) {
+	f := fleet("e")
+	f.Reported(start, "e", Report{Incarnation: "1", QueueTokens: 10_000})
+	f.Sent(start.Add(100*time.Millisecond), "e", 5000)
+	must.Eq(t, 14_000, queue(f, start.Add(100*time.Millisecond), "e"))
+	must.Eq(t, 5000, queue(f, start.Add(time.Second), "e"))
+	must.Eq(t, 0, queue(f, start.Add(2*time.Second), "e"))
+}
+
+func TestReportReplacesEarlierRequests(t *testing.T) {
+	f := fleet("e")
+	f.Sent(start, "e", 5000)
+	f.Sent(start.Add(time.Second), "e", 3000)
+	f.Reported(start.Add(500*time.Millisecond), "e", Report{Incarnation: "1", QueueTokens: 0})
+	must.Eq(t, 3000, queue(f, start.Add(time.Second), "e"))
+	// A report that was asked for earlier changes nothing.
+	f.Reported(start.Add(100*time.Millisecond), "e", Report{Incarnation: "1", QueueTokens: 90_000})
+	must.Eq(t, 3000, queue(f, start.Add(time.Second), "e"))
+}
+
+func TestEjectionGrowsAndEnds(t *testing.T) {
+	f := fleet("e")
+	ejected := func(now time.Time) bool {
+		v, _ := f.Engine(now, "e", "m")
+		return v.Ejected
+	}
+	now := start
+	for range 10 {
+		f.Failed(now, "e")
+		must.True(t, ejected(now))
+		now = now.Add(ejectMost)
+	}
+	must.False(t, ejected(now))
+	f.Failed(now, "e")
+	f.Succeeded(now, "e", "1")
+	must.False(t, ejected(now))
+}
+
+func TestLeavingIsNotOffered(t *testing.T) {
+	f := fleet("a", "b")
+	f.Leave(map[string]bool{"a": true})
+	for v := range f.Each(start, "m", nil) {
+		must.Eq(t, "b", v.Name)
+	}
+	_, ok := f.Engine(start, "a", "m")
+	must.False(t, ok)
+}
+
+// TestNothingIsBelievedOfTheDead runs random restarts, answers and reports, late and crossed, and checks that only prefixes
+// that the present incarnation was sent are believed to be cached, for the right workspace and weights.
+func TestNothingIsBelievedOfTheDead(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := fleet("e0", "e1")
+		now := start
+		runs := []int{1, 1}
+		sent := make(map[string]map[prefix.Hash]bool)
+		incarnation := func(e, run int) string { return fmt.Sprintf("e%d#%d", e, run) }
+		chain := func(rt *rapid.T) []prefix.Hash {
+			salt := prefix.Salt{
+				Workspace: rapid.SampledFrom([]string{"w1", "w2"}).Draw(rt, "workspace"),
+				Model:     "m",
+				Weights:   rapid.SampledFrom([]string{"v1", "v2"}).Draw(rt, "weights"),
+			}
+			return prefix.Chain(salt, make([]byte, rapid.IntRange(0, 4).Draw(rt, "pieces")*prefix.PieceTokens*prefix.BytesPerToken))
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"answer": func(rt *rapid.T) {
+				e := rapid.IntRange(0, 1).Draw(rt, "engine")
+				// The answer may be late: of an incarnation before the present one.
+				run := rapid.IntRange(1, runs[e]).Draw(rt, "run")
+				c := chain(rt)
+				name := fmt.Sprintf("e%d", e)
+				if run == runs[e] {
+					f.Succeeded(now, name, incarnation(e, run))
+				}
+				f.Remember(now, name, incarnation(e, run), c)
+				key := incarnation(e, run)
+				if sent[key] == nil {
+					sent[key] = make(map[prefix.Hash]bool)
+				}
+				for _, h := range c {
+					sent[key][h] = true
+				}
+			},
+			"restart": func(rt *rapid.T) {
+				e := rapid.IntRange(0, 1).Draw(rt, "engine")
+				runs[e]++
+				f.Reported(now, fmt.Sprintf("e%d", e), Report{Incarnation: incarnation(e, runs[e])})
+			},
+			"wait": func(rt *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(rt, "seconds")) * time.Second)
+			},
+			"ask": func(rt *rapid.T) {
+				c := chain(rt)
+				for _, h := range f.Holdings(now, c) {
+					var e int
+					_, _ = fmt.Sscanf(h.Name, "e%d", &e)
+					if !sent[incarnation(e, runs[e])][c[h.Depth-1]] {
+						rt.Fatalf("%s is believed to hold a prefix that its run %d was not sent", h.Name, runs[e])
+					}
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkHoldings(b *testing.B) {
+	for _, blocks := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			f := fleet("e0", "e1", "e2", "e3")
+			f.Succeeded(start, "e1", "1")
+			for i := range blocks / 5 {
+				chain := make([]prefix.Hash, 5)
+				for k := range chain {
+					chain[k] = prefix.Hash(i*5 + k)
+				}
+				f.Remember(start, "e1", "1", chain)
+			}
+			chain := []prefix.Hash{0, 1, 2, 3, 4}
+			b.ReportAllocs()
+			for b.Loop() {
+				f.Holdings(start, chain)
+			}
+		})
+	}
+}
--- a/internal/route/picker/picker.go
+++ b/internal/route/picker/picker.go
@@ -2,10 +2,10 @@
 package picker
 
 import (
+	"iter"
 	"sort"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 )
@@ -30,10 +30,9 @@
 	startingPenalty = 50 * time.Millisecond
 	// ejectable is the largest part of the engines that may be passed over, as a divisor.
 	ejectable = 2
-	// recomputeTail and recomputeFair weigh the time to compute what is not cached, which also delays the prompts behind it
-	// and displaces cached pieces: more where the worst-served workspace matters most.
-	recomputeTail = 1.25
-	recomputeFair = 2.0
+	// recomputeWeight weighs the time to compute what is not cached, which also delays the prompts behind it and displaces
+	// cached pieces.
+	recomputeWeight = 3
 	// told is the number of candidates that a decision names.
 	told = 8
 )
@@ -52,8 +51,6 @@
 	Tokens int64
 	// Avoid are engines that failed this request already.
 	Avoid map[string]bool
-	// Favour is the site's measure.
-	Favour rules.Favour
 }
 
 // Candidate is one engine with its expected cost.
@@ -68,7 +65,7 @@
 	Queue   time.Duration
 	Compute time.Duration
 	Hop     time.Duration
-	// Total is the sum by which engines are compared, with Compute weighed by the site's favour.
+	// Total is the sum by which engines are compared, with Compute weighed.
 	Total time.Duration
 	draw  uint64
 }
@@ -89,92 +86,80 @@
 	return d.Candidates[0], true
 }
 
-// Decide weighs the engines for a question, given which of them are believed to hold how much of its chain.
-func Decide(q Question, engines []engine.View, holdings []engine.Holding, costs Costs) Decision {
-	depths := make(map[string]int, len(holdings))
-	for _, h := range holdings {
-		depths[h.Name] = h.Depth
-	}
-	useEjected := mustUseEjected(q, engines)
-	d := Decision{Candidates: make([]Candidate, 0, told+1)}
-	for i := range engines {
-		e := &engines[i]
-		if q.Avoid[e.Name] || (e.Ejected && !useEjected) {
+// Decide weighs the engines for a question. Engines that failed lately are passed over, unless that would leave too few.
+func Decide(q Question, engines iter.Seq[*engine.View], costs Costs) Decision {
+	var open, ejected Decision
+	for e := range engines {
+		if len(q.Avoid) > 0 && q.Avoid[e.Name] {
 			continue
 		}
-		d.Considered++
-		d.insert(weigh(q, e, depths[e.Name], costs))
+		if e.Ejected {
+			ejected.weigh(&q, e, &costs)
+		} else {
+			open.weigh(&q, e, &costs)
+		}
+	}
+	if open.Considered > 0 && ejected.Considered <= (open.Considered+ejected.Considered)/ejectable {
+		return open
+	}
+	for _, c := range ejected.Candidates {
+		open.insert(c)
 	}
-	return d
+	return open
 }
 
-// mustUseEjected tells whether so many engines are ejected that they are used all the same.
-func mustUseEjected(q Question, engines []engine.View) bool {
-	open, ejected := 0, 0
-	for i := range engines {
-		switch {
-		case q.Avoid[engines[i].Name]:
-		case engines[i].Ejected:
-			ejected++
-		default:
-			open++
-		}
+// weigh computes one engine's expected time to first token and keeps the engine when it is among the best.
+func (d *Decision) weigh(q *Question, e *engine.View, costs *Costs) {
+	d.Considered++
+	cached := min(q.Tokens, int64(e.Depth)*prefix.PieceTokens)
+	queue := time.Duration(e.QueueTokens)*costs.PerToken + time.Duration(e.Running)*costs.PerRunning
+	compute := time.Duration(q.Tokens-cached) * costs.PerToken
+	hop := time.Duration(0)
+	if e.Zone != q.Zone {
+		hop = costs.Hop
+	}
+	if e.Starting {
+		queue += startingPenalty
 	}
-	return open == 0 || ejected > len(engines)/ejectable
+	total := queue + compute*recomputeWeight + hop
+	if len(d.Candidates) == told && total > d.Candidates[told-1].Total {
+		return
+	}
+	d.insert(Candidate{
+		Name:        e.Name,
+		Zone:        e.Zone,
+		Address:     e.Address,
+		Incarnation: e.Incarnation,
+		Cached:      cached,
+		Queue:       queue,
+		Compute:     compute,
+		Hop:         hop,
+		Total:       total,
+		draw:        mix(q.Seed ^ e.Hash),
+	})
 }
 
 // insert keeps the best candidates in order.
 func (d *Decision) insert(c Candidate) {
-	if len(d.Candidates) == told && !before(c, d.Candidates[told-1]) {
+	if len(d.Candidates) == told && !before(&c, &d.Candidates[told-1]) {
 		return
 	}
-	at := sort.Search(len(d.Candidates), func(i int) bool { return before(c, d.Candidates[i]) })
+	at := sort.Search(len(d.Candidates), func(i int) bool { return before(&c, &d.Candidates[i]) })
 	d.Candidates = append(d.Candidates, Candidate{})
 	copy(d.Candidates[at+1:], d.Candidates[at:])
 	d.Candidates[at] = c
 	d.Candidates = d.Candidates[:min(told, len(d.Candidates))]
 }
 
-func before(a, b Candidate) bool {
+func before(a, b *Candidate) bool {
 	if a.Total != b.Total {
 		return a.Total < b.Total
 	}
 	return a.draw < b.draw
 }
 
-// weigh computes one engine's expected time to first token.
-func weigh(q Question, e *engine.View, depth int, costs Costs) Candidate {
-	cached := min(q.Tokens, int64(depth)*prefix.PieceTokens)
-	c := Candidate{
-		Name:        e.Name,
-		Zone:        e.Zone,
-		Address:     e.Address,
-		Incarnation: e.Incarnation,
-		Cached:      cached,
-		Queue:       time.Duration(e.QueueTokens)*costs.PerToken + time.Duration(e.Running)*costs.PerRunning,
-		Compute:     time.Duration(q.Tokens-cached) * costs.PerToken,
-		draw:        Draw(q.Seed, e.Name),
-	}
-	if e.Zone != q.Zone {
-		c.Hop = costs.Hop
-	}
-	if e.Starting {
-		c.Queue += startingPenalty
-	}
-	weight := recomputeTail
-	if q.Favour == rules.Fairness {
-		weight = recomputeFair
-	}
-	c.Total = c.Queue + time.Duration(float64(c.Compute)*weight) + c.Hop
-	return c
-}
-
-// Draw mixes a seed and a name by FNV-1a and the splitmix64 finaliser.
-func Draw(seed uint64, name string) uint64 {
-	x := seed ^ 0xcbf29ce484222325
-	for i := range len(name) {
-		x = (x ^ uint64(name[i])) * 0x100000001b3
-	}
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -101,11 +102,11 @@
 	p.mu.Lock()
 	part := xxhash.Sum64String(workspace) % uint64(p.spread)
 	p.mu.Unlock()
-	seed := xxhash.Sum64String(model) + part
+	seed := fmt.Sprintf("%s/%d/", model, part)
 	best := p.members.Self()
 	var highest uint64
 	for _, address := range p.members.Candidates(now) {
-		if score := picker.Draw(seed, address); score >= highest {
+		if score := xxhash.Sum64String(seed + address); score >= highest {
 			best, highest = address, score
 		}
 	}
@@ -153,7 +154,7 @@
 	p.mu.Lock()
 	costs := p.costs
 	p.mu.Unlock()
-	return picker.Decide(q, p.fleet.Engines(now, q.Model), p.fleet.Holdings(now, q.Chain), costs)
+	return picker.Decide(q, p.fleet.Each(now, q.Model, q.Chain), costs)
 }
 
 // Learn takes in an outcome of this instance's own request and keeps it for the placer.
--- a/internal/trial/replay/policy.go
+++ b/internal/trial/replay/policy.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/picker"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
@@ -45,7 +44,12 @@
 
 // choose returns the name of the engine that a policy picks, or "".
 func (r *run) choose(p Policy, now time.Time, q question) string {
-	views := r.open(q.router.fleet.Engines(now, model), q.avoid)
+	var views []engine.View
+	for v := range q.router.fleet.Each(now, model, q.chain) {
+		if !q.avoid[v.Name] && !v.Ejected {
+			views = append(views, *v)
+		}
+	}
 	if len(views) == 0 {
 		return ""
 	}
@@ -57,23 +61,12 @@
 	case Workspace:
 		return views[int(xxhash.Sum64String(q.workspace)%uint64(len(views)))].Name
 	case History:
-		return r.byHistory(now, q, views)
+		return r.byHistory(q, views)
 	case Oracle:
 		return r.byTruth(now, q, views)
 	default:
-		return r.ours(now, q, views)
-	}
-}
-
-// open drops the engines that failed this request.
-func (r *run) open(views []engine.View, avoid map[string]bool) []engine.View {
-	var open []engine.View
-	for _, v := range views {
-		if !avoid[v.Name] && !v.Ejected {
-			open = append(open, v)
-		}
+		return r.ours(now, q)
 	}
-	return open
 }
 
 func (r *run) load(v engine.View) time.Duration {
@@ -81,17 +74,11 @@
 }
 
 // byHistory weighs what this router itself has sent, and the load.
-func (r *run) byHistory(now time.Time, q question, views []engine.View) string {
-	depths := make(map[string]int)
-	for _, h := range q.router.fleet.Holdings(now, q.chain) {
-		depths[h.Name] = h.Depth
-	}
-	cost := make(map[string]time.Duration, len(views))
-	for _, v := range views {
-		missing := q.tokens - int64(depths[v.Name])*prefix.PieceTokens
-		cost[v.Name] = r.load(v) + time.Duration(missing)*r.costs.PerToken
-	}
-	return least(views, func(v engine.View) time.Duration { return cost[v.Name] }, r.random)
+func (r *run) byHistory(q question, views []engine.View) string {
+	return least(views, func(v engine.View) time.Duration {
+		missing := q.tokens - int64(v.Depth)*prefix.PieceTokens
+		return r.load(v) + time.Duration(missing)*r.costs.PerToken
+	}, r.random)
 }
 
 // byTruth weighs the true caches and queues.
@@ -103,14 +90,15 @@
 	}, r.random)
 }
 
-func (r *run) ours(now time.Time, q question, views []engine.View) string {
+func (r *run) ours(now time.Time, q question) string {
 	d := picker.Decide(picker.Question{
+		Model:  model,
 		Seed:   r.random.Uint64(),
 		Zone:   q.router.zone,
 		Chain:  q.chain,
 		Tokens: q.tokens,
-		Favour: rules.Favour(r.trace.Header.Favour),
-	}, views, q.router.fleet.Holdings(now, q.chain), r.costs)
+		Avoid:  q.avoid,
+	}, q.router.fleet.Each(now, model, q.chain), r.costs)
 	c, ok := d.Chosen()
 	if !ok {
 		return ""
