--- a/internal/app/trials/trials.go
+++ b/internal/app/trials/trials.go
@@ -32,6 +32,7 @@
 		data        flags.Commander
 	}{
 		{"record", "generate the recorded traces anew", &recordCommand{t: t}},
+		{"capacity", "work the capacity table out of benchmark output", &capacityCommand{t: t}},
 		{"replay", "replay traces under every policy", &replayCommand{t: t}},
 	}
 	for _, c := range commands {
--- a/internal/peer/lease/keeper.go
+++ b/internal/peer/lease/keeper.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/skylarkquay/skylarkquay/internal/plat/table"
@@ -261,11 +260,6 @@
 	return fmt.Sprintf("%05d", partition)
 }
 
-// rank spreads the order in which instances try partitions.
-func rank(self string, partition int) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%s/%d", self, partition))
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/peer/lease/lease.go
+++ b/internal/peer/lease/lease.go
@@ -8,6 +8,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -152,8 +154,9 @@
 			rows = append(rows, row)
 		}
 	}
+	seed := xxhash.Sum64String(v.Self)
 	sort.Slice(rows, func(i, j int) bool {
-		return rank(v.Self, rows[i].Partition) < rank(v.Self, rows[j].Partition)
+		return rank(seed, rows[i].Partition) < rank(seed, rows[j].Partition)
 	})
 	return rows
 }
@@ -175,3 +178,10 @@
 	}
 	return now
 }
+
+// rank spreads the order in which instances try partitions.
+func rank(seed uint64, partition int) uint64 {
+	x := seed ^ uint64(partition+1)*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	return x ^ (x >> 27)
+}
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -2,7 +2,9 @@
 package member
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -13,13 +15,15 @@
 
 const (
 	// Suspect is the silence after which an instance gets no questions; it proves nothing about its death.
-	Suspect = 10 * time.Second
+	Suspect = 20 * time.Second
 	// forget is the silence after which an unlisted instance is dropped.
 	forget = 5 * time.Minute
 	// FanOut is the number of peers that one heartbeat goes to.
 	FanOut = 3
 	// sampleSize is the number of members that one heartbeat tells of.
 	sampleSize = 8
+	// fresh is how lately a member was heard of to be told of first.
+	fresh = 3 * time.Second
 )
 
 // Member is one entry instance.
@@ -202,7 +206,7 @@
 	return all[:min(FanOut, len(all))]
 }
 
-// Sample draws members to tell a peer of, those heard of last first.
+// Sample draws members to tell a peer of, those heard of lately first.
 func (t *Table) Sample(now time.Time, random *rand.Rand) []*wire.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -214,6 +218,7 @@
 	}
 	sort.Slice(recent, func(i, j int) bool { return recent[i].Address < recent[j].Address })
 	random.Shuffle(len(recent), func(i, j int) { recent[i], recent[j] = recent[j], recent[i] })
+	slices.SortStableFunc(recent, func(a, b *Member) int { return cmp.Compare(stale(now, a), stale(now, b)) })
 	recent = recent[:min(sampleSize, len(recent))]
 	sample := make([]*wire.Member, 0, len(recent))
 	for _, m := range recent {
@@ -222,6 +227,14 @@
 	return sample
 }
 
+// stale is 0 for a member heard of lately and 1 for another.
+func stale(now time.Time, m *Member) int {
+	if now.Sub(m.Heard) <= fresh {
+		return 0
+	}
+	return 1
+}
+
 func encode(m Member) *wire.Member {
 	return &wire.Member{
 		Address:     m.Address,
--- a/internal/route/engine/holders.go
+++ b/internal/route/engine/holders.go
@@ -10,7 +10,7 @@
 	// holdFor is how long a sent prefix is believed to be cached.
 	holdFor = 120 * time.Second
 	// maxPrefixes bounds the prefixes in the index.
-	maxPrefixes = 1 << 17
+	maxPrefixes = 1 << 18
 	// maxHolders bounds the upstreams of one prefix.
 	maxHolders = 32
 )
--- /dev/null
+++ b/internal/trial/site/bench_test.go
@@ -0,0 +1,121 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
+	"github.com/skylarkquay/skylarkquay/internal/stand/engine"
+)
+
+func started(b *testing.B, routers int) *Site {
+	b.Helper()
+	s, err := Start(Plan{Routers: routers, Engines: 2, Log: logr.Discard(), Rates: map[string]rules.Rate{"acme": {TokensPerSecond: 1 << 30, BurstTokens: 1 << 40}}, Engine: engine.Settings{PerEvent: time.Nanosecond, PerToken: time.Nanosecond}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(s.Close)
+	return s
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkCapacityStream measures a streamed request through one router; processor time includes client and engine, which run
+// in the same process.
+func BenchmarkCapacityStream(b *testing.B) {
+	for _, n := range []int{1, 50, 250} {
+		b.Run(fmt.Sprintf("events/n=%d", n), func(b *testing.B) {
+			s := started(b, 1)
+			if _, err := streamText(b.Context(), s.Routers[0], s.Keys["acme"], "warm", 1); err != nil {
+				b.Fatal(err)
+			}
+			before := processorTime()
+			runs := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				runs++
+				if _, err := streamText(b.Context(), s.Routers[0], s.Keys["acme"], "bench", int64(n)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(processorTime()-before)/float64(runs), "cpu-ns")
+		})
+	}
+}
+
+// BenchmarkCapacityIdle measures what routers without requests spend on control, all in one process with the platform's
+// stand-in: processor time of one router for one second, and store calls a second of all.
+func BenchmarkCapacityIdle(b *testing.B) {
+	for _, n := range []int{3, 9, 19} {
+		b.Run(fmt.Sprintf("routers/n=%d", n), func(b *testing.B) {
+			s := started(b, n)
+			time.Sleep(5 * time.Second)
+			reads, writes := s.Platform.Table.Counts()
+			before := processorTime()
+			begin := time.Now()
+			const span = 10 * time.Second
+			for b.Loop() {
+				time.Sleep(span)
+			}
+			took := time.Since(begin).Seconds()
+			r, w := s.Platform.Table.Counts()
+			b.ReportMetric(float64(processorTime()-before)/took/float64(n), "cpu-ns")
+			b.ReportMetric(float64(r-reads)/took, "store-reads")
+			b.ReportMetric(float64(w-writes)/took, "store-writes")
+		})
+	}
+}
+
+// BenchmarkCapacityPeerCall measures questions between two routers; processor time is that of both sides.
+func BenchmarkCapacityPeerCall(b *testing.B) {
+	for _, n := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("pieces/n=%d", n), func(b *testing.B) {
+			s := started(b, 1)
+			peer := wire.NewPeerProtobufClient("http://"+s.Routers[0].Settings.Peer, http.DefaultClient)
+			request := &wire.PlaceRequest{Model: Model, Chain: make([]uint64, n), Tokens: int64(n) * 2000, Zone: "a"}
+			before := processorTime()
+			runs := 0
+			for b.Loop() {
+				runs++
+				if _, err := peer.Place(b.Context(), request); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(processorTime()-before)/float64(runs), "cpu-ns")
+			b.ReportMetric(float64(proto.Size(request)), "wire-bytes")
+		})
+	}
+}
+
+// BenchmarkDirect and BenchmarkThrough compare a request to an engine with the same through a router.
+func BenchmarkDirect(b *testing.B) {
+	s := started(b, 1)
+	benchPost(b, "http://"+s.ups[0].address, "")
+}
+
+func BenchmarkThrough(b *testing.B) {
+	s := started(b, 1)
+	benchPost(b, s.Routers[0].URL(), s.Keys["acme"])
+}
+
+func benchPost(b *testing.B, url, key string) {
+	b.Helper()
+	b.ReportAllocs()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	for b.Loop() {
+		if err := postOnce(client, url, key); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
