--- a/internal/app/trials/roles.go
+++ b/internal/app/trials/roles.go
@@ -31,8 +31,6 @@
 	beats = 6.0
 	// bookings is the part of the requests that may not be repeated.
 	bookings = 0.1
-	// envelope is the size of the HTTP headers of a question and its answer, in bytes.
-	envelope = 450.0
 	// loadQuestions is the number of load reports that a node asks for in a second.
 	loadQuestions = 20.0
 	// pieces is the number of pieces in a mean prompt.
@@ -42,8 +40,9 @@
 	leaseEvery = 30.0
 	// leaseRenewal is the time between two renewals of a lease, in seconds.
 	leaseRenewal = 300.0
-	// leaseRow and changeEnvelope are sizes on the wire, in bytes.
+	// leaseRow is the size of a lease row on the wire, outcome that of what became of one prompt, in bytes.
 	leaseRow = 260.0
+	outcome  = 100.0
 	second   = 1e9
 )
 
@@ -52,7 +51,7 @@
 	Name string `json:"name"`
 	// Control tells that the role counts against the budget for control.
 	Control bool `json:"control"`
-	// CPU is in cores, Memory in bytes, Bytes in bytes per second, both directions.
+	// CPU is in cores, Memory in bytes, Bytes in bytes per second, sent and received together.
 	CPU    float64 `json:"cpu"`
 	Memory float64 `json:"memory"`
 	Bytes  float64 `json:"bytes"`
@@ -85,6 +84,7 @@
 	perNode := requestsPerSecond / nodes
 	events := tokensPerSecond / requestsPerSecond
 	call := b.at("PeerCall", "cpu-ns", pieces) / second
+	envelope := b.at("PeerCall", "wire-bytes", 0)
 	change := changesPerDay / secondsPerDay
 	all := []Role{
 		{
@@ -137,9 +137,9 @@
 		{
 			Name:      "placement",
 			Control:   true,
-			CPU:       perNode * (b.at("Decide", "ns/op", runners/regions)/second + call),
+			CPU:       perNode * (b.at("Decide", "ns/op", runners/regions)/second + 2*call),
 			Memory:    blocks / nodes * b.at("Holdings", "heap-bytes", 100_000) / 100_000,
-			Bytes:     2 * perNode * (2*b.at("PeerCall", "wire-bytes", pieces) + 2*envelope),
+			Bytes:     2 * perNode * (b.at("PeerCall", "wire-bytes", pieces) + envelope + outcome),
 			Mechanism: "one instance places a model's prompts of some workspaces; no cache event is read",
 		},
 		{
--- a/internal/trial/site/bench_test.go
+++ b/internal/trial/site/bench_test.go
@@ -1,14 +1,16 @@
 package site
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
@@ -82,7 +84,8 @@
 	for _, n := range []int{1, 16, 64} {
 		b.Run(fmt.Sprintf("pieces/n=%d", n), func(b *testing.B) {
 			s := started(b, 1)
-			peer := wire.NewPeerProtobufClient("http://"+s.Routers[0].Settings.Peer, http.DefaultClient)
+			wired := &counter{}
+			peer := wire.NewPeerProtobufClient("http://"+s.Routers[0].Settings.Peer, &http.Client{Transport: &http.Transport{DialContext: wired.dial}})
 			request := &wire.PlaceRequest{Model: Model, Chain: make([]uint64, n), Tokens: int64(n) * 2000, Zone: "a"}
 			before := processorTime()
 			runs := 0
@@ -93,11 +96,40 @@
 				}
 			}
 			b.ReportMetric(float64(processorTime()-before)/float64(runs), "cpu-ns")
-			b.ReportMetric(float64(proto.Size(request)), "wire-bytes")
+			b.ReportMetric(float64(wired.bytes.Load())/float64(runs), "wire-bytes")
 		})
 	}
 }
 
+// counter counts the bytes of its connections, both directions.
+type counter struct {
+	bytes atomic.Int64
+}
+
+func (c *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, address)
+	return &countedConn{Conn: conn, counter: c}, err
+}
+
+// countedConn is a connection whose bytes are counted.
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.bytes.Add(int64(n))
+	return n, err
+}
+
 // BenchmarkDirect and BenchmarkThrough compare a request to an engine with the same through a router.
 func BenchmarkDirect(b *testing.B) {
 	s := started(b, 1)
