--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -23,12 +23,14 @@
 	pollMost      = 10 * time.Second
 	pollLeast     = time.Second
 	leaseEvery    = 5 * time.Second
-	leaseMost     = 30 * time.Second
+	leaseMost     = 60 * time.Second
 	// loadsPerSecond bounds the load reports that an instance asks for.
 	loadsPerSecond = 20
 	loadLeast      = 500 * time.Millisecond
-	loadTimeout    = time.Second
-	maxReport      = 64 << 10
+	// loadIdle is the wait between two rounds on an instance that places no prompts.
+	loadIdle    = 10 * time.Second
+	loadTimeout = time.Second
+	maxReport   = 64 << 10
 )
 
 // loops lists the router's parts that run on their own.
@@ -221,6 +223,9 @@
 				time.Sleep(time.Second)
 			}
 		}
+		if !r.placer.Active(time.Now()) {
+			return loadIdle
+		}
 		return max(loadLeast, time.Duration(engines%loadsPerSecond)*time.Second/loadsPerSecond)
 	})
 }
--- a/internal/app/trials/roles.go
+++ b/internal/app/trials/roles.go
@@ -26,7 +26,7 @@
 	// shares is the number of shares of one workspace.
 	shares = 24.0
 	// takes is the number of questions for tokens that one request asks of other holders.
-	takes = 2.0
+	takes = 1.0
 	// beats is the number of heartbeats that a node sends and receives in a second.
 	beats = 6.0
 	// bookings is the part of the requests that may not be repeated.
@@ -37,7 +37,7 @@
 	pieces = 6.0
 	// pollEvery is the time between two reads of the store by a node, leaseEvery between two looks at the leases, in seconds.
 	pollEvery  = 10.0
-	leaseEvery = 30.0
+	leaseEvery = 60.0
 	// leaseRenewal is the time between two renewals of a lease, in seconds.
 	leaseRenewal = 300.0
 	// leaseRow is the size of a lease row on the wire, outcome that of what became of one prompt, in bytes.
--- a/internal/limit/escrow/ways_test.go
+++ b/internal/limit/escrow/ways_test.go
@@ -103,6 +103,7 @@
 				}
 				b.ReportMetric(100*r.wrongful, "wrongful%")
 				b.ReportMetric(r.excess, "excess-tokens")
+				b.ReportMetric(r.questions, "questions/request")
 			})
 		}
 	}
@@ -113,6 +114,8 @@
 	requests int
 	wrongful float64
 	excess   float64
+	// questions is the number of takes asked of other instances, per request.
+	questions float64
 }
 
 // moment is something that happens at a virtual time.
@@ -155,6 +158,8 @@
 	uses   []use
 	counts map[bool]int
 	asked  int
+	// arrivals counts the requests.
+	arrivals int
 }
 
 func play(w way, s scene) outcome {
@@ -178,6 +183,8 @@
 		requests: st.counts[true] + st.counts[false],
 		wrongful: float64(st.counts[false]) / float64(max(1, st.counts[true]+st.counts[false])),
 		excess:   excess(st.uses, whole),
+
+		questions: float64(st.world.questions) / float64(max(1, st.arrivals)),
 	}
 }
 
@@ -217,6 +224,7 @@
 }
 
 func (s *stage) arrive(tokens int64) {
+	s.arrivals++
 	r := &request{node: s.pick(), tokens: tokens, arrived: s.world.now, within: s.spend(tokens)}
 	s.try(r)
 }
--- a/internal/limit/escrow/world_test.go
+++ b/internal/limit/escrow/world_test.go
@@ -46,6 +46,8 @@
 	now time.Time
 	// loseAnswers makes one in that many peer answers get lost after the effect; zero is never.
 	loseAnswers int
+	// questions counts the takes that were asked.
+	questions int
 }
 
 func newWorld(nodes, zones, partitions int, whole share.Budget) *world {
@@ -137,6 +139,7 @@
 
 // Take implements Peers.
 func (n *node) Take(_ context.Context, address string, k share.Key, want share.Want) (given, left int64, held bool, err error) {
+	n.world.questions++
 	o := n.world.at(address)
 	if o == nil || !o.usable() || n.apart || o.apart {
 		return 0, 0, false, errCut
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -21,6 +21,8 @@
 	quarantine = 2 * time.Second
 	// FlushEvery is the time between two messages of outcomes to a placer.
 	FlushEvery = 200 * time.Millisecond
+	// activeFor is how long after a decision an instance keeps itself informed of the engines' load.
+	activeFor = 10 * time.Second
 	// maxOutcomes bounds the outcomes that wait for one placer; the oldest are dropped.
 	maxOutcomes = 256
 )
@@ -73,6 +75,7 @@
 	spread   int
 	down     map[string]time.Time
 	outcomes map[string][]Outcome
+	decided  time.Time
 }
 
 // NewPlacer returns a placer with the default costs.
@@ -136,6 +139,9 @@
 // Decide chooses by this instance's own knowledge and counts the prompt as sent.
 func (p *Placer) Decide(now time.Time, q picker.Question) Choice {
 	choice := Choice{By: p.members.Self()}
+	p.mu.Lock()
+	p.decided = now
+	p.mu.Unlock()
 	d := p.Weigh(now, q)
 	choice.Considered = d.Considered
 	c, ok := d.Chosen()
@@ -157,6 +163,13 @@
 	return picker.Decide(q, p.fleet.Each(now, q.Model, q.Chain), costs)
 }
 
+// Active tells whether this instance has placed prompts lately.
+func (p *Placer) Active(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.decided) < activeFor
+}
+
 // Learn takes in an outcome of this instance's own request and keeps it for the placer.
 func (p *Placer) Learn(now time.Time, owner string, o Outcome) {
 	p.Absorb(now, o)
