Load tool and demonstration; the engine's stand-in looks its cache up when a prompt's turn comes

Ruled out: prefixes shifted by the JSON around them (whole pieces stay whole). The stand-in looked prompts up when they came, so that requests queued behind the same cold prefix computed it again.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,9 @@
 
 .PHONY: demo test lint bench replay faults capacity generate build
 
+demo:
+	$(GO) run ./cmd/skylarkload demo
+
 build:
 	$(GO) build -o build/ ./cmd/...
 
--- a/internal/app/trials/trials.go
+++ b/internal/app/trials/trials.go
@@ -31,6 +31,8 @@
 		name, short string
 		data        flags.Commander
 	}{
+		{"demo", "show the whole system on embedded stand-ins, in one process", &demoCommand{t: t}},
+		{"load", "drive running routers with a recorded trace", &loadCommand{t: t}},
 		{"record", "generate the recorded traces anew", &recordCommand{t: t}},
 		{"capacity", "work the capacity table out of benchmark output", &capacityCommand{t: t}},
 		{"replay", "replay traces under every policy", &replayCommand{t: t}},
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -160,6 +160,9 @@
 	id     string
 	ended  <-chan struct{}
 	faults Faults
+	chain  []prefix.Hash
+	// queued is the number of tokens counted into the queue, cached the number found when the prompt's turn came.
+	queued int64
 	cached int64
 	// incarnation is the one that accepted the request.
 	incarnation string
@@ -176,10 +179,10 @@
 	if k.faults.Poison != "" && strings.Contains(string(k.prompt), k.faults.Poison) {
 		e.restart()
 	}
-	e.header(w, k)
 	if !e.prefill(r.Context(), k) {
 		panic(http.ErrAbortHandler)
 	}
+	e.header(w, k)
 	if k.faults.Empty {
 		panic(http.ErrAbortHandler)
 	}
@@ -190,7 +193,7 @@
 	e.whole(w, k)
 }
 
-// accept registers a request and looks up its cached pieces.
+// accept registers a request.
 func (e *Server) accept(r *http.Request, in body) *work {
 	k := &work{in: in, prompt: in.Messages, salt: r.Header.Get(runner.HeaderSalt), id: r.Header.Get(runner.HeaderRequest)}
 	if k.prompt == nil {
@@ -207,18 +210,22 @@
 	k.faults = e.faults
 	k.incarnation = e.incarnation
 	e.running++
-	for _, h := range e.chain(k) {
+	k.chain = prefix.Chain(prefix.Salt{Workspace: k.salt, Model: k.in.Model, Weights: e.settings.Weights[k.in.Model]}, k.prompt)
+	k.queued = prefix.Tokens(k.prompt) - e.lookUp(k)
+	e.queued += k.queued
+	return k
+}
+
+// lookUp returns the number of the prompt's tokens that are cached now.
+func (e *Server) lookUp(k *work) int64 {
+	cached := int64(0)
+	for _, h := range k.chain {
 		if _, ok := e.cache[h]; !ok {
 			break
 		}
-		k.cached += prefix.PieceTokens
+		cached += prefix.PieceTokens
 	}
-	e.queued += prefix.Tokens(k.prompt) - k.cached
-	return k
-}
-
-func (e *Server) chain(k *work) []prefix.Hash {
-	return prefix.Chain(prefix.Salt{Workspace: k.salt, Model: k.in.Model, Weights: e.settings.Weights[k.in.Model]}, k.prompt)
+	return cached
 }
 
 func (e *Server) leave() {
@@ -248,10 +255,9 @@
 
 // prefill computes the missing part of the prompt, one request after the other.
 func (e *Server) prefill(ctx context.Context, k *work) bool {
-	missing := prefix.Tokens(k.prompt) - k.cached
 	defer func() {
 		e.mu.Lock()
-		e.queued = max(0, e.queued-missing)
+		e.queued = max(0, e.queued-k.queued)
 		e.mu.Unlock()
 	}()
 	select {
@@ -262,14 +268,17 @@
 		return false
 	}
 	defer func() { <-e.compute }()
-	if !pause(ctx, k, time.Duration(missing)*e.settings.PerToken) {
+	e.mu.Lock()
+	k.cached = e.lookUp(k)
+	e.mu.Unlock()
+	if !pause(ctx, k, time.Duration(prefix.Tokens(k.prompt)-k.cached)*e.settings.PerToken) {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, h := range e.chain(k) {
+	for i := len(k.chain) - 1; i >= 0; i-- {
 		e.used++
-		e.cache[h] = e.used
+		e.cache[k.chain[i]] = e.used
 	}
 	e.evict()
 	return true
--- /dev/null
+++ b/internal/trial/load/report.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+)
+
+// Percentiles of a time, in seconds.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Report is the outcome of one run.
+type Report struct {
+	// Seconds is how long the run took.
+	Seconds float64 `json:"seconds"`
+	// Hit is the fraction of prompt tokens that engines found in their caches.
+	Hit float64 `json:"hit"`
+	// First is the time to the first token, Gap the time between two tokens.
+	First Percentiles `json:"first"`
+	Gap   Percentiles `json:"gap"`
+	// Total adds all workspaces up; Worst names the one with the least part served in time.
+	Total      Tally             `json:"total"`
+	Worst      string            `json:"worst"`
+	Workspaces map[string]*Tally `json:"workspaces"`
+
+	curve plotter.XYs
+}
+
+func (c *collector) report(took time.Duration) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := Report{
+		Seconds:    took.Seconds(),
+		First:      percentiles(c.first),
+		Gap:        percentiles(c.gap),
+		Workspaces: c.by,
+		Total:      Tally{Refused: make(map[fault.Kind]int)},
+	}
+	if c.prompt > 0 {
+		r.Hit = float64(c.cached) / float64(c.prompt)
+	}
+	least := 2.0
+	for _, name := range names(c.by) {
+		t := c.by[name]
+		r.Total.add(t)
+		if part := float64(t.InTime) / float64(max(1, t.Sent)); part < least {
+			least = part
+			r.Worst = name
+		}
+	}
+	for _, b := range c.first.CumulativeDistribution() {
+		r.curve = append(r.curve, plotter.XY{X: float64(b.ValueAt) / 1e6, Y: b.Quantile / 100})
+	}
+	return r
+}
+
+func (t *Tally) add(o *Tally) {
+	t.Sent += o.Sent
+	t.Completed += o.Completed
+	t.InTime += o.InTime
+	t.Broken += o.Broken
+	t.Crossed += o.Crossed
+	t.AdmittedTokens += o.AdmittedTokens
+	for kind, n := range o.Refused {
+		t.Refused[kind] += n
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e6 }
+	return Percentiles{P50: at(50), P95: at(95), P99: at(99), Max: float64(h.Max()) / 1e6}
+}
+
+func names(by map[string]*Tally) []string {
+	all := make([]string, 0, len(by))
+	for name := range by {
+		all = append(all, name)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%.1f s, hit %.3f\n", r.Seconds, r.Hit)
+	_, _ = fmt.Fprintf(w, "%-14s %8s %8s %8s %8s\n", "seconds", "p50", "p95", "p99", "max")
+	for _, row := range []struct {
+		name string
+		p    Percentiles
+	}{{"first token", r.First}, {"between tokens", r.Gap}} {
+		_, _ = fmt.Fprintf(w, "%-14s %8.4f %8.4f %8.4f %8.4f\n", row.name, row.p.P50, row.p.P95, row.p.P99, row.p.Max)
+	}
+	_, _ = fmt.Fprintf(w, "%-14s %8s %9s %8s %8s %8s  %s\n", "workspace", "sent", "completed", "in time", "broken", "crossed", "refused")
+	for _, name := range names(r.Workspaces) {
+		printTally(w, name, r.Workspaces[name])
+	}
+	printTally(w, "all", &r.Total)
+	_, _ = fmt.Fprintf(w, "worst served: %s\n", r.Worst)
+}
+
+func printTally(w io.Writer, name string, t *Tally) {
+	_, _ = fmt.Fprintf(w, "%-14s %8d %9d %8d %8d %8d  %v\n", name, t.Sent, t.Completed, t.InTime, t.Broken, t.Crossed, t.Refused)
+}
+
+// Plot draws the distribution of the time to first token into a PNG file.
+func (r Report) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = "Time to first token"
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "fraction of requests"
+	line, err := plotter.NewLine(r.curve)
+	if err != nil {
+		return err
+	}
+	p.Add(line, plotter.NewGrid())
+	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
+}
