--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 	mkdir -p build
 	$(GO) test -run '^$$' -bench Capacity -benchtime 0.5s ./internal/... > build/capacity.txt
 	$(GO) run ./cmd/skylarkload capacity --commit "$$(git rev-parse --short HEAD)"
+
+faults: build
+	SKYLARKQUAY_BIN=$(CURDIR)/build STRIKE='$(FAULT)' $(GO) test -tags strike -count=1 -timeout 30m -v ./internal/trial/strike
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -111,6 +111,21 @@
 	return e.running
 }
 
+// Seen is the answer to the question how many received values contain a text.
+type Seen struct {
+	Count int `json:"count"`
+}
+
+func count(values []string, text string) int {
+	n := 0
+	for _, v := range values {
+		if strings.Contains(v, text) {
+			n++
+		}
+	}
+	return n
+}
+
 // Handler returns the engine's HTTP handler.
 func (e *Server) Handler() http.Handler {
 	m := mux.NewRouter()
@@ -118,6 +133,9 @@
 	m.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
 	m.HandleFunc(runner.LoadPath, e.load).Methods(http.MethodGet)
 	m.HandleFunc("/faults", e.putFaults).Methods(http.MethodPut)
+	m.HandleFunc("/seen", func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewEncoder(w).Encode(Seen{Count: count(e.Seen(), r.URL.Query().Get("text"))})
+	}).Methods(http.MethodGet)
 	m.HandleFunc("/restart", func(http.ResponseWriter, *http.Request) { e.restart() }).Methods(http.MethodPost)
 	return m
 }
--- a/internal/stand/plain/plain.go
+++ b/internal/stand/plain/plain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,11 @@
 	Request   string `json:"request"`
 }
 
+// Seen is the answer to the question how many received values contain a text.
+type Seen struct {
+	Count int `json:"count"`
+}
+
 // Server is one booking service.
 type Server struct {
 	mu     sync.Mutex
@@ -73,6 +79,7 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/faults", s.putFaults).Methods(http.MethodPut)
 	m.HandleFunc("/runs", s.getRuns).Methods(http.MethodGet)
+	m.HandleFunc("/seen", s.getSeen).Methods(http.MethodGet)
 	m.HandleFunc("/load", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }).Methods(http.MethodGet)
 	m.PathPrefix("/").HandlerFunc(s.run)
 	return m
@@ -91,6 +98,17 @@
 	_ = json.NewEncoder(w).Encode(s.Runs())
 }
 
+// getSeen tells how many received values contain a text.
+func (s *Server) getSeen(w http.ResponseWriter, r *http.Request) {
+	n := 0
+	for _, v := range s.Seen() {
+		if strings.Contains(v, r.URL.Query().Get("text")) {
+			n++
+		}
+	}
+	_ = json.NewEncoder(w).Encode(Seen{Count: n})
+}
+
 // run has the effect, then answers, unless a fault says otherwise.
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
