--- a/internal/app/daemon/answers.go
+++ b/internal/app/daemon/answers.go
@@ -40,6 +40,11 @@
 	return &wire.GiveReply{}, nil
 }
 
+// Withdraw promises not to support a silent incarnation for a while.
+func (a answers) Withdraw(_ context.Context, in *wire.WithdrawRequest) (*wire.WithdrawReply, error) {
+	return &wire.WithdrawReply{Votes: unsigned(a.router.keeper.Withdraw(time.Now(), in.Incarnation))}, nil
+}
+
 // Resolve answers how far an attempt of this router got.
 func (a answers) Resolve(_ context.Context, in *wire.ResolveRequest) (*wire.ResolveReply, error) {
 	state, answer := a.router.desk.Resolve(in.Attempt)
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -137,7 +137,7 @@
 	s := r.settings
 	self := r.members.Self()
 	r.peers = newPeers(r)
-	r.keeper = lease.NewKeeper(r.table, r.log, self.Address, self.Incarnation, s.Partitions, r.peers.probe)
+	r.keeper = lease.NewKeeper(r.table, r.log, self.Address, self.Incarnation, s.Partitions, r.peers)
 	r.limiter = escrow.NewLimiter(s.Partitions, share.NewBook(), r.keeper, r.peers)
 	r.desk = claim.NewDesk(r.table, self.Address, r.peers.resolve)
 	r.gate = gate.NewGate(r.feed, r.members.Size, s.HeaderBytes, s.BodyBytes)
--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/conf/ledger"
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/peer/lease"
 	"github.com/skylarkquay/skylarkquay/internal/plat/roster"
 	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
 	"github.com/skylarkquay/skylarkquay/internal/route/engine"
@@ -24,6 +25,8 @@
 	pollLeast     = time.Second
 	leaseEvery    = 5 * time.Second
 	leaseMost     = 60 * time.Second
+	// leaseDoubting is the wait between two looks while the support of a silent holder lapses.
+	leaseDoubting = 2 * time.Second
 	// loadsPerSecond bounds the load reports that an instance asks for.
 	loadsPerSecond = 20
 	loadLeast      = 500 * time.Millisecond
@@ -122,6 +125,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return every(ctx, func(ctx context.Context) time.Duration {
 		now := time.Now()
+		r.keeper.Supported(now, now, nil)
 		r.members.Hold(r.keeper.Partitions(now))
 		request := r.peers.beat(now, random)
 		for _, address := range r.members.Targets(now, random) {
@@ -154,10 +158,11 @@
 // keepLeases acquires, renews and releases partitions.
 func (r *Router) keepLeases(ctx context.Context) error {
 	return every(ctx, func(ctx context.Context) time.Duration {
-		live := r.members.Live(time.Now())
+		now := time.Now()
+		live := r.members.Live(now)
 		counts := make(map[string]int, len(live))
 		for _, m := range live {
-			if !m.Leaving {
+			if !m.Leaving && now.Sub(m.Heard) < lease.SupportFor(r.settings.Partitions)/2 || m.Address == r.settings.Peer {
 				counts[m.Address] = len(m.Partitions)
 			}
 		}
@@ -167,6 +172,9 @@
 		if len(r.keeper.Partitions(time.Now())) == 0 {
 			return time.Second
 		}
+		if r.keeper.Doubting() {
+			return leaseDoubting
+		}
 		return min(leaseMost, max(leaseEvery, time.Duration(len(live))*pollPerMember))
 	})
 }
--- a/internal/app/daemon/peers.go
+++ b/internal/app/daemon/peers.go
@@ -22,9 +22,11 @@
 	takeTimeout    = 150 * time.Millisecond
 	giveTimeout    = 150 * time.Millisecond
 	resolveTimeout = time.Second
-	peerDial       = 200 * time.Millisecond
-	peerIdle       = 30 * time.Second
-	peerMaxIdle    = 4
+	// withdrawTimeout bounds the questions to all live instances.
+	withdrawTimeout = time.Second
+	peerDial        = 200 * time.Millisecond
+	peerIdle        = 30 * time.Second
+	peerMaxIdle     = 4
 )
 
 // peers speaks with the other entry instances, in both directions.
@@ -77,6 +79,7 @@
 		return
 	}
 	p.merge(reply.Self, reply.Members, reply.Deaths)
+	p.router.keeper.Supported(time.Now(), sent, integers(reply.Votes))
 	p.hear(ctx, sent, address, reply.Revision, time.Duration(reply.AgeMillis)*time.Millisecond)
 }
 
@@ -93,7 +96,10 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	out := p.beat(now, random)
-	return &wire.BeatReply{Self: out.Self, Members: out.Members, Revision: out.Revision, AgeMillis: out.AgeMillis, Deaths: out.Deaths}, nil
+	return &wire.BeatReply{
+		Self: out.Self, Members: out.Members, Revision: out.Revision, AgeMillis: out.AgeMillis, Deaths: out.Deaths,
+		Votes: unsigned(r.keeper.Support(now, in.Self.Incarnation)),
+	}, nil
 }
 
 func (p *peers) merge(self *wire.Member, others []*wire.Member, deaths []*wire.Death) {
@@ -175,8 +181,8 @@
 	return reply, nil
 }
 
-// probe implements lease.Prober by a heartbeat that tells nothing.
-func (p *peers) probe(ctx context.Context, address string) (string, error) {
+// Probe implements lease.Peers by a heartbeat that tells nothing.
+func (p *peers) Probe(ctx context.Context, address string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	reply, err := p.to(address).Beat(ctx, &wire.BeatRequest{Self: p.router.members.Beat()})
@@ -189,6 +195,45 @@
 	return reply.Self.Incarnation, nil
 }
 
+// Withdraw implements lease.Peers.
+func (p *peers) Withdraw(ctx context.Context, incarnation string) []int {
+	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	live := p.router.members.Live(time.Now())
+	answers := make(chan []uint32, len(live))
+	for _, m := range live {
+		go func() {
+			reply, err := p.to(m.Address).Withdraw(ctx, &wire.WithdrawRequest{Incarnation: incarnation})
+			if err != nil || m.Address == p.router.settings.Peer {
+				answers <- nil
+				return
+			}
+			answers <- reply.Votes
+		}()
+	}
+	var votes []int
+	for range live {
+		votes = append(votes, integers(<-answers)...)
+	}
+	return votes
+}
+
+func integers(list []uint32) []int {
+	all := make([]int, len(list))
+	for i, n := range list {
+		all[i] = int(n)
+	}
+	return all
+}
+
+func unsigned(list []int) []uint32 {
+	all := make([]uint32, len(list))
+	for i, n := range list {
+		all[i] = uint32(n)
+	}
+	return all
+}
+
 // Holder implements escrow.Peers.
 func (p *peers) Holder(now time.Time, partition int) string {
 	return p.router.members.Holder(now, uint32(partition))
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -134,6 +134,9 @@
 		return fault.New(fault.BadRequest, "the request needs %d tokens; the workspace's burst is %d", r.tokens(), r.Whole.Burst)
 	}
 	s := l.survey(now, r.Workspace, r.Whole)
+	if s.rate <= 0 {
+		return fault.Later(fault.LimitUnready, quarantine, "no share of workspace %s can be reached", r.Workspace)
+	}
 	missing := float64(r.tokens()) - s.level
 	if missing <= 0 {
 		return nil
--- a/internal/peer/lease/keeper.go
+++ b/internal/peer/lease/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +21,13 @@
 	Put(ctx context.Context, p table.Put) error
 }
 
-// Prober asks an address which incarnation answers there.
-type Prober func(ctx context.Context, address string) (incarnation string, err error)
+// Peers asks other instances.
+type Peers interface {
+	// Probe asks an address which incarnation answers there.
+	Probe(ctx context.Context, address string) (incarnation string, err error)
+	// Withdraw asks all live instances to support an incarnation no longer, and returns the votes of those that agreed.
+	Withdraw(ctx context.Context, incarnation string) []int
+}
 
 const (
 	leasePart = "lease"
@@ -36,9 +42,10 @@
 	self        string
 	incarnation string
 	partitions  int
-	probe       Prober
+	peers       Peers
 
 	mu        sync.Mutex
+	votes     votes
 	held      map[int]Held
 	freeSince map[int]time.Time
 	dead      map[string]bool
@@ -46,14 +53,15 @@
 }
 
 // NewKeeper returns a keeper without leases.
-func NewKeeper(t Table, log logr.Logger, self, incarnation string, partitions int, probe Prober) *Keeper {
+func NewKeeper(t Table, log logr.Logger, self, incarnation string, partitions int, peers Peers) *Keeper {
 	return &Keeper{
 		table:       t,
 		log:         log,
 		self:        self,
 		incarnation: incarnation,
 		partitions:  partitions,
-		probe:       probe,
+		peers:       peers,
+		votes:       newVotes(partitions),
 		held:        make(map[int]Held),
 		freeSince:   make(map[int]time.Time),
 		dead:        make(map[string]bool),
@@ -65,7 +73,23 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h, ok := k.held[partition]
-	return h, ok && h.Valid(now)
+	return h, ok && usable(now, h)
+}
+
+// usable tells whether a lease is valid and supported.
+func usable(now time.Time, h Held) bool {
+	return h.Valid(now) && now.Before(h.Good)
+}
+
+// voting returns the own partitions that count as votes.
+func (k *Keeper) voting(now time.Time) []int {
+	var own []int
+	for p, h := range k.held {
+		if usable(now, h) && now.After(h.VotesFrom) {
+			own = append(own, p)
+		}
+	}
+	return own
 }
 
 // Partitions returns the partitions that this instance may use now.
@@ -74,26 +98,128 @@
 	defer k.mu.Unlock()
 	var all []uint32
 	for p := range k.partitions {
-		if h, ok := k.held[p]; ok && h.Valid(now) {
+		if h, ok := k.held[p]; ok && usable(now, h) {
 			all = append(all, uint32(p))
 		}
 	}
 	return all
 }
 
+// Support answers an incarnation that asks for support, with the votes that it gets.
+func (k *Keeper) Support(now time.Time, incarnation string) []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if until, ok := k.votes.withdrawn[incarnation]; ok && now.Before(until) {
+		return nil
+	}
+	delete(k.votes.withdrawn, incarnation)
+	k.votes.heard[incarnation] = now
+	return k.voting(now)
+}
+
+// Supported records votes that were given to a question sent at a time, and extends the leases that are still good.
+func (k *Keeper) Supported(now, sent time.Time, votes []int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, p := range votes {
+		if sent.After(k.votes.supported[p]) {
+			k.votes.supported[p] = sent
+		}
+	}
+	until := k.votes.until(now, k.voting(now))
+	for p, h := range k.held {
+		if now.Before(h.Good) && until.After(h.Good) {
+			h.Good = until
+			k.held[p] = h
+		}
+	}
+}
+
+// Withdraw promises not to support an incarnation for a while, unless it was heard lately, and returns the votes that count.
+func (k *Keeper) Withdraw(now time.Time, incarnation string) []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if incarnation == k.incarnation || now.Sub(k.votes.heard[incarnation]) < SupportFor(k.partitions)/2 {
+		return nil
+	}
+	k.votes.withdrawn[incarnation] = now.Add(PromiseFor(k.partitions))
+	return k.voting(now)
+}
+
 // Round reads all rows, decides and carries the steps out. The clock gives the present time before each step.
 func (k *Keeper) Round(ctx context.Context, clock func() time.Time, counts map[string]int, leaving bool) error {
+	asked := clock()
 	records, err := k.table.List(ctx, leasePart, "", maxPartitions)
 	if err != nil {
 		return err
 	}
 	rows := k.rows(records)
+	k.mu.Lock()
+	for _, row := range rows {
+		k.observe(asked, row)
+	}
+	k.mu.Unlock()
+	k.collect(ctx, clock, rows)
 	for _, step := range k.decide(clock(), rows, counts, leaving) {
 		k.carryOut(ctx, clock, step)
 	}
 	return nil
 }
 
+// Doubting tells whether this instance waits for the support of a doubted holder to lapse.
+func (k *Keeper) Doubting() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.votes.doubts) > 0
+}
+
+// collect asks for the withdrawal of support from the holders that this instance doubts.
+func (k *Keeper) collect(ctx context.Context, clock func() time.Time, rows []Row) {
+	for _, holder := range k.openDoubts(rows) {
+		begun := clock()
+		withdrawn := make(map[int]bool)
+		for _, p := range k.peers.Withdraw(ctx, holder) {
+			withdrawn[p] = true
+		}
+		for _, p := range k.Withdraw(clock(), holder) {
+			withdrawn[p] = true
+		}
+		k.settleDoubts(holder, begun, clock(), len(withdrawn))
+	}
+}
+
+// openDoubts drops the doubts whose rows have changed and returns the holders of those that lack withdrawals.
+func (k *Keeper) openDoubts(rows []Row) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var open []string
+	for p, d := range k.votes.doubts {
+		if rows[p].Rev != d.rev {
+			delete(k.votes.doubts, p)
+			continue
+		}
+		if d.complete.IsZero() && !slices.Contains(open, d.holder) {
+			open = append(open, d.holder)
+		}
+	}
+	return open
+}
+
+func (k *Keeper) settleDoubts(holder string, begun, ended time.Time, withdrawn int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.votes.enough(withdrawn) {
+		return
+	}
+	for p, d := range k.votes.doubts {
+		if d.holder == holder && d.complete.IsZero() {
+			d.first = begun
+			d.complete = ended
+			k.votes.doubts[p] = d
+		}
+	}
+}
+
 // rows decodes the listing and fills in absent rows.
 func (k *Keeper) rows(records []table.Record) []Row {
 	rows := make([]Row, k.partitions)
@@ -114,22 +240,25 @@
 func (k *Keeper) decide(now time.Time, rows []Row, counts map[string]int, leaving bool) []Step {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	counts[k.self] = len(k.held)
+	seizable := make(map[int]bool)
 	for _, row := range rows {
-		k.observe(now, row)
+		seizable[row.Partition] = k.votes.seizable(now, row)
 	}
-	counts[k.self] = len(k.held)
 	return Decide(now, View{
-		Self:      k.self,
-		Rows:      rows,
-		Held:      k.held,
-		Counts:    counts,
-		FreeSince: k.freeSince,
-		Dead:      k.dead,
-		Leaving:   leaving,
+		Self:        k.self,
+		Incarnation: k.incarnation,
+		Seizable:    seizable,
+		Rows:        rows,
+		Held:        k.held,
+		Counts:      counts,
+		FreeSince:   k.freeSince,
+		Dead:        k.dead,
+		Leaving:     leaving,
 	})
 }
 
-// observe corrects the held leases and the free times by a row that was read.
+// observe corrects the held leases and the free times by a row that was asked for at a time.
 func (k *Keeper) observe(now time.Time, row Row) {
 	mine := row.Address == k.self && row.Incarnation == k.incarnation
 	_, ok := k.held[row.Partition]
@@ -137,6 +266,11 @@
 		delete(k.held, row.Partition)
 		ok = false
 	}
+	if ok && row.Doubt == nil {
+		h := k.held[row.Partition]
+		h.Good = now.Add(SupportFor(k.partitions))
+		k.held[row.Partition] = h
+	}
 	if ok || !Free(now, row, k.dead, k.self) {
 		delete(k.freeSince, row.Partition)
 		return
@@ -152,6 +286,8 @@
 		k.prove(ctx, step.Row)
 	case Release:
 		k.release(ctx, step.Row)
+	case Suspect:
+		k.suspect(ctx, clock, step.Row)
 	default:
 		k.write(ctx, clock, step)
 	}
@@ -159,7 +295,7 @@
 
 // prove learns whether the holder's process has been replaced.
 func (k *Keeper) prove(ctx context.Context, row Row) {
-	answered, err := k.probe(ctx, row.Address)
+	answered, err := k.peers.Probe(ctx, row.Address)
 	if err != nil || answered == row.Incarnation {
 		return
 	}
@@ -169,6 +305,19 @@
 	k.dead[row.Incarnation] = true
 }
 
+// suspect writes a doubt into a row. When the answer is lost the doubt is not acted upon.
+func (k *Keeper) suspect(ctx context.Context, clock func() time.Time, row Row) {
+	next := row
+	next.Doubt = &Doubt{By: k.incarnation, At: clock().Round(0).UTC()}
+	if err := k.put(ctx, row.Rev, next); err != nil {
+		return
+	}
+	k.log.Info("lease: holder is silent; asking for its support to be withdrawn", "partition", row.Partition, "address", row.Address)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.votes.doubts[row.Partition] = doubt{rev: row.Rev + 1, holder: row.Incarnation}
+}
+
 // release hands a partition back. The lease is dropped before the write, so that a lost answer leaves it unused.
 func (k *Keeper) release(ctx context.Context, row Row) {
 	k.mu.Lock()
@@ -195,7 +344,8 @@
 	h := k.held[row.Partition]
 	if step.Action == Acquire {
 		next.Epoch++
-		h = Held{Since: since(now, row, k.dead), Fresh: row.Rev == 0}
+		h = Held{Since: since(now, row, k.dead), Fresh: row.Rev == 0, VotesFrom: now.Add(PromiseFor(k.partitions))}
+		delete(k.votes.doubts, row.Partition)
 	}
 	k.mu.Unlock()
 	err := k.put(ctx, row.Rev, next)
@@ -209,6 +359,7 @@
 	next.Rev = row.Rev + 1
 	h.Row = next
 	h.Granted = now
+	h.Good = now.Add(SupportFor(k.partitions))
 	k.mu.Lock()
 	k.held[row.Partition] = h
 	k.mu.Unlock()
@@ -244,8 +395,11 @@
 	}})
 }
 
-// writeID identifies a write: one incarnation writes one end to a row at most once.
+// writeID identifies a write: one incarnation writes one end or one doubt to a row at most once.
 func (k *Keeper) writeID(row Row) string {
+	if row.Doubt != nil {
+		return fmt.Sprintf("%s/doubt/%d", k.incarnation, row.Doubt.At.UnixNano())
+	}
 	return fmt.Sprintf("%s/%d", k.incarnation, row.End.UnixNano())
 }
 
--- a/internal/peer/lease/lease.go
+++ b/internal/peer/lease/lease.go
@@ -1,8 +1,11 @@
 // Package lease decides and records which instance holds which partition of the fleet's limits.
 //
 // A lease is one row of the table service. Its holder uses it until the earlier of two clocks, wall and monotonic,
-// says that its end less the drift bound has come. A successor acts only after the end plus the drift bound, after a
-// release, or after another incarnation has answered at the holder's address. Silence is no proof.
+// says that its end less the drift bound has come, and only while it is supported: while it has lately read its row
+// without a doubt in it, or the holders of more than half of all partitions have lately answered it. A successor acts only
+// after the end plus the drift bound, after a release, after another incarnation has answered at the holder's address, or
+// after it has written a doubt into the row, the holders of more than half of all partitions have withdrawn their support,
+// and the time for which support lasts has gone by since. Silence alone is no proof.
 package lease
 
 import (
@@ -34,10 +37,20 @@
 	Epoch int64 `json:"epoch"`
 	// End is the wall time at which the lease ends.
 	End time.Time `json:"end"`
+	// Doubt is set while an instance holds the holder for gone; the holder clears it.
+	Doubt *Doubt `json:"doubt,omitempty"`
 	// Rev is the table row's revision, 0 for an absent row.
 	Rev int64 `json:"-"`
 }
 
+// Doubt says who holds a holder for gone.
+type Doubt struct {
+	// By is the doubting incarnation.
+	By string `json:"by"`
+	// At is the wall time of the doubt.
+	At time.Time `json:"at"`
+}
+
 // Held is a lease of this instance.
 type Held struct {
 	Row Row
@@ -47,6 +60,11 @@
 	Since time.Time
 	// Fresh tells that the partition never had a holder before.
 	Fresh bool
+	// VotesFrom is when the lease begins to count as a vote: once all votes of the partition's earlier holders have lapsed.
+	VotesFrom time.Time
+	// Good is until when the lease is supported. Once it has passed only a look at the row makes the lease usable again,
+	// because the partition may have a new holder by then.
+	Good time.Time
 }
 
 // Valid tells whether the lease may be used now, by the stricter of two clocks.
@@ -68,6 +86,8 @@
 	Release Action = "release"
 	// Prove asks the holder's address which incarnation answers there.
 	Prove Action = "prove"
+	// Suspect writes a doubt into the row.
+	Suspect Action = "suspect"
 )
 
 // Step is an action on a row.
@@ -90,6 +110,10 @@
 	FreeSince map[int]time.Time
 	// Dead are the incarnations proven to have ended.
 	Dead map[string]bool
+	// Seizable are the partitions whose doubted holder can no longer be using them.
+	Seizable map[int]bool
+	// Incarnation is this instance's.
+	Incarnation string
 	// Leaving tells that this instance hands everything back.
 	Leaving bool
 }
@@ -111,7 +135,7 @@
 			steps = append(steps, Step{Release, row})
 			continue
 		}
-		if h.Row.End.Sub(now.Round(0)) < renewBelow {
+		if row.Doubt != nil || h.Row.End.Sub(now.Round(0)) < renewBelow {
 			steps = append(steps, Step{Renew, row})
 		}
 	}
@@ -119,9 +143,17 @@
 		return steps
 	}
 	for _, row := range preferred(v) {
+		if v.Seizable[row.Partition] {
+			held++
+			steps = append(steps, Step{Acquire, row})
+			continue
+		}
 		if !Free(now, row, v.Dead, v.Self) {
-			if row.Address != "" && v.Counts[row.Address] == 0 {
+			if _, live := v.Counts[row.Address]; !live {
 				steps = append(steps, Step{Prove, row})
+				if held < high+1 && doubtable(now, row, v) {
+					steps = append(steps, Step{Suspect, row})
+				}
 			}
 			continue
 		}
@@ -135,6 +167,14 @@
 	return steps
 }
 
+// doubtable tells whether an instance may doubt a silent holder: nobody else does so at the moment.
+func doubtable(now time.Time, row Row, v View) bool {
+	if row.Doubt == nil {
+		return true
+	}
+	return row.Doubt.By != v.Incarnation && now.Round(0).After(row.Doubt.At.Add(PromiseFor(len(v.Rows))+Drift))
+}
+
 // someoneBelow tells whether a live instance holds fewer partitions than its part.
 func someoneBelow(v View, low int) bool {
 	for _, n := range v.Counts {
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -50,6 +50,9 @@
 	maxLine       = 1 << 20
 )
 
+// NoAnswer counts requests whose router did not answer, among the refusals by kind.
+const NoAnswer fault.Kind = "no_answer"
+
 // Tally is what callers of one workspace saw.
 type Tally struct {
 	Sent      int `json:"sent"`
@@ -190,7 +193,7 @@
 	sent := time.Now()
 	res, err := client.Do(req)
 	if err != nil {
-		c.count(row.Workspace, func(t *Tally) { t.Refused["no_answer"]++ })
+		c.count(row.Workspace, func(t *Tally) { t.Refused[NoAnswer]++ })
 		return
 	}
 	defer func() { _ = res.Body.Close() }()
