--- a/internal/conf/option/option.go
+++ b/internal/conf/option/option.go
@@ -105,9 +105,8 @@
 // Help returns the help text with every default.
 func Help() string {
 	s := Defaults()
-	var out strings.Builder
-	parser(&s, flags.HelpFlag).WriteHelp(&out)
-	return out.String()
+	_, err := parser(&s, flags.HelpFlag).ParseArgs([]string{"--help"})
+	return err.Error()
 }
 
 func parser(s *Settings, options flags.Options) *flags.Parser {
--- /dev/null
+++ b/internal/conf/option/option_test.go
@@ -0,0 +1,53 @@
+package option
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestSampleHoldsTheDefaults(t *testing.T) {
+	s, _, err := Load([]string{"--config", "../../../docs/skylarkquay.yaml"})
+	must.NoError(t, err)
+	s.Config = ""
+	must.Eq(t, Defaults(), s)
+}
+
+func TestFlagsGoBeforeTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.yaml")
+	must.NoError(t, os.WriteFile(path, []byte("zone: b\npartitions: 30\n"), 0o600))
+	s, rest, err := Load([]string{"check", "--config", path, "--zone", "c"})
+	must.NoError(t, err)
+	must.Eq(t, "c", s.Zone)
+	must.Eq(t, 30, s.Partitions)
+	must.Eq(t, []string{"check"}, rest)
+}
+
+func TestBadSettingsAreNamed(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		want string
+	}{
+		{"unknown field", "colour: red\n", "field colour not found"},
+		{"host name", "listen: example:80\n", "listen: \"example:80\" is not an IP address"},
+		{"partitions", "partitions: 0\n", "partitions: 0 is not between"},
+		{"duration", "token_idle: 0s\n", "token_idle: 0s is not a positive duration"},
+		{"type", "body_bytes: many\n", "line 1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "s.yaml")
+			must.NoError(t, os.WriteFile(path, []byte(c.text), 0o600))
+			_, _, err := Load([]string{"--config", path})
+			must.ErrorContains(t, err, c.want)
+		})
+	}
+}
+
+func TestHelpShowsDefaults(t *testing.T) {
+	must.StrContains(t, Help(), "(default: 127.0.0.1:8080)")
+	must.StrContains(t, Help(), "SKYLARKQUAY_PARTITIONS")
+}
--- /dev/null
+++ b/internal/front/relay/relay_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const key = "sq-secret"
+
+func TestForwardable(t *testing.T) {
+	in := http.Header{
+		"Accept":            {"text/plain"},
+		"Authorization":     {"Bearer " + key},
+		"Connection":        {"close, X-Hop"},
+		"X-Hop":             {"1"},
+		"Cookie":            {"a=b"},
+		"X-Api-Key":         {"other"},
+		"X-Echo":            {"v", "prefix " + key + " suffix"},
+		"X-" + key:          {"v"},
+		"Transfer-Encoding": {"chunked"},
+	}
+	must.Eq(t, http.Header{"Accept": {"text/plain"}, "X-Echo": {"v"}}, Forwardable(in, key))
+}
+
+func TestQuery(t *testing.T) {
+	in := url.Values{"a": {"1", key}, "KEY": {"x"}, "access_token": {"y"}, "b": {"2"}}
+	must.Eq(t, "a=1&b=2", Query(in, key))
+}
+
+func TestEvents(t *testing.T) {
+	text := ": comment\n\nid: 1\ndata: one\n\nid: 2\ndata: two\ndata: lines\n\ndata: [DONE]\n\n"
+	events := NewEvents(strings.NewReader(text))
+	first, err := events.Next()
+	must.NoError(t, err)
+	must.Eq(t, Event{ID: 1, Data: []byte("one")}, first)
+	second, err := events.Next()
+	must.NoError(t, err)
+	must.Eq(t, "two\nlines", string(second.Data))
+	end, err := events.Next()
+	must.NoError(t, err)
+	must.True(t, end.Done())
+	_, err = events.Next()
+	must.ErrorIs(t, err, ErrCut)
+}
+
+func TestEventWithoutItsEndIsCut(t *testing.T) {
+	_, err := NewEvents(strings.NewReader("data: half")).Next()
+	must.ErrorIs(t, err, ErrCut)
+}
+
+func TestNotSent(t *testing.T) {
+	must.True(t, NotSent(&url.Error{Err: &DialError{Err: errors.New("refused")}}))
+	must.False(t, NotSent(errors.New("reset")))
+}
+
+// FuzzEvents checks that no stream makes the reader fail in another way than by ErrCut.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		events := NewEvents(strings.NewReader(text))
+		for {
+			if _, err := events.Next(); err != nil {
+				must.ErrorIs(t, err, ErrCut)
+				return
+			}
+		}
+	})
+}
