--- a/internal/conf/option/option_test.go
+++ b/internal/conf/option/option_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -48,6 +49,8 @@
 }
 
 func TestHelpShowsDefaults(t *testing.T) {
-	must.StrContains(t, Help(), "(default: 127.0.0.1:8080)")
-	must.StrContains(t, Help(), "SKYLARKQUAY_PARTITIONS")
+	// The text is wrapped, so white space does not count.
+	help := strings.Join(strings.Fields(Help()), " ")
+	must.StrContains(t, help, "address for callers (default: 127.0.0.1:8080) [$SKYLARKQUAY_LISTEN]")
+	must.StrContains(t, help, "(default: 24) [$SKYLARKQUAY_PARTITIONS]")
 }
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/limit/share"
 	"github.com/skylarkquay/skylarkquay/internal/peer/lease"
 )
@@ -17,8 +17,8 @@
 	MaxWait = time.Second
 	// FreshFor is how long gathered tokens may be used after they were gathered.
 	FreshFor = 250 * time.Millisecond
-	// pause is the shortest wait between two gatherings.
-	pause = 5 * time.Millisecond
+	// shortest is the shortest wait between two gatherings.
+	shortest = 5 * time.Millisecond
 	// quarantine is how long a holder that did not answer is passed over.
 	quarantine = 5 * time.Second
 	// headroom is the fraction of the estimated time to refill that is added before asking again.
@@ -68,14 +68,6 @@
 	return byMonotonic < FreshFor && byWall < FreshFor
 }
 
-// guess is what this instance believes of a share held elsewhere.
-type guess struct {
-	level float64
-	at    time.Time
-	// downUntil is when a holder that did not answer is asked again.
-	downUntil time.Time
-}
-
 // line is the queue of one workspace's requests that wait for tokens on this instance.
 type line struct {
 	turn    chan struct{}
@@ -104,7 +96,7 @@
 		book:       book,
 		leases:     leases,
 		peers:      peers,
-		sleep:      sleep,
+		sleep:      pause.For,
 		homes:      make(map[string][]int),
 		guesses:    make(map[share.Key]guess),
 		lines:      make(map[string]*line),
@@ -230,51 +222,6 @@
 	return share.Want{ID: r.ID, Tokens: r.tokens() - g.Tokens, Firm: max(0, r.Firm-g.Tokens)}
 }
 
-// survey is what this instance believes of a workspace's reachable shares.
-type survey struct {
-	// level is the sum of their tokens.
-	level float64
-	// rate is the sum of their rates, in tokens per second.
-	rate   float64
-	others []candidate
-}
-
-// refillTime estimates how long the reachable shares take to refill what is missing.
-func (s survey) refillTime(missing float64) time.Duration {
-	if s.rate <= 0 {
-		return quarantine
-	}
-	seconds := missing / s.rate * (1 + headroom)
-	return max(pause, time.Duration(seconds*float64(time.Second)))
-}
-
-// survey sums up the own shares and what is believed of the others.
-func (l *Limiter) survey(now time.Time, workspace string, whole share.Budget) survey {
-	homes := l.homesOf(workspace)
-	var s survey
-	for i, p := range homes {
-		part := whole.Split(len(homes), i)
-		k := share.Key{Workspace: workspace, Partition: p}
-		if h, own := l.leases.Get(now, p); own {
-			s.rate += part.Rate
-			s.level += float64(l.book.Level(now, k, tenureOf(h), part))
-			continue
-		}
-		address := l.peers.Holder(now, p)
-		if address == "" {
-			continue
-		}
-		level, up := l.guessLevel(now, k, part)
-		if up {
-			s.rate += part.Rate
-			s.level += level
-			s.others = append(s.others, candidate{key: k, address: address, level: level})
-		}
-	}
-	sort.SliceStable(s.others, func(i, j int) bool { return s.others[i].level > s.others[j].level })
-	return s
-}
-
 // takeOwn spends what this instance's own shares have.
 func (l *Limiter) takeOwn(now time.Time, g *Grant, r Request) {
 	homes := l.homesOf(r.Workspace)
@@ -308,37 +255,6 @@
 	}
 }
 
-// candidate is a share held elsewhere.
-type candidate struct {
-	key     share.Key
-	address string
-	level   float64
-}
-
-// guessLevel estimates a share held elsewhere; an unknown one is believed to be full.
-func (l *Limiter) guessLevel(now time.Time, k share.Key, part share.Part) (float64, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	g, ok := l.guesses[k]
-	if !ok {
-		return float64(part.Burst), true
-	}
-	if now.Before(g.downUntil) {
-		return 0, false
-	}
-	return min(float64(part.Burst), g.level+now.Sub(g.at).Seconds()*part.Rate), true
-}
-
-func (l *Limiter) learn(now time.Time, k share.Key, left int64, answered bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	g := guess{level: float64(left), at: now}
-	if !answered {
-		g.downUntil = now.Add(quarantine)
-	}
-	l.guesses[k] = g
-}
-
 // Settle returns what a request did not use. Tokens are returned at most once; a lost return loses them.
 func (l *Limiter) Settle(ctx context.Context, now time.Time, g *Grant, used int64) {
 	if g == nil {
@@ -411,14 +327,3 @@
 func tenureOf(h lease.Held) share.Tenure {
 	return share.Tenure{Epoch: h.Row.Epoch, Since: h.Since, Full: h.Fresh}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/once/claim/claim.go
+++ b/internal/once/claim/claim.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/plat/table"
 )
 
@@ -118,7 +119,7 @@
 
 // NewDesk returns a desk for one router.
 func NewDesk(t Table, router string, resolve Resolver) *Desk {
-	return &Desk{table: t, router: router, resolve: resolve, sleep: sleep, attempts: make(map[string]attempt)}
+	return &Desk{table: t, router: router, resolve: resolve, sleep: pause.For, attempts: make(map[string]attempt)}
 }
 
 // ID derives a claim's identity from workspace, route and idempotency key.
@@ -354,14 +355,3 @@
 	defer d.mu.Unlock()
 	delete(d.attempts, name)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -16,6 +16,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 	"github.com/skylarkquay/skylarkquay/internal/trial/trace"
 )
@@ -100,7 +101,7 @@
 		if o.Limit > 0 && due > o.Limit {
 			break
 		}
-		if !sleepUntil(ctx, start.Add(due)) {
+		if pause.For(ctx, time.Until(start.Add(due))) != nil {
 			break
 		}
 		if o.Progress != nil && time.Since(last) > progressEvery {
@@ -116,17 +117,6 @@
 	return c.report(time.Since(start))
 }
 
-func sleepUntil(ctx context.Context, when time.Time) bool {
-	timer := time.NewTimer(time.Until(when))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Prompt returns the text of a row: its levels' texts, each of whole pieces, and text of its own.
 func Prompt(row trace.Row, number int) string {
 	const piece = prefix.PieceTokens * prefix.BytesPerToken
