--- a/internal/trial/site/chat_test.go
+++ b/internal/trial/site/chat_test.go
@@ -220,3 +220,44 @@
 	}
 	must.Between(t, 20, admitted, 25)
 }
+
+// TestOfficialClientAtTwoHundredASecond sends 600 streams over three seconds through three routers.
+func TestOfficialClientAtTwoHundredASecond(t *testing.T) {
+	s := start(t, Plan{Routers: 3, Engines: 6})
+	const streams, perSecond = 600, 200
+	errs := make(chan error, streams)
+	tick := time.NewTicker(time.Second / perSecond)
+	defer tick.Stop()
+	for i := range streams {
+		<-tick.C
+		go func() {
+			text := fmt.Sprintf("stream %d", i)
+			got, err := streamText(t.Context(), s.Routers[i%3], s.Keys["acme"], text, 20)
+			if err == nil && got != wantText(text, 20) {
+				err = fmt.Errorf("stream %d: got %q", i, got)
+			}
+			errs <- err
+		}()
+	}
+	for range streams {
+		must.NoError(t, <-errs)
+	}
+}
+
+// TestSlowReaderGetsAll reads a stream with pauses and checks that nothing is lost.
+func TestSlowReaderGetsAll(t *testing.T) {
+	s := start(t, Plan{Routers: 1, Engines: 1})
+	res, lines := openStream(t, s.Routers[0], s.Keys["acme"], 3000)
+	defer func() { _ = res.Body.Close() }()
+	events := 0
+	for lines.Scan() {
+		if !strings.HasPrefix(lines.Text(), "data: ") {
+			continue
+		}
+		events++
+		if events%500 == 1 {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	must.Eq(t, 3001, events)
+}
