--- a/internal/trial/site/bench_test.go
+++ b/internal/trial/site/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-logr/logr"
 
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
@@ -130,6 +131,53 @@
 	return n, err
 }
 
+// BenchmarkConvergence measures the time from an accepted edit until the last of so many routers has it in force.
+func BenchmarkConvergence(b *testing.B) {
+	for _, n := range []int{3, 9, 19, 40} {
+		b.Run(fmt.Sprintf("routers=%d", n), func(b *testing.B) {
+			s := started(b, n)
+			var worst, sum time.Duration
+			edits := 0
+			for b.Loop() {
+				edits++
+				took := s.converge(b, edits)
+				worst = max(worst, took)
+				sum += took
+			}
+			b.ReportMetric(worst.Seconds(), "worst-s")
+			b.ReportMetric(sum.Seconds()/float64(edits), "mean-s")
+		})
+	}
+}
+
+// converge applies one edit through a router and returns the time until all routers have it in force.
+func (s *Site) converge(b *testing.B, number int) time.Duration {
+	b.Helper()
+	first := wire.NewOperatorProtobufClient("http://"+s.Routers[number%len(s.Routers)].Settings.Admin, http.DefaultClient)
+	got, err := first.Fetch(b.Context(), &wire.FetchRequest{Section: "models"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	begin := time.Now()
+	reply, err := first.Apply(b.Context(), &wire.ApplyRequest{
+		Section: "models", Text: fmt.Sprintf("%s: {weights: %s}\nx%d: {weights: v}\n", Model, weights, number), Base: got.Revision, Edit: fmt.Sprint("edit-", number), Operator: "bench",
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, n := range s.Routers {
+		client := wire.NewOperatorProtobufClient("http://"+n.Settings.Admin, http.DefaultClient)
+		for {
+			status, err := client.Status(b.Context(), &wire.StatusRequest{})
+			if err == nil && status.Revision >= reply.Revision {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(begin)
+}
+
 // BenchmarkDirect and BenchmarkThrough compare a request to an engine with the same through a router.
 func BenchmarkDirect(b *testing.B) {
 	s := started(b, 1)
@@ -145,9 +193,14 @@
 	b.Helper()
 	b.ReportAllocs()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	for b.Loop() {
+		begin := time.Now()
 		if err := postOnce(client, url, key); err != nil {
 			b.Fatal(err)
 		}
+		_ = times.RecordValue(time.Since(begin).Microseconds())
 	}
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-us")
 }
