--- a/internal/peer/lease/keeper.go
+++ b/internal/peer/lease/keeper.go
@@ -48,7 +48,6 @@
 	held      map[int]Held
 	freeSince map[int]time.Time
 	dead      map[string]bool
-	writes    int64
 }
 
 // NewKeeper returns a keeper without leases.
@@ -274,9 +273,6 @@
 	if err != nil {
 		return err
 	}
-	k.mu.Lock()
-	k.writes++
-	k.mu.Unlock()
 	return k.table.Put(ctx, table.Put{Prev: prev, Record: table.Record{
 		Part:  leasePart,
 		Sort:  sortOf(row.Partition),
@@ -294,13 +290,6 @@
 	return fmt.Sprintf("%s/%d", k.incarnation, row.End.UnixNano())
 }
 
-// Writes returns the number of writes tried so far.
-func (k *Keeper) Writes() int64 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.writes
-}
-
 func sortOf(partition int) string {
 	return fmt.Sprintf("%05d", partition)
 }
--- /dev/null
+++ b/internal/peer/lease/lease_test.go
@@ -0,0 +1,99 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func held(row Row) Held {
+	return Held{Row: row, Granted: start, Good: start.Add(Length)}
+}
+
+func row(p int, address, incarnation string) Row {
+	return Row{Partition: p, Address: address, Incarnation: incarnation, End: start.Add(Length), Rev: 1}
+}
+
+func TestValidStopsBeforeTheEnd(t *testing.T) {
+	h := held(row(0, "a", "a1"))
+	must.True(t, h.Valid(start.Add(Length-Drift-1)))
+	must.False(t, h.Valid(start.Add(Length-Drift)))
+	must.False(t, h.Valid(start.Add(-1)))
+}
+
+func TestFree(t *testing.T) {
+	r := row(0, "a", "a1")
+	must.False(t, Free(r.End.Add(Drift), r, nil, "b"))
+	must.True(t, Free(r.End.Add(Drift+1), r, nil, "b"))
+	must.True(t, Free(start, r, nil, "a"))
+	must.True(t, Free(start, r, map[string]bool{"a1": true}, "b"))
+	must.True(t, Free(start, Row{}, nil, "b"))
+}
+
+func actions(steps []Step) map[Action]int {
+	n := make(map[Action]int)
+	for _, s := range steps {
+		n[s.Action]++
+	}
+	return n
+}
+
+func TestDecide(t *testing.T) {
+	free := func(n int) []Row {
+		rows := make([]Row, n)
+		for i := range rows {
+			rows[i] = Row{Partition: i}
+		}
+		return rows
+	}
+	cases := []struct {
+		name string
+		view View
+		want map[Action]int
+	}{
+		{"takes its part of free rows", View{Rows: free(6), Counts: map[string]int{"a": 0, "b": 0, "c": 0}}, map[Action]int{Acquire: 2}},
+		{"takes one more after a while", View{Rows: free(4), Counts: map[string]int{"a": 0, "b": 1, "c": 1}, FreeSince: map[int]time.Time{0: start.Add(-patience), 1: start.Add(-patience), 2: start.Add(-patience), 3: start.Add(-patience)}}, map[Action]int{Acquire: 2}},
+		{"renews late", View{Rows: []Row{{Partition: 0, Address: "a", End: start.Add(renewBelow - 1)}}, Held: map[int]Held{0: held(Row{End: start.Add(renewBelow - 1)})}, Counts: map[string]int{"a": 1}}, map[Action]int{Renew: 1}},
+		{"writes a doubt away", View{Rows: []Row{{Partition: 0, Address: "a", Doubt: &Doubt{By: "b1"}, End: start.Add(Length)}}, Held: map[int]Held{0: held(row(0, "a", "a1"))}, Counts: map[string]int{"a": 1}}, map[Action]int{Renew: 1}},
+		{"gives up to one that has too few", View{Rows: []Row{row(0, "a", "a1"), row(1, "a", "a1")}, Held: map[int]Held{0: held(row(0, "a", "a1")), 1: held(row(1, "a", "a1"))}, Counts: map[string]int{"a": 2, "b": 0}}, map[Action]int{Release: 1}},
+		{"hands all back when leaving", View{Leaving: true, Rows: []Row{row(0, "a", "a1"), row(1, "a", "a1")}, Held: map[int]Held{0: held(row(0, "a", "a1")), 1: held(row(1, "a", "a1"))}, Counts: map[string]int{"a": 2}}, map[Action]int{Release: 2}},
+		{"doubts a silent holder", View{Rows: []Row{row(0, "b", "b1")}, Counts: map[string]int{"a": 0}}, map[Action]int{Prove: 1, Suspect: 1}},
+		{"leaves a live holder alone", View{Rows: []Row{row(0, "b", "b1")}, Counts: map[string]int{"a": 0, "b": 1}}, map[Action]int{}},
+		{"seizes what it may", View{Rows: []Row{row(0, "b", "b1")}, Counts: map[string]int{"a": 0}, Seizable: map[int]bool{0: true}}, map[Action]int{Acquire: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.view.Self, c.view.Incarnation = "a", "a1"
+			must.Eq(t, c.want, actions(Decide(start, c.view)))
+		})
+	}
+}
+
+func TestSeizableOnlyInItsWindow(t *testing.T) {
+	v := newVotes(24)
+	support, promise := SupportFor(24), PromiseFor(24)
+	r := row(0, "b", "b1")
+	v.doubts[0] = doubt{rev: r.Rev, holder: "b1"}
+	must.False(t, v.seizable(start.Add(support+Drift+1), r))
+	v.doubts[0] = doubt{rev: r.Rev, holder: "b1", first: start, complete: start}
+	must.False(t, v.seizable(start.Add(support+Drift), r))
+	must.True(t, v.seizable(start.Add(support+Drift+1), r))
+	must.False(t, v.seizable(start.Add(promise-Drift), r))
+	changed := r
+	changed.Rev++
+	must.False(t, v.seizable(start.Add(support+Drift+1), changed))
+}
+
+func TestMajorityOfVotes(t *testing.T) {
+	v := newVotes(5)
+	must.True(t, v.until(start, []int{0, 1}).IsZero())
+	v.supported[2] = start.Add(-time.Second)
+	must.Eq(t, start.Add(-time.Second).Add(SupportFor(5)), v.until(start, []int{0, 1}))
+	// An own vote does not count twice.
+	v = newVotes(5)
+	v.supported[0] = start
+	must.True(t, v.until(start, []int{0, 1}).IsZero())
+}
