--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -169,7 +169,7 @@
 		if err := r.keeper.Round(ctx, time.Now, counts, false); err != nil {
 			r.log.V(1).Info("lease: store does not answer", "reason", err.Error())
 		}
-		if len(r.keeper.Partitions(time.Now())) == 0 {
+		if len(r.keeper.Partitions(time.Now())) == 0 && len(live) <= r.settings.Partitions {
 			return time.Second
 		}
 		if r.keeper.Doubting() {
