Silent connections: an engine gets a second try over a new connection; test ports out of the way of outgoing ones

Cause: when the open connections to all engines went silent, streams failed with 502: an engine that says nothing was not tried again, though a new connection to it works. Seen with the stand-in's new fault (test failed before, passes after). Tried and reverted: the same engine again at once; two frozen engines then used up all four attempts (test 'frozen' failed). Change: silence on a reused connection does not blame the engine, and it is tried again over a new one when there is no other; connections that nobody used for a second are not reused. Found on the way: 'address already in use' in a test: its port had been chosen from the range of outgoing connections.

--- a/internal/app/stands/stands.go
+++ b/internal/app/stands/stands.go
@@ -71,7 +71,7 @@
 func serve(address string, handler http.Handler) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second, ConnContext: engine.ConnContext}
 	end := make(chan error, 1)
 	go func() { end <- server.ListenAndServe() }()
 	select {
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -37,11 +38,20 @@
 	// silence ends the attempt when the engine says nothing.
 	silence *time.Timer
 	silent  chan struct{}
+	// reused tells that the request went over a connection that had served others.
+	reused bool
 }
 
 // open sends the request to an engine and returns once its header has come and fits.
 func (h *Handler) open(ctx context.Context, j *job, offset int64) (*attempt, error) {
 	c, v, err := h.choose(ctx, j)
+	if err != nil && len(j.second) > 0 {
+		for _, name := range j.second {
+			delete(j.avoid, name)
+		}
+		j.second = nil
+		c, v, err = h.choose(ctx, j)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +66,9 @@
 		a.end()
 		return nil, err
 	}
-	a.res, err = h.Pool.Do(req)
+	a.res, err = h.Pool.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { a.reused = c.Reused },
+	})))
 	if !relay.NotSent(err) {
 		j.ran = true
 	}
@@ -125,24 +137,38 @@
 	if a == nil {
 		return
 	}
-	j.avoid[a.choice.Engine] = true
 	if ctx.Err() != nil {
 		return
 	}
+	if a.wentSilent() {
+		h.Pool.Distrust(a.view.Address)
+	}
+	j.avoid[a.choice.Engine] = true
+	if a.wentSilent() && a.reused {
+		// The connection may have gone silent and the engine be well, so the engine is not blamed, and it gets a second try
+		// over a new connection when there is no other.
+		h.Log.Info("route: connection went silent", "request", j.id, "engine", a.choice.Engine)
+		j.second = append(j.second, a.choice.Engine)
+		return
+	}
 	h.Log.Info("route: engine failed", "request", j.id, "engine", a.choice.Engine, "reason", err.Error())
 	h.Metrics.Counter("engine_failures").Inc(1)
 	if !errors.Is(err, errWrong) {
 		h.Placer.Learn(time.Now(), a.choice, placer.Outcome{Engine: a.choice.Engine, Failed: true})
 	}
+	if !a.wentSilent() && h.died(ctx, a) {
+		j.suspect = true
+		h.Deaths.Died(j.fingerprint)
+	}
+}
+
+// wentSilent tells whether the attempt ended because the engine said nothing.
+func (a *attempt) wentSilent() bool {
 	select {
 	case <-a.silent:
-		h.Pool.Distrust(a.view.Address)
-		return
+		return true
 	default:
-	}
-	if h.died(ctx, a) {
-		j.suspect = true
-		h.Deaths.Died(j.fingerprint)
+		return false
 	}
 }
 
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -64,6 +64,8 @@
 	fingerprint string
 	start       time.Time
 	avoid       map[string]bool
+	// second are avoided engines that may be well, to be tried again when there is no other.
+	second []string
 	// suspect tells that an upstream died while it ran the request.
 	suspect bool
 	// ran tells that an engine may have started the request.
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -13,8 +13,10 @@
 const (
 	dialTimeout = time.Second
 	keepAlive   = 5 * time.Second
-	idleConn    = 30 * time.Second
-	maxIdle     = 64
+	// idleConn is short, so that few requests meet a connection that has gone silent while nobody used it; a new one
+	// costs one round trip.
+	idleConn = time.Second
+	maxIdle  = 64
 )
 
 // DialError says that no connection was made, so that nothing can have reached the upstream.
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -40,6 +41,8 @@
 	Freeze bool `json:"freeze"`
 	// Cross answers with another request's identity.
 	Cross bool `json:"cross"`
+	// Silent holds back all answers on connections that were open when the fault was set; new ones work.
+	Silent bool `json:"silent"`
 	// Poison makes the engine restart when a prompt contains the text.
 	Poison string `json:"poison"`
 }
@@ -50,6 +53,7 @@
 
 	mu          sync.Mutex
 	faults      Faults
+	faultsAt    time.Time
 	incarnation string
 	cache       map[prefix.Hash]uint64
 	used        uint64
@@ -87,6 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
+	e.faultsAt = time.Now()
 }
 
 // Restart begins a new incarnation, as a crash does.
@@ -183,12 +188,32 @@
 	incarnation string
 }
 
+// openedKey is the context key of a connection's time of opening.
+type openedKey struct{}
+
+// ConnContext is for http.Server.ConnContext; it notes when a connection was opened.
+func ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, openedKey{}, time.Now())
+}
+
+// silent tells whether the request came on a connection that has gone silent.
+func (e *Server) silent(r *http.Request) bool {
+	opened, ok := r.Context().Value(openedKey{}).(time.Time)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return ok && e.faults.Silent && opened.Before(e.faultsAt)
+}
+
 func (e *Server) complete(w http.ResponseWriter, r *http.Request) {
 	var in body
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.silent(r) {
+		<-r.Context().Done()
+		return
+	}
 	k := e.accept(r, in)
 	defer e.leave()
 	if k.faults.Poison != "" && strings.Contains(string(k.prompt), k.faults.Poison) {
--- /dev/null
+++ b/internal/trial/site/silent_test.go
@@ -0,0 +1,28 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/stand/engine"
+)
+
+// TestSilentConnectionsAreReplaced lets all open connections to all engines go silent while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	s := start(t, Plan{Routers: 1, Engines: 2})
+	for i := range 6 {
+		_, err := streamText(t.Context(), s.Routers[0], s.Keys["acme"], fmt.Sprint("warm ", i), 3)
+		must.NoError(t, err)
+	}
+	for _, e := range s.Engines {
+		e.SetFaults(engine.Faults{Silent: true})
+	}
+	for i := range 6 {
+		text := fmt.Sprint("after ", i)
+		got, err := streamText(t.Context(), s.Routers[0], s.Keys["acme"], text, 12)
+		must.NoError(t, err)
+		must.Eq(t, wantText(text, 12), got)
+	}
+}
--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, ConnContext: engine.ConnContext}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), nil
@@ -207,12 +207,10 @@
 func (s *Site) AddRouter() error {
 	n := &Node{Settings: option.Defaults()}
 	for _, address := range []*string{&n.Settings.Listen, &n.Settings.Peer, &n.Settings.Admin} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if *address, err = FreeAddress(); err != nil {
 			return err
 		}
-		*address = l.Addr().String()
-		_ = l.Close()
 	}
 	url := "http://" + s.platform
 	n.Settings.TableURL = url
--- a/internal/trial/strike/fleet_test.go
+++ b/internal/trial/strike/fleet_test.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +21,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 	"github.com/skylarkquay/skylarkquay/internal/plat/roster"
+	"github.com/skylarkquay/skylarkquay/internal/trial/site"
 )
 
 const (
@@ -103,10 +103,9 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := site.FreeAddress()
 	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (f *fleet) start(name, program string, args ...string) *process {
