Streams: the silence timer may fire twice

Cause, found by reading: an event that was read before the timer fired sets it anew; with a slow reader it fires again and closes a closed channel, which ends the process. Change: the channel is closed once.

--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -42,25 +43,26 @@
 	reused bool
 }
 
+// newAttempt starts an attempt that ends itself when the engine says nothing for too long.
+func newAttempt(c placer.Choice, v engine.View, cancel context.CancelFunc, patience time.Duration) *attempt {
+	a := &attempt{choice: c, view: v, cancel: cancel, silent: make(chan struct{})}
+	// The timer may fire again when an event that was already read sets it anew.
+	fell := sync.OnceFunc(func() { close(a.silent) })
+	a.silence = time.AfterFunc(patience, func() {
+		fell()
+		cancel()
+	})
+	return a
+}
+
 // open sends the request to an engine and returns once its header has come and fits.
 func (h *Handler) open(ctx context.Context, j *job, offset int64) (*attempt, error) {
-	c, v, err := h.choose(ctx, j)
-	if err != nil && len(j.second) > 0 {
-		for _, name := range j.second {
-			delete(j.avoid, name)
-		}
-		j.second = nil
-		c, v, err = h.choose(ctx, j)
-	}
+	c, v, err := h.chooseAgain(ctx, j)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{choice: c, view: v, cancel: cancel, silent: make(chan struct{})}
-	a.silence = time.AfterFunc(h.FirstToken, func() {
-		close(a.silent)
-		cancel()
-	})
+	a := newAttempt(c, v, cancel, h.FirstToken)
 	req, err := newRequest(ctx, j, v.Address, offset)
 	if err != nil {
 		a.end()
@@ -83,6 +85,19 @@
 	return a, nil
 }
 
+// chooseAgain chooses an engine; when there is none, those that may be well after all are let in once more.
+func (h *Handler) chooseAgain(ctx context.Context, j *job) (placer.Choice, engine.View, error) {
+	c, v, err := h.choose(ctx, j)
+	if err == nil || len(j.second) == 0 {
+		return c, v, err
+	}
+	for _, name := range j.second {
+		delete(j.avoid, name)
+	}
+	j.second = nil
+	return h.choose(ctx, j)
+}
+
 // end frees what an attempt holds.
 func (a *attempt) end() {
 	a.silence.Stop()
