--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -62,8 +62,6 @@
 	peers   *peers
 
 	listeners listeners
-	// draining is closed when the planned stop begins.
-	draining chan struct{}
 	// done is closed when the router has stopped.
 	done chan struct{}
 }
@@ -95,7 +93,6 @@
 		queue:     fairq.NewQueue(s.MaxInFlight),
 		roster:    roster.NewClient(s.RosterURL),
 		listeners: l,
-		draining:  make(chan struct{}),
 		done:      make(chan struct{}),
 	}
 	r.members = member.New(member.Member{
@@ -220,7 +217,6 @@
 		return
 	}
 	r.members.Leave()
-	close(r.draining)
 	r.log.Info("router: draining")
 }
 
