Ask oneself nothing over the network; look a crash mark up once

Found by reading the whole change: a withdrawal was also sent to the asking instance, and its answer thrown away; a failed stream looked its mark up twice. No behaviour changes.

--- a/internal/app/daemon/peers.go
+++ b/internal/app/daemon/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -14,6 +15,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/limit/share"
 	"github.com/skylarkquay/skylarkquay/internal/once/crash"
+	"github.com/skylarkquay/skylarkquay/internal/peer/member"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 )
 
@@ -199,12 +201,13 @@
 func (p *peers) Withdraw(ctx context.Context, incarnation string) []int {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
-	live := p.router.members.Live(time.Now())
-	answers := make(chan []uint32, len(live))
-	for _, m := range live {
+	self := p.router.settings.Peer
+	others := slices.DeleteFunc(p.router.members.Live(time.Now()), func(m member.Member) bool { return m.Address == self })
+	answers := make(chan []uint32, len(others))
+	for _, m := range others {
 		go func() {
 			reply, err := p.to(m.Address).Withdraw(ctx, &wire.WithdrawRequest{Incarnation: incarnation})
-			if err != nil || m.Address == p.router.settings.Peer {
+			if err != nil {
 				answers <- nil
 				return
 			}
@@ -212,7 +215,7 @@
 		}()
 	}
 	var votes []int
-	for range live {
+	for range others {
 		votes = append(votes, integers(<-answers)...)
 	}
 	return votes
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -45,8 +45,8 @@
 			break
 		}
 		h.failed(ctx, j, a, err)
-		if h.Crashes.Check(time.Now(), j.fingerprint) != nil {
-			last = h.Crashes.Check(time.Now(), j.fingerprint)
+		if err := h.Crashes.Check(time.Now(), j.fingerprint); err != nil {
+			last = err
 			break
 		}
 	}
