Limits: tokens that were used free the room kept for their return

Cause, found by reading the whole change: Settle told a share only of tokens that came back. A request that used all it had reserved left the share keeping room for their return for ten minutes, and the room for refills went with it. Change: every share that keeps room is told what became of it, also when nothing comes back.

--- a/internal/app/daemon/answers.go
+++ b/internal/app/daemon/answers.go
@@ -30,10 +30,10 @@
 	return &wire.TakeReply{Given: given, Level: left, Held: held}, nil
 }
 
-// Give puts a peer's unused tokens back.
+// Give puts a peer's unused tokens back; none is an answer too, that frees the room kept for them.
 func (a answers) Give(_ context.Context, in *wire.GiveRequest) (*wire.GiveReply, error) {
 	budget, ok := a.budget(in.Workspace)
-	if ok && in.Tokens > 0 {
+	if ok && in.Tokens >= 0 {
 		k := share.Key{Workspace: in.Workspace, Partition: int(in.Partition)}
 		a.router.limiter.Return(time.Now(), k, budget, in.Request, in.Tokens)
 	}
--- a/internal/app/trials/roles.go
+++ b/internal/app/trials/roles.go
@@ -27,6 +27,8 @@
 	shares = 24.0
 	// takes is the number of questions for tokens that one request asks of other holders.
 	takes = 1.0
+	// gives is the number of settlements that one request tells other holders.
+	gives = 1.0
 	// beats is the number of heartbeats that a node sends and receives in a second.
 	beats = 6.0
 	// bookings is the part of the requests that may not be repeated.
@@ -115,9 +117,9 @@
 		{
 			Name:      "limits",
 			Control:   true,
-			CPU:       perNode * (b.at("Admit", "ns/op", shares)/second + takes*call),
+			CPU:       perNode * (b.at("Admit", "ns/op", shares)/second + (takes+gives)*call),
 			Memory:    workspaces * shares / nodes * b.at("Shares", "heap-bytes", 1000) / 1000,
-			Bytes:     2 * perNode * takes * envelope,
+			Bytes:     2 * perNode * (takes + gives) * envelope,
 			Mechanism: "24 shares a workspace, held under leases, spent where they are",
 		},
 		{
--- a/internal/limit/escrow/escrow.go
+++ b/internal/limit/escrow/escrow.go
@@ -45,6 +45,8 @@
 	key     share.Key
 	address string
 	tokens  int64
+	// spare is the part of the tokens for which the share keeps room until it is told what became of them.
+	spare int64
 	// tenure and part are set for an own share.
 	tenure share.Tenure
 	part   share.Part
@@ -236,8 +238,9 @@
 		k := share.Key{Workspace: r.Workspace, Partition: p}
 		t := tenureOf(h)
 		part := r.Whole.Split(len(homes), i)
-		given, _ := l.book.Take(now, k, t, part, g.want(r))
-		g.add(piece{key: k, tokens: given, tenure: t, part: part})
+		want := g.want(r)
+		given, _ := l.book.Take(now, k, t, part, want)
+		g.add(want, piece{key: k, tokens: given, tenure: t, part: part})
 	}
 }
 
@@ -247,24 +250,29 @@
 		if g.Tokens >= r.tokens() || c.level < 1 {
 			return
 		}
-		given, left, held, err := l.peers.Take(ctx, c.address, c.key, g.want(r))
+		want := g.want(r)
+		given, left, held, err := l.peers.Take(ctx, c.address, c.key, want)
 		l.learn(clock(), c.key, left, held && err == nil)
 		if err == nil && held {
-			g.add(piece{key: c.key, address: c.address, tokens: given})
+			g.add(want, piece{key: c.key, address: c.address, tokens: given})
 		}
 	}
 }
 
-// Settle returns what a request did not use. Tokens are returned at most once; a lost return loses them.
+// Settle returns what a request did not use, and tells the shares that kept room for more. Tokens are returned at most once;
+// a lost return loses them.
 func (l *Limiter) Settle(ctx context.Context, now time.Time, g *Grant, used int64) {
 	if g == nil {
 		return
 	}
 	back := g.Tokens - used
-	for i := len(g.pieces) - 1; i >= 0 && back > 0; i-- {
+	for i := len(g.pieces) - 1; i >= 0; i-- {
 		p := g.pieces[i]
-		n := min(back, p.tokens)
+		n := min(max(0, back), p.tokens)
 		back -= n
+		if n == 0 && p.spare == 0 {
+			continue
+		}
 		if p.address != "" {
 			l.peers.Give(ctx, p.address, p.key, g.id, n)
 			continue
@@ -317,8 +325,10 @@
 	return h
 }
 
-func (g *Grant) add(p piece) {
+// add records what was given of a want.
+func (g *Grant) add(w share.Want, p piece) {
 	if p.tokens > 0 {
+		p.spare = max(0, p.tokens-w.Firm)
 		g.Tokens += p.tokens
 		g.pieces = append(g.pieces, p)
 	}
--- a/internal/limit/escrow/escrow_test.go
+++ b/internal/limit/escrow/escrow_test.go
@@ -290,3 +290,22 @@
 	must.True(t, g.Fresh(now.Add(FreshFor-1)))
 	must.False(t, g.Fresh(now.Add(FreshFor)))
 }
+
+// TestUsedTokensFreeTheirRoom sends requests that use all that they reserved, at 90% of the rate for five minutes, and checks
+// that none is refused: what can no longer be returned must not keep room in the shares.
+func TestUsedTokensFreeTheirRoom(t *testing.T) {
+	whole := share.Budget{PerSecond: 1000, Burst: 10_000}
+	w := newWorld(3, 3, 6, whole)
+	all(w)
+	for i := range 300 {
+		w.wait(time.Second)
+		w.beatAll()
+		if i%5 == 0 {
+			all(w)
+		}
+		n := w.nodes[i%3]
+		g, err := n.limiter.Admit(t.Context(), n.clock, Request{ID: strconv.Itoa(i), Workspace: tenant, Whole: whole, Firm: 450, Spare: 450})
+		must.NoError(t, err, must.Sprintf("request %d", i))
+		n.limiter.Settle(t.Context(), n.clock(), g, 900)
+	}
+}
