Router: ready only once upstreams are known and shares can be reached

A router said that it was ready as soon as it had the document, before it had taken in the upstreams or knew any holder of a share. Change: readiness waits for both, for shares at most 5 s, so that an outage of the store does not keep a router out.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -62,6 +63,9 @@
 	peers   *peers
 
 	listeners listeners
+	// started is when the router was built; watched is set once the first document's upstreams are known here.
+	started time.Time
+	watched atomic.Bool
 	// done is closed when the router has stopped.
 	done chan struct{}
 }
@@ -93,6 +97,7 @@
 		queue:     fairq.NewQueue(s.MaxInFlight),
 		roster:    roster.NewClient(s.RosterURL),
 		listeners: l,
+		started:   time.Now(),
 		done:      make(chan struct{}),
 	}
 	r.members = member.New(member.Member{
--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -201,6 +201,7 @@
 				addresses[u.Address] = true
 			}
 			r.pool.Keep(addresses)
+			r.watched.Store(true)
 			if ended := r.gate.Sweep(doc); ended > 0 {
 				r.log.Info("gate: ended requests of withdrawn keys", "requests", ended, "revision", doc.Revision)
 			}
--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -76,5 +76,28 @@
 		fault.Write(w, err)
 		return
 	}
+	if !r.prepared(time.Now()) {
+		fault.Write(w, fault.New(fault.LimitUnready, "the instance has just started and knows no holder of a partition yet"))
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
+
+// prepareLimit is how long a started instance waits to know a holder of a partition before it serves what needs none.
+const prepareLimit = 5 * time.Second
+
+// prepared tells whether the upstreams of the document are known here and the shares of limits can be reached.
+func (r *Router) prepared(now time.Time) bool {
+	if !r.watched.Load() {
+		return false
+	}
+	if now.Sub(r.started) > prepareLimit || len(r.keeper.Partitions(now)) > 0 {
+		return true
+	}
+	for _, m := range r.members.Live(now) {
+		if len(m.Partitions) > 0 {
+			return true
+		}
+	}
+	return false
+}
