--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"github.com/skylarkquay/skylarkquay/internal/base/meter"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -42,7 +43,7 @@
 	settings option.Settings
 	log      logr.Logger
 	metrics  tally.Scope
-	counters *counters
+	counters *meter.Counters
 
 	table   *table.Dynamo
 	ledger  *ledger.Ledger
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	counters := newCounters()
+	counters := meter.NewCounters()
 	metrics, _ := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", CachedReporter: nil, Reporter: counters}, time.Second)
 	r := &Router{
 		settings:  s,
--- a/internal/app/daemon/main.go
+++ b/internal/app/daemon/main.go
@@ -8,12 +8,9 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/go-logr/logr"
-	"github.com/go-logr/zapr"
 	"github.com/jessevdk/go-flags"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/lines"
 	"github.com/skylarkquay/skylarkquay/internal/conf/option"
 )
 
@@ -56,7 +53,7 @@
 }
 
 func run(s option.Settings, stderr io.Writer) int {
-	log := NewLogger(s.LogLevel, stderr)
+	log := lines.NewLogger(s.LogLevel, stderr)
 	router, err := New(s, log)
 	if err != nil {
 		log.Error(err, "router: could not start")
@@ -70,19 +67,3 @@
 	}
 	return exitOK
 }
-
-// NewLogger returns a logger that writes JSON lines.
-func NewLogger(level string, w io.Writer) logr.Logger {
-	least := zapcore.InfoLevel
-	switch level {
-	case "debug":
-		least = zapcore.DebugLevel
-	case "error":
-		least = zapcore.ErrorLevel
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), least)
-	return zapr.NewLogger(zap.New(core))
-}
--- /dev/null
+++ b/internal/app/edge/rollout.go
@@ -0,0 +1,381 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
+	"github.com/skylarkquay/skylarkquay/internal/roll/lease"
+	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/platform"
+)
+
+const (
+	// rolloutTick is the pause between looks at the rollout.
+	rolloutTick = 50 * time.Millisecond
+	// loadMost is how long one engine may take to finish its requests and load.
+	loadMost = 5 * time.Second
+	// askPause is the pause between questions to a loading engine; its reports are some 100 ms old.
+	askPause = 150 * time.Millisecond
+	// orderRetry is the pause before an engine that did not take an order is tried again.
+	orderRetry = 700 * time.Millisecond
+	// actTime is how long an instance that gave orders lately is given to begin.
+	actTime = 900 * time.Millisecond
+	// challengeMost spreads the first tries to take the lease, so that few instances ask the store.
+	challengeMost = 400 * time.Millisecond
+	// dutyFresh is how long the word of the lease's holder counts.
+	dutyFresh = 800 * time.Millisecond
+	// toldLoaded is how long a loaded engine is told of; the list has it by then.
+	toldLoaded = 4 * time.Second
+	// leaseTable and leaseKey name the lease's row.
+	leaseTable = "duty"
+	leaseKey   = "rollout"
+)
+
+// told is a loaded version with the time until which others are told.
+type told struct {
+	pulse.Loaded
+	until time.Time
+}
+
+// rollout brings engines to the announced weights while this instance holds the lease.
+type rollout struct {
+	edge *Edge
+	kick chan struct{}
+	mu   sync.Mutex
+	held lease.Held
+	// clockAt is the store's clock at boot time zero of this instance, as of the last answer.
+	clockAt  time.Duration
+	progress map[string]plan.Progress
+	loaded   []told
+	// duty is when another instance last said that it holds the lease, and which.
+	duty     time.Time
+	dutyName string
+	// challenge is the earliest time to look at the lease.
+	challenge time.Time
+	loads     sync.WaitGroup
+}
+
+func newRollout(e *Edge) *rollout {
+	return &rollout{edge: e, kick: make(chan struct{}, 1), progress: make(map[string]plan.Progress)}
+}
+
+func (r *rollout) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// tell adds to a message what others should know of the rollout.
+func (r *rollout) tell(now time.Time, m *pulse.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.Duty = r.held.Holds(clock.Boot())
+	for id, p := range r.progress {
+		if !p.Started.IsZero() {
+			m.Switching = append(m.Switching, id)
+		}
+	}
+	kept := r.loaded[:0]
+	for _, t := range r.loaded {
+		if now.Before(t.until) {
+			kept = append(kept, t)
+			m.Loaded = append(m.Loaded, t.Loaded)
+		}
+	}
+	r.loaded = kept
+}
+
+// hear takes what another instance told of its rollout.
+func (r *rollout) hear(now time.Time, m *pulse.Message) {
+	for _, id := range m.Switching {
+		r.edge.fleet.Switch(id, now.Add(switchingHeard))
+	}
+	for _, l := range m.Loaded {
+		r.edge.fleet.Loaded(now, l.Upstream, l.Model, l.Version)
+	}
+	if !m.Duty {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.duty, r.dutyName = now, m.Name
+}
+
+// switchingHeard is how long an engine is avoided after the word that it loads; the word comes several times a second.
+const switchingHeard = 700 * time.Millisecond
+
+// run looks for engines on superseded weights.
+func (r *rollout) run(ctx context.Context) {
+	defer r.loads.Wait()
+	ticker := time.NewTicker(rolloutTick)
+	defer ticker.Stop()
+	pendingSince := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.kick:
+		}
+		now := time.Now()
+		pending := r.pending(now)
+		if pending == 0 || r.edge.handler.Draining.Load() {
+			pendingSince = time.Time{}
+			continue
+		}
+		if pendingSince.IsZero() {
+			pendingSince = now
+			r.schedule(now)
+		}
+		if !r.lead(ctx, now) {
+			continue
+		}
+		for _, w := range r.edge.feed.Announced() {
+			r.advance(ctx, now, w.Model, w.Version)
+		}
+	}
+}
+
+func (r *rollout) pending(now time.Time) int {
+	doc := r.edge.feed.Document()
+	if doc == nil {
+		return 0
+	}
+	n := 0
+	for _, w := range r.edge.feed.Announced() {
+		n += plan.Pending(w.Model, w.Version, r.edge.fleet.Views(now, doc.Serves(w.Model)))
+	}
+	return n
+}
+
+// schedule sets when this instance looks at the lease: at once when it gave the last orders, else after the last
+// holder had time to begin.
+func (r *rollout) schedule(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.held.Token > 0 && r.dutyName == "":
+		r.challenge = now
+	case r.dutyName != "":
+		r.challenge = now.Add(actTime + rand.N(challengeMost))
+	default:
+		r.challenge = now.Add(rand.N(challengeMost))
+	}
+}
+
+// lead tells whether this instance may give orders now, and takes or renews the lease when that is due.
+func (r *rollout) lead(ctx context.Context, now time.Time) bool {
+	boot := clock.Boot()
+	r.mu.Lock()
+	held, challenge := r.held, r.challenge
+	heard := now.Sub(r.duty) < dutyFresh
+	r.mu.Unlock()
+	if held.Holds(boot) && boot-held.Sent < lease.Renew {
+		return true
+	}
+	if !held.Holds(boot) && (heard || now.Before(challenge)) {
+		return false
+	}
+	wait, err := r.acquire(ctx, held)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err != nil:
+		r.challenge = now.Add(retryMost)
+		r.edge.log.Info("lease: not renewed", "held", r.held.Holds(clock.Boot()), "error", err.Error())
+	case wait > 0:
+		r.challenge = now.Add(wait)
+		r.edge.log.Info("lease: another instance holds it", "holder", r.held.Row.Holder, "token", r.held.Row.Token,
+			"free_ms", wait.Milliseconds())
+	}
+	return r.held.Holds(clock.Boot())
+}
+
+// acquire takes or renews the lease. It returns how long to wait when another instance may still give orders.
+func (r *rollout) acquire(ctx context.Context, held lease.Held) (time.Duration, error) {
+	call, cancel := context.WithTimeout(ctx, lease.Valid-lease.Renew)
+	defer cancel()
+	me := r.edge.settings.Peer
+	row, version, clockNow := held.Row, held.Version, r.storeClock()
+	mine := held.Token > 0 && held.Row.Holder == me && clockNow > 0
+	if !mine {
+		var err error
+		if row, version, clockNow, err = r.read(call); err != nil {
+			return 0, err
+		}
+		verdict, wait := lease.Judge(clockNow, row, version > 0, me, millis(r.edge.settings.Turn))
+		if verdict == lease.Wait {
+			r.mu.Lock()
+			r.held = lease.Held{Row: row}
+			r.mu.Unlock()
+			return wait, nil
+		}
+	}
+	next := lease.Next(clockNow, row, me)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	sent := clock.Boot()
+	rows, err := r.edge.store.Put(call, platform.Row{Table: leaseTable, Key: leaseKey, Value: value, Version: version})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, platform.ErrChanged) {
+		// Another instance has the row, or an earlier write of this one took effect without an answer.
+		r.held = lease.Held{}
+		return rand.N(challengeMost), nil
+	}
+	if err != nil {
+		// The write may take effect later, so that the row must be read before the next one.
+		r.held.Row.Holder = ""
+		return 0, err
+	}
+	if !mine {
+		r.edge.log.Info("lease: taken", "token", next.Token, "from", row.Holder, "row", rows.Version)
+	}
+	r.held = lease.Held{Token: next.Token, Sent: sent, Version: rows.Version, Row: next}
+	r.dutyName = ""
+	r.clockAt = rows.Clock - clock.Boot()
+	return 0, nil
+}
+
+func (r *rollout) read(ctx context.Context) (lease.Row, int64, time.Duration, error) {
+	rows, err := r.edge.store.Get(ctx, leaseTable, "")
+	if err != nil {
+		return lease.Row{}, 0, 0, err
+	}
+	r.mu.Lock()
+	r.clockAt = rows.Clock - clock.Boot()
+	r.mu.Unlock()
+	for _, row := range rows.Rows {
+		if row.Key != leaseKey {
+			continue
+		}
+		var l lease.Row
+		if err := json.Unmarshal(row.Value, &l); err != nil {
+			return lease.Row{}, 0, 0, err
+		}
+		return l, row.Version, rows.Clock, nil
+	}
+	return lease.Row{}, 0, rows.Clock, nil
+}
+
+// storeClock estimates the store's clock, or returns zero when it was never heard.
+func (r *rollout) storeClock() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.clockAt == 0 {
+		return 0
+	}
+	return r.clockAt + clock.Boot()
+}
+
+// advance begins to load the version on the engines whose turn it is.
+func (r *rollout) advance(ctx context.Context, now time.Time, model string, version int64) {
+	doc := r.edge.feed.Document()
+	views := r.edge.fleet.Views(now, doc.Serves(model))
+	r.mu.Lock()
+	next := plan.Next(now, model, version, views, r.progress)
+	for _, v := range next {
+		r.progress[v.ID] = plan.Progress{Started: now}
+		r.edge.fleet.Switch(v.ID, now.Add(loadMost))
+	}
+	r.mu.Unlock()
+	if len(next) == 0 {
+		return
+	}
+	r.edge.exchange.Now()
+	for _, v := range next {
+		r.loads.Go(func() { r.load(ctx, v, model, version) })
+	}
+}
+
+// load brings one engine to a version and waits until it is there.
+func (r *rollout) load(ctx context.Context, v fleet.View, model string, version int64) {
+	ctx, cancel := context.WithTimeout(ctx, loadMost)
+	defer cancel()
+	began := time.Now()
+	err := r.order(ctx, v, model, version)
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.progress[v.ID] = plan.Progress{Retry: now.Add(orderRetry)}
+		r.edge.fleet.Switch(v.ID, now)
+		r.edge.log.Info("weights: engine did not load", "upstream", v.ID, "model", model, "version", version,
+			"took_ms", now.Sub(began).Milliseconds(), "error", err.Error())
+		return
+	}
+	delete(r.progress, v.ID)
+	r.edge.fleet.Loaded(now, v.ID, model, version)
+	r.loaded = append(r.loaded, told{
+		Loaded: pulse.Loaded{Upstream: v.ID, Model: model, Version: version}, until: now.Add(toldLoaded),
+	})
+	r.edge.log.Info("weights: engine loaded", "upstream", v.ID, "model", model, "version", version,
+		"took_ms", now.Sub(began).Milliseconds())
+	r.edge.exchange.Now()
+	r.wake()
+}
+
+// errLeaseLost says that this instance may give no orders any more.
+var errLeaseLost = errors.New("the lease is no longer held")
+
+// order asks the engine, orders it when needed and asks until the version is loaded. The order's condition on the number
+// of earlier orders makes one that is carried out late harmless.
+func (r *rollout) order(ctx context.Context, v fleet.View, model string, version int64) error {
+	ordered := int64(-1)
+	for {
+		report, err := r.edge.engines.Report(ctx, v.ID, v.Address)
+		if err != nil {
+			return err
+		}
+		if report.Weights[model] >= version && !report.Busy {
+			return nil
+		}
+		if !report.Busy && report.Orders != ordered {
+			if ordered, err = r.give(ctx, v, model, version, report); err != nil {
+				return err
+			}
+		}
+		if !sleep(ctx, askPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// give sends one order. It returns the number of orders after which the engine has this one.
+func (r *rollout) give(ctx context.Context, v fleet.View, model string, version int64, report plan.Report) (int64, error) {
+	r.mu.Lock()
+	held := r.held
+	r.mu.Unlock()
+	if !held.Holds(clock.Boot()) {
+		return 0, errLeaseLost
+	}
+	outcome, err := r.edge.engines.Load(ctx, plan.Order{
+		Upstream: v.ID, Address: v.Address, Model: model, Version: version, Mode: plan.Finish,
+		Holder: r.edge.settings.Peer, Token: held.Token, After: report.Orders,
+	})
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	r.edge.log.Info("weights: order given", "upstream", v.ID, "model", model, "version", version, "token", held.Token,
+		"after", report.Orders, "running", report.Running, "outcome", string(outcome), "error", text)
+	switch outcome {
+	case plan.Accepted, plan.Already:
+		return report.Orders + 1, nil
+	case plan.Unknown:
+		// It may have been accepted; the next report tells.
+		return -1, nil
+	default:
+		return -1, err
+	}
+}
--- /dev/null
+++ b/internal/base/lines/lines.go
@@ -0,0 +1,69 @@
+// Package lines writes log lines without ever blocking the caller.
+package lines
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Writer hands lines to a goroutine that writes them. A line that finds the queue full is dropped and counted.
+type Writer struct {
+	queue   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+}
+
+// NewWriter starts a writer to w that queues at most size lines.
+func NewWriter(w io.Writer, size int) *Writer {
+	out := &Writer{queue: make(chan []byte, size), done: make(chan struct{})}
+	go out.run(w)
+	return out
+}
+
+func (w *Writer) run(to io.Writer) {
+	defer close(w.done)
+	for line := range w.queue {
+		// A log that cannot be written has nowhere to say so.
+		_, _ = to.Write(line)
+	}
+}
+
+// Write queues a copy of a line. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.queue <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that found the queue full.
+func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is queued and ends the goroutine. Nothing may be written afterwards.
+func (w *Writer) Close() {
+	close(w.queue)
+	<-w.done
+}
+
+// NewLogger returns a logger that writes JSON lines of at least the given level: debug, info or error.
+func NewLogger(level string, w io.Writer) logr.Logger {
+	least := zapcore.InfoLevel
+	switch level {
+	case "debug":
+		least = zapcore.DebugLevel
+	case "error":
+		least = zapcore.ErrorLevel
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), least)
+	return zapr.NewLogger(zap.New(core))
+}
--- a/internal/app/daemon/metrics.go
+++ b/internal/base/meter/meter.go
@@ -1,4 +1,5 @@
-package daemon
+// Package meter keeps the last values of counters and histograms and serves them as text.
+package meter
 
 import (
 	"fmt"
@@ -11,58 +12,59 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// counters is a tally reporter that keeps the last values and serves them as text, one "name{tags} value" a line.
-type counters struct {
+// Counters is a tally reporter that keeps the last values and serves them as text, one "name{tags} value" a line.
+type Counters struct {
 	mu     sync.Mutex
 	values map[string]float64
 }
 
-func newCounters() *counters {
-	return &counters{values: make(map[string]float64)}
+// NewCounters returns a reporter without values.
+func NewCounters() *Counters {
+	return &Counters{values: make(map[string]float64)}
 }
 
 // ReportCounter implements tally.StatsReporter.
-func (c *counters) ReportCounter(name string, tags map[string]string, value int64) {
+func (c *Counters) ReportCounter(name string, tags map[string]string, value int64) {
 	c.add(line(name, tags), float64(value))
 }
 
 // ReportGauge implements tally.StatsReporter.
-func (c *counters) ReportGauge(name string, tags map[string]string, value float64) {
+func (c *Counters) ReportGauge(name string, tags map[string]string, value float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.values[line(name, tags)] = value
 }
 
 // ReportTimer implements tally.StatsReporter.
-func (c *counters) ReportTimer(name string, tags map[string]string, interval time.Duration) {
+func (c *Counters) ReportTimer(name string, tags map[string]string, interval time.Duration) {
 	c.add(line(name+"_seconds_sum", tags), interval.Seconds())
 	c.add(line(name+"_count", tags), 1)
 }
 
 // ReportHistogramValueSamples implements tally.StatsReporter.
-func (c *counters) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
+func (c *Counters) ReportHistogramValueSamples(name string, tags map[string]string, _ tally.Buckets, _, upper float64, samples int64) {
 	c.add(line(fmt.Sprintf("%s_le_%g", name, upper), tags), float64(samples))
 }
 
 // ReportHistogramDurationSamples implements tally.StatsReporter.
-func (c *counters) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+func (c *Counters) ReportHistogramDurationSamples(name string, tags map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
 	c.add(line(fmt.Sprintf("%s_le_%s", name, upper), tags), float64(samples))
 }
 
 // Capabilities implements tally.StatsReporter.
-func (c *counters) Capabilities() tally.Capabilities { return c }
+func (c *Counters) Capabilities() tally.Capabilities { return c }
 
 // Reporting implements tally.Capabilities.
-func (c *counters) Reporting() bool { return true }
+func (c *Counters) Reporting() bool { return true }
 
 // Tagging implements tally.Capabilities.
-func (c *counters) Tagging() bool { return true }
+func (c *Counters) Tagging() bool { return true }
 
 // Flush implements tally.StatsReporter.
-func (c *counters) Flush() {}
+func (c *Counters) Flush() {}
 
 // ServeHTTP answers with all values in order of name.
-func (c *counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (c *Counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	names := make([]string, 0, len(c.values))
@@ -76,7 +78,7 @@
 	}
 }
 
-func (c *counters) add(name string, value float64) {
+func (c *Counters) add(name string, value float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.values[name] += value
--- /dev/null
+++ b/internal/conf/policy/policy.go
@@ -0,0 +1,191 @@
+// Package policy holds the routing document in the form in which requests are judged by it.
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what may be repeated of a request.
+type Kind string
+
+// The kinds of requests.
+const (
+	Idempotent    Kind = "idempotent"
+	NonIdempotent Kind = "non_idempotent"
+	Streaming     Kind = "streaming"
+)
+
+// Target is one service of a route with its part of the traffic.
+type Target struct {
+	Service string
+	// Weight is positive.
+	Weight int
+}
+
+// Route says where requests of a host and path prefix go.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout bounds the whole request; zero means no bound.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to the first event of a stream.
+	Objective time.Duration
+	// Gap is the longest pause between events within the objective; zero where the route does not stream.
+	Gap time.Duration
+	// Attempts is the most upstreams that may run one request, at least 1.
+	Attempts int
+	// Priority is 0 for the most urgent.
+	Priority int
+	// Open routes need no key.
+	Open bool
+	// Language routes carry prompts.
+	Language bool
+	// Resumable streams may go on at another upstream.
+	Resumable bool
+	// Targets is never empty.
+	Targets []Target
+}
+
+// Repeatable tells whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Service returns the service for a request, drawn by the hash of its id in proportion to the weights.
+func (r *Route) Service(id string) string {
+	total := uint64(0)
+	for _, t := range r.Targets {
+		total += uint64(t.Weight)
+	}
+	at := xxhash.Sum64String(id) % total
+	for _, t := range r.Targets {
+		if at < uint64(t.Weight) {
+			return t.Service
+		}
+		at -= uint64(t.Weight)
+	}
+	return r.Targets[0].Service
+}
+
+// Engine is what a service's upstreams have in common when they run models.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// CacheTokens is the memory of one engine in tokens.
+	CacheTokens int64
+	// Models are the names of the models that the engines serve.
+	Models []string
+}
+
+// Service is a group of upstreams.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns bounds the connections to one upstream from all instances together; zero means no bound.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+	// StoreAddress is set for a store of kept KV cache, which takes no requests.
+	StoreAddress string
+	// StoreZone is the availability zone of the store.
+	StoreZone string
+}
+
+// Workspace is a customer of the site.
+type Workspace struct {
+	Name string
+	// Priority is 0 for the most urgent and goes before that of the route.
+	Priority int
+	// Isolated workspaces share no cached prefix with others.
+	Isolated bool
+	// ByTokens says that the rate counts tokens and not requests.
+	ByTokens bool
+	// PlainTokens is the cost of a request without a prompt when the rate counts tokens.
+	PlainTokens int64
+	// Rate is in units a second over all instances; zero means no limit.
+	Rate float64
+	// Burst is in units.
+	Burst float64
+}
+
+// Cost returns the units that a request with so many prompt and output tokens takes from the rate.
+func (w *Workspace) Cost(prompt, output int64) float64 {
+	if !w.ByTokens {
+		return 1
+	}
+	if prompt+output > 0 {
+		return float64(prompt + output)
+	}
+	return float64(w.PlainTokens)
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Document is one revision of the routing document. It is not changed after Index.
+type Document struct {
+	Revision   int64
+	Routes     []*Route
+	Services   map[string]*Service
+	Workspaces []*Workspace
+	// Keys maps each key to its workspace. It is empty when no route needs a key.
+	Keys   map[string]*Workspace
+	Limits Limits
+	byHost map[string][]*Route
+}
+
+// Index prepares the document for Match.
+func (d *Document) Index() {
+	d.byHost = make(map[string][]*Route)
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		d.byHost[host] = append(d.byHost[host], r)
+	}
+	for _, routes := range d.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+}
+
+// Match returns the route with the longest prefix of a path, or nil.
+func (d *Document) Match(host, path string) *Route {
+	for _, r := range d.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// KeptStore returns the store of kept KV cache, or nil.
+func (d *Document) KeptStore() *Service {
+	var found *Service
+	for _, s := range d.Services {
+		if s.StoreAddress != "" && (found == nil || s.Name < found.Name) {
+			found = s
+		}
+	}
+	return found
+}
+
+// Serves returns the name of the service whose engines run a model, or "".
+func (d *Document) Serves(model string) string {
+	for _, s := range d.Services {
+		if s.Engine != nil && slices.Contains(s.Engine.Models, model) {
+			return s.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/front/serve/run.go
@@ -0,0 +1,329 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/route/place"
+)
+
+const (
+	// fullPause is how long an upstream without room is passed over.
+	fullPause = 60 * time.Millisecond
+	// answerMost bounds an answer that is held until it is whole.
+	answerMost = 16 << 20
+	// silenceLeast is the shortest silence after which a stream that may go on elsewhere is given up. Callers leave
+	// after two seconds of silence.
+	silenceLeast = 1200 * time.Millisecond
+	// priorityMost is the least urgent priority of engines.
+	priorityMost = 9
+	// routePriorities is the number of route priorities within one workspace priority.
+	routePriorities = 3
+)
+
+// run sends the request to upstreams until one has answered or none may be tried any more.
+func (x *exchange) run() {
+	ctx, cancel := x.context()
+	defer cancel()
+	x.Budget.Earn(x.started, x.service)
+	for {
+		choice, ok := x.place(time.Now())
+		if !ok {
+			x.giveUp(ctx, errors.New("no upstream may take the request"))
+			return
+		}
+		r, err := x.attempt(ctx, choice)
+		switch x.next(ctx, r) {
+		case again:
+			continue
+		case deliver:
+			return
+		case refuse:
+			x.giveUp(ctx, err)
+			return
+		default:
+			x.lose(ctx, err)
+			return
+		}
+	}
+}
+
+// next decides what follows a send.
+func (x *exchange) next(ctx context.Context, r result) step {
+	if x.paid {
+		x.paid = false
+		return again
+	}
+	if ctx.Err() != nil && r != answered {
+		return fail
+	}
+	now := time.Now()
+	return follow(r, x.tally, x.route.Repeatable(), x.route.Attempts, x.ends.Sub(now), func() bool {
+		return x.Budget.Spend(now, x.service)
+	})
+}
+
+// giveUp answers a request that did not run.
+func (x *exchange) giveUp(ctx context.Context, err error) {
+	if x.streaming || x.tally.Ran > 0 {
+		x.lose(ctx, err)
+		return
+	}
+	if x.r.Context().Err() != nil {
+		x.left()
+		return
+	}
+	x.refuse(fault.Later(fault.NoUpstream, comeBackSoon, "%s", err))
+}
+
+// lose answers a request whose outcome is not known, or cuts its stream.
+func (x *exchange) lose(ctx context.Context, err error) {
+	if x.r.Context().Err() != nil {
+		x.left()
+		return
+	}
+	if x.streaming {
+		x.log("route: cut", http.StatusOK, "cut", "reason", text(err))
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() != nil && x.tally.Ran == 0 {
+		x.refuse(fault.Later(fault.NoUpstream, comeBackSoon, "the time was up before an upstream took the request"))
+		return
+	}
+	if ctx.Err() != nil {
+		x.refuse(fault.New(fault.OutcomeUnknown, "no answer in time"))
+		return
+	}
+	x.refuse(fault.New(fault.UpstreamFailed, "%s", text(err)))
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// left notes that the caller has gone.
+func (x *exchange) left() {
+	x.log("route: caller left", 0, "left")
+	panic(http.ErrAbortHandler)
+}
+
+// place chooses the upstream of the next send.
+func (x *exchange) place(now time.Time) (place.Choice, bool) {
+	q := place.Question{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.ask.ID), Own: x.ask.Prompt}
+	if x.route.Language && x.ask.Model != "" {
+		weights := x.Feed.Weights(x.ask.Model)
+		q.Model, q.Version = x.ask.Model, weights.Version
+		q.Strict = weights.Version > 0 && x.Boot()-weights.Learnt > x.Settings.StrictAfter
+		q.Shared = x.ask.Shared()
+		q.Own = max(0, x.ask.Prompt-q.Shared)
+		if n := len(x.ask.Parts); n > 1 {
+			q.Affinity = xxhash.Sum64String(x.wall() + x.ask.Parts[n-2].ID)
+		}
+	}
+	choice, ok := place.Choose(q, x.Fleet.Views(now, x.service), x.Costs)
+	x.last = choice
+	if ok {
+		x.Log.Info("route: placed", "id", x.ask.ID, "upstream", choice.ID, "weights", choice.Version, "newest", q.Version,
+			"strict", q.Strict, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(),
+			"running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected, "switching", choice.Switching)
+	}
+	return choice, ok
+}
+
+// wall names the workspaces that may share cached prefixes with the request.
+func (x *exchange) wall() string {
+	if x.workspace != nil && x.workspace.Isolated {
+		return x.workspace.Name + "/"
+	}
+	return ""
+}
+
+// salt separates cached prefixes by model, weights and isolated workspace.
+func (x *exchange) salt(version int64) string {
+	sum := xxhash.Sum64String(x.wall() + "\x00" + x.ask.Model + "\x00" + strconv.FormatInt(version, 10))
+	return strconv.FormatUint(sum, 16)
+}
+
+// pass fills in what the system adds to the request.
+func (x *exchange) pass(now time.Time, choice place.Choice) Pass {
+	p := Pass{Upstream: choice.ID, Deadline: x.ends.Sub(now), LastEvent: x.ask.LastEvent}
+	if x.resumed != "" {
+		p.LastEvent = x.resumed
+	}
+	if x.workspace != nil {
+		p.Workspace = x.workspace.Name
+	}
+	if choice.Version == 0 {
+		return p
+	}
+	p.Version = choice.Version
+	p.Salt = x.salt(choice.Version)
+	priority := x.route.Priority
+	if x.workspace != nil {
+		priority += x.workspace.Priority * routePriorities
+	}
+	priority = max(0, min(priorityMost, priority))
+	p.Priority = &priority
+	if kept := x.doc.KeptStore(); kept != nil && x.KeptStore.Load() && x.ask.Shared() > 0 {
+		p.FetchFrom, p.SaveTo = kept.StoreAddress, kept.StoreAddress
+	}
+	return p
+}
+
+// attempt sends the request to one upstream and passes the answer on when there is one.
+func (x *exchange) attempt(ctx context.Context, choice place.Choice) (result, error) {
+	now := time.Now()
+	x.tally.Sends++
+	x.avoid[choice.ID] = true
+	tokens := x.ask.Prompt
+	x.Fleet.Sent(choice.ID, tokens)
+	defer func() { x.Fleet.Ended(choice.ID, tokens) }()
+	reply, err := x.Pool.Send(ctx, now, link.Request{
+		Address: choice.Address,
+		Method:  x.r.Method,
+		Target:  x.r.RequestURI,
+		Host:    x.r.Host,
+		Header:  x.Dialect.Forward(x.r.Header, x.ask, x.pass(now, choice)),
+		Body:    x.body,
+		Matches: func(h http.Header) bool { return x.Dialect.Verdict(h).ID == x.ask.ID },
+		Once:    x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
+	})
+	if link.NotSent(err) {
+		if ctx.Err() == nil && !errors.Is(err, link.ErrBusy) {
+			x.Fleet.Failed(time.Now(), choice.ID)
+		}
+		x.note(unsent, choice, err)
+		return unsent, err
+	}
+	if err != nil {
+		x.tally.Ran++
+		x.brokenOff(ctx, choice, err)
+		return broken, err
+	}
+	verdict := x.Dialect.Verdict(reply.Header)
+	r := judge(reply.Status, verdict)
+	switch r {
+	case notRun:
+		x.declined(choice, reply, verdict)
+		drain(reply)
+		err := fmt.Errorf("upstream %s declined with status %d", choice.ID, reply.Status)
+		x.note(r, choice, err)
+		return r, err
+	case broken:
+		x.tally.Ran++
+		reply.Abort()
+		x.Fleet.Erred(choice.ID)
+		err := fmt.Errorf("upstream %s sent an answer without a signature, status %d", choice.ID, reply.Status)
+		x.note(r, choice, err)
+		return r, err
+	}
+	x.tally.Ran++
+	x.Fleet.Prefilled(choice.ID, tokens)
+	tokens = 0
+	if choice.Version > 0 && verdict.Version > choice.Version {
+		x.Fleet.Loaded(now, choice.ID, x.ask.Model, verdict.Version)
+	}
+	if r == answered && x.route.Kind == policy.Streaming && reply.Status < http.StatusMultipleChoices {
+		return x.stream(ctx, choice, reply)
+	}
+	return x.whole(ctx, choice, reply, r)
+}
+
+// drain reads a short answer to its end so that the connection can be kept.
+func drain(reply *link.Reply) {
+	if _, err := io.CopyN(io.Discard, reply.Body, drainMost); errors.Is(err, io.EOF) {
+		reply.Done(time.Now())
+		return
+	}
+	reply.Abort()
+}
+
+// drainMost bounds what is read of an answer that goes nowhere.
+const drainMost = 64 << 10
+
+// declined learns from an upstream that has not run the request.
+func (x *exchange) declined(choice place.Choice, reply *link.Reply, v Verdict) {
+	now := time.Now()
+	switch {
+	case reply.Status != http.StatusMisdirectedRequest:
+		x.Fleet.Full(now, choice.ID, fullPause)
+	case v.Version > 0 && v.Version != choice.Version:
+		x.Fleet.Loaded(now, choice.ID, x.ask.Model, v.Version)
+		// The upstream was right and the belief wrong, so that it may be asked again.
+		delete(x.avoid, choice.ID)
+	default:
+		x.Fleet.Failed(now, choice.ID)
+		x.Pool.Forget(choice.Address)
+	}
+}
+
+// brokenOff learns from an upstream that broke off, unless the caller left or the time was up.
+func (x *exchange) brokenOff(ctx context.Context, choice place.Choice, err error) {
+	x.note(broken, choice, err)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	x.Fleet.Failed(now, choice.ID)
+	x.Crashers.Died(now, x.fingerprint)
+	x.Pool.Forget(choice.Address)
+}
+
+// note logs a send that brought no answer.
+func (x *exchange) note(r result, choice place.Choice, err error) {
+	x.Log.Info("route: send brought no answer", "id", x.ask.ID, "upstream", choice.ID, "result", string(r), "error", text(err),
+		"sends", x.tally.Sends, "ran", x.tally.Ran, "left_ms", time.Until(x.ends).Milliseconds())
+}
+
+// whole reads an answer to its end before any of it goes to the caller, so that one that breaks off can be had elsewhere.
+func (x *exchange) whole(ctx context.Context, choice place.Choice, reply *link.Reply, r result) (result, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, answerMost))
+	if err != nil || len(body) == answerMost {
+		reply.Abort()
+		if err == nil {
+			err = errors.New("the answer is too long")
+		}
+		x.brokenOff(ctx, choice, err)
+		return broken, err
+	}
+	reply.Done(time.Now())
+	if r == failed {
+		x.Fleet.Erred(choice.ID)
+		if x.next(ctx, failed) == again {
+			x.note(failed, choice, fmt.Errorf("status %d", reply.Status))
+			// The next send was paid for here.
+			x.paid = true
+			return failed, nil
+		}
+		if !deliverable(reply.Status) {
+			return broken, fmt.Errorf("upstream %s failed with status %d", choice.ID, reply.Status)
+		}
+	} else {
+		x.Fleet.Succeeded(choice.ID)
+	}
+	head := x.w.Header()
+	for name, values := range x.Dialect.Answer(reply.Header) {
+		head[name] = values
+	}
+	head.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(reply.Status)
+	if _, err := x.w.Write(body); err != nil {
+		x.log("route: caller did not take the answer", reply.Status, "left", "error", err.Error())
+		return answered, nil
+	}
+	x.log("route: answered", reply.Status, string(r))
+	return answered, nil
+}
--- /dev/null
+++ b/internal/limit/quota/quota.go
@@ -0,0 +1,187 @@
+// Package quota keeps workspaces to their rates over all instances. Each instance keeps a bucket for the whole site,
+// takes what it admits itself at once and what the others admit when it hears of it. A bucket may fall below zero by
+// what was admitted meanwhile; that debt is paid before more is admitted, so that excess never adds up.
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// startShare is the part of the burst that a bucket holds at the start of an instance. All instances may start
+	// at once right after a full burst was used; the users' slack of a tenth over eight seconds covers the rest.
+	startShare = 0.25
+	// peerFresh is how long another instance counts as heard. Messages come several times a second.
+	peerFresh = 1500 * time.Millisecond
+	// peerForgotten is how long a silent instance keeps its part of every rate. It may be cut off and admitting.
+	peerForgotten = 30 * time.Second
+)
+
+// Limit is a workspace's rate over all instances.
+type Limit struct {
+	// Rate is in units a second; zero means no limit.
+	Rate float64
+	// Burst is in units.
+	Burst float64
+}
+
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Duration
+	// used is all that this instance admitted since it started.
+	used float64
+}
+
+type peer struct {
+	incarnation int64
+	heard       time.Duration
+	used        map[string]float64
+}
+
+// Keeper is safe for concurrent use. Times are of the clock that counts suspensions.
+type Keeper struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*peer
+}
+
+// NewKeeper returns a keeper without limits.
+func NewKeeper() *Keeper {
+	return &Keeper{buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+}
+
+// Set puts the limits of all workspaces in force.
+func (k *Keeper) Set(now time.Duration, limits map[string]Limit) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name := range k.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(k.buckets, name)
+		}
+	}
+	for name, l := range limits {
+		b, ok := k.buckets[name]
+		if !ok {
+			k.buckets[name] = &bucket{limit: l, level: l.Burst * startShare, at: now}
+			continue
+		}
+		k.fill(now, b)
+		b.limit = l
+		b.level = min(b.level, l.Burst)
+	}
+}
+
+// share is the part of every rate that this instance and those it hears may use.
+func (k *Keeper) share(now time.Duration) float64 {
+	heard, all := 1, 1
+	for _, p := range k.peers {
+		silent := now - p.heard
+		if silent < peerForgotten {
+			all++
+		}
+		if silent < peerFresh {
+			heard++
+		}
+	}
+	return float64(heard) / float64(all)
+}
+
+func (k *Keeper) fill(now time.Duration, b *bucket) {
+	if passed := now - b.at; passed > 0 {
+		b.level = min(b.limit.Burst, b.level+b.limit.Rate*passed.Seconds()*k.share(now))
+	}
+	b.at = now
+}
+
+// Admit takes units from a workspace's rate. When they are not there it returns false and when they are expected.
+func (k *Keeper) Admit(now time.Duration, workspace string, units float64) (bool, time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b, ok := k.buckets[workspace]
+	if !ok || b.limit.Rate <= 0 {
+		return true, 0
+	}
+	k.fill(now, b)
+	// A request larger than the burst may run when the bucket is full.
+	need := min(units, b.limit.Burst)
+	if b.level < need {
+		missing := (need - b.level) / (b.limit.Rate * k.share(now))
+		return false, time.Duration(missing * float64(time.Second))
+	}
+	b.level -= units
+	b.used += units
+	return true, 0
+}
+
+// Refund gives units back that did not run.
+func (k *Keeper) Refund(workspace string, units float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if b, ok := k.buckets[workspace]; ok && b.limit.Rate > 0 {
+		b.level += units
+		b.used -= units
+	}
+}
+
+// Used returns what this instance admitted since it started, by workspace.
+func (k *Keeper) Used() map[string]float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	used := make(map[string]float64)
+	for name, b := range k.buckets {
+		if b.used != 0 {
+			used[name] = b.used
+		}
+	}
+	return used
+}
+
+// Join records that an instance exists, heard or not.
+func (k *Keeper) Join(now time.Duration, name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.peers[name]; !ok {
+		k.peers[name] = &peer{heard: now - peerFresh}
+	}
+}
+
+// Leave records that an instance has ended and admits nothing any more.
+func (k *Keeper) Leave(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.peers, name)
+}
+
+// Hear records what another incarnation of an instance has admitted since its start.
+func (k *Keeper) Hear(now time.Duration, name string, incarnation int64, used map[string]float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p, ok := k.peers[name]
+	if !ok {
+		p = &peer{}
+		k.peers[name] = p
+	}
+	if incarnation < p.incarnation {
+		return
+	}
+	first := p.used == nil
+	if incarnation > p.incarnation {
+		p.incarnation = incarnation
+		p.used = make(map[string]float64)
+	}
+	for workspace, total := range used {
+		b, ok := k.buckets[workspace]
+		if !ok {
+			continue
+		}
+		// What an instance admitted before it was first heard was admitted before this one's bucket began.
+		if !first {
+			k.fill(now, b)
+			b.level -= total - p.used[workspace]
+		}
+		p.used[workspace] = total
+	}
+	p.heard = now
+}
