Rollouts: superseded versions keep their own bound, engines drain before they load, one reader for all

Change: announcements are kept one by one with their time, which instances tell each other; a first third of the engines loads at once and goes on with its requests, the others follow when new requests have left them. The list of upstreams and the operators' rows are read by the first instance and told to the others.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/once/deaths"
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
+	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 	"github.com/skylarkquay/skylarkquay/platform"
@@ -44,8 +46,9 @@
 	headerMost = 64 << 10
 	// keyMargin is subtracted from the bound on withdrawn keys; it covers the way to the upstream.
 	keyMargin = 400 * time.Millisecond
-	// weightsMargin is subtracted from the bound on superseded weights; it covers the age of the announcement.
-	weightsMargin = 1500 * time.Millisecond
+	// weightsMargin is subtracted from the bound on superseded weights; it covers the age of the announcement and the wait
+	// in an engine's queue, since the bound counts to a request's first token.
+	weightsMargin = 2500 * time.Millisecond
 	// readyAge is the age of the document up to which the instance says that it is ready.
 	readyAge = 2500 * time.Millisecond
 )
@@ -74,6 +77,12 @@
 	socket      *net.UDPConn
 	listeners   []net.Listener
 	changed     chan struct{}
+	circle      *share.Circle
+	list        *list
+	// following tells that this instance has a question for changes of the operators' rows with the store.
+	following atomic.Bool
+	// asksKept tells that this instance asks the store of kept KV cache.
+	asksKept atomic.Bool
 }
 
 // New opens the instance's addresses.
@@ -83,7 +92,7 @@
 	e := &Edge{
 		settings: s, path: path, log: log.WithValues("instance", s.Name), dropped: dropped, incarnation: time.Now().UnixNano(),
 		feed: policy.NewFeed(), fleet: fleet.New(), quota: quota.NewKeeper(), deaths: deaths.NewBook(),
-		counters: meter.NewCounters(), changed: make(chan struct{}, 1),
+		counters: meter.NewCounters(), changed: make(chan struct{}, 1), circle: share.NewCircle(s.Peer), list: newList(),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closer = scope, closer.Close
@@ -93,7 +102,7 @@
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
 	e.handler = &serve.Handler{
 		Settings: serve.Settings{
-			Zone: s.Zone, KeyAge: millis(s.Revocation) - keyMargin, StrictAfter: millis(s.Weights) - weightsMargin,
+			Zone: s.Zone, KeyAge: millis(s.Revocation) - keyMargin, WeightsAge: millis(s.Weights) - weightsMargin,
 		},
 		Dialect: platform.Dialect{}, Feed: e.feed, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Crashers: e.deaths, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.Boot,
@@ -265,18 +274,31 @@
 	}
 }
 
+// announcedTold is how long after its announcement a version of weights is told; a version that is older is in force.
+const announcedTold = 15 * time.Second
+
 // Tell implements pulse.Source.
-func (e *Edge) Tell(_ time.Duration, m *pulse.Message) (time.Duration, bool) {
+func (e *Edge) Tell(boot time.Duration, m *pulse.Message) (time.Duration, bool) {
 	now := time.Now()
 	m.Used = e.quota.Used()
 	m.Loads = e.fleet.Loads()
 	m.Crashers = e.deaths.Tell(now)
 	m.Leaving = e.handler.Draining.Load() && e.handler.Open.Load() == 0
+	m.Following = e.following.Load()
+	m.List = e.list.tell(now)
+	if e.asksKept.Load() {
+		m.Kept = pulse.KeptDown
+		if e.handler.KeptStore.Load() {
+			m.Kept = pulse.KeptUp
+		}
+	}
+	for _, w := range e.feed.Recent(boot - announcedTold) {
+		m.Announced = append(m.Announced, pulse.Announced{Model: w.Model, Version: w.Version, Age: int64(boot - w.Learnt)})
+	}
 	e.roll.tell(now, m)
 	if doc := e.feed.Document(); doc != nil {
 		m.Revision = doc.Revision
 	}
-	boot := clock.Boot()
 	age, known := e.feed.Age(boot)
 	return boot - age, known
 }
@@ -284,25 +306,41 @@
 // Hear implements pulse.Sink.
 func (e *Edge) Hear(boot time.Duration, m *pulse.Message, confirmed time.Duration, known bool) {
 	now := time.Now()
+	e.circle.Hear(now, m.Name, m.Following)
+	e.quota.Hear(boot, m.Name, m.Incarnation, m.Used)
 	if m.Leaving {
-		e.quota.Hear(boot, m.Name, m.Incarnation, m.Used)
 		e.quota.Leave(m.Name)
-	} else {
-		e.quota.Hear(boot, m.Name, m.Incarnation, m.Used)
 	}
 	e.fleet.PeerLoads(now, m.Name, m.Loads)
 	e.deaths.Hear(now, m.Name, m.Crashers)
 	e.budget.Resize(e.exchange.Size())
+	for _, a := range m.Announced {
+		e.announced(boot-time.Duration(a.Age), a.Model, a.Version, m.Name)
+	}
 	e.roll.hear(now, m)
-	doc := e.feed.Document()
-	if doc == nil || !known {
-		return
+	if m.List != nil {
+		e.hearList(now, m.List)
+	}
+	if m.Kept != "" && !e.asksKept.Load() {
+		e.keptStore(m.Kept == pulse.KeptUp, m.Name, nil)
 	}
+	doc := e.feed.Document()
 	switch {
-	case m.Revision == doc.Revision:
-		e.feed.Confirm(confirmed)
+	case doc == nil:
 	case m.Revision > doc.Revision:
 		e.wake()
+	case known && m.Revision == doc.Revision:
+		e.feed.Confirm(confirmed)
+	}
+}
+
+// hearList takes what another instance read of the list of upstreams.
+func (e *Edge) hearList(now time.Time, n *pulse.ListNews) {
+	if n.Away >= 0 {
+		e.fleet.Away(now.Add(-time.Duration(n.Away)))
+	}
+	for _, c := range e.list.hear(now, n) {
+		e.listChange(now, c)
 	}
 }
 
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -8,26 +8,31 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
+	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
 
 const (
 	// operatorsWait is how long the store may hold a question for changes of the operators' rows.
-	operatorsWait = 1500 * time.Millisecond
+	operatorsWait = 600 * time.Millisecond
 	// feedBlind is how long a feed may miss changes before the store cuts it, by the users' page of troubles.
 	feedBlind = 1100 * time.Millisecond
 	// storeTimeout bounds a call that the store answers at once; its slow days take a quarter of a second.
 	storeTimeout = 900 * time.Millisecond
-	// listPause is the pause between reads of the list of upstreams; it leaves half of the drain bound.
-	listPause = 700 * time.Millisecond
+	// followPause is the pause between looks at whether another instance follows the operators' rows.
+	followPause = 100 * time.Millisecond
+	// listPause is the pause between reads of the list of upstreams; with a failed reader's replacement it stays below
+	// the drain bound.
+	listPause = 600 * time.Millisecond
+	// listLook is the longest pause between looks at the age of the list.
+	listLook = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 60 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
 	// instancesTable holds a row for each instance, by its address for datagrams.
 	instancesTable = "instance"
-	// instancesWait is how long the store may hold a question for new instances.
-	instancesWait = 15 * time.Second
 )
 
 // pause waits for a random part of a doubling time after a failure; false when the context has ended.
@@ -67,32 +72,25 @@
 	d.failures = 0
 }
 
-// followOperators keeps the document and the announced weights up to date.
+// followOperators keeps the document and the announced weights up to date, from the store or by the word of an instance
+// that follows them.
 func (e *Edge) followOperators(ctx context.Context) {
 	dep := dependency{edge: e, name: "operators"}
 	version := int64(-1)
 	for ctx.Err() == nil {
-		var rows platform.Rows
-		var err error
-		asked := clock.Boot()
-		blind := asked
-		if version < 0 {
-			rows, err = e.get(ctx, platform.OperatorTable)
-		} else {
-			rows, err = e.feedWoken(ctx, version)
-			// A feed that was held answers what was new at its end, but for the time in which it may be blind.
-			blind = max(asked, clock.Boot()-feedBlind)
+		if version >= 0 && !e.circle.Follow(time.Now()) {
+			e.following.Store(false)
+			version = e.waitWoken(ctx, version)
+			continue
 		}
+		rows, confirmed, err := e.askOperators(ctx, version)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			e.log.Info("store: history lost, reading all", "for", dep.name, "after", version)
 			version = -1
 			continue
 		}
-		if errors.Is(err, errWoken) {
-			version = -1
-			continue
-		}
 		if err != nil {
+			e.following.Store(false)
 			dep.failed(err)
 			// What was missed is read whole, because a new connection may meet a store without its history.
 			version = -1
@@ -103,54 +101,57 @@
 		}
 		dep.worked()
 		for _, row := range rows.Rows {
-			e.operatorRow(row)
+			e.operatorRow(row, version < 0)
 		}
 		version = max(version, rows.Version)
+		e.following.Store(true)
 		if e.feed.Document() != nil {
-			e.feed.Confirm(blind)
+			e.feed.Confirm(confirmed)
 		}
 	}
 }
 
-// errWoken says that a question was dropped because another instance knows a newer document.
-var errWoken = errors.New("woken by another instance")
-
-// feedWoken asks for changes until the store answers or another instance knows of a newer document.
-func (e *Edge) feedWoken(ctx context.Context, version int64) (platform.Rows, error) {
-	call, cancel := context.WithTimeoutCause(ctx, operatorsWait+storeTimeout, context.DeadlineExceeded)
+// askOperators reads the operators' rows whole, or what changed after a version. It returns the time at which the store
+// had nothing newer.
+func (e *Edge) askOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
+	asked := clock.Boot()
+	if version < 0 {
+		rows, err := e.get(ctx, platform.OperatorTable)
+		return rows, asked, err
+	}
+	call, cancel := context.WithTimeout(ctx, operatorsWait+storeTimeout)
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	woken := make(chan struct{})
-	go func() {
-		select {
-		case <-e.changed:
-			// The answer is probably on its way.
-			timer := time.NewTimer(wakeDelay)
-			defer timer.Stop()
-			select {
-			case <-timer.C:
-				close(woken)
-				cancel()
-			case <-done:
-			}
-		case <-done:
-		}
-	}()
 	rows, err := e.store.Feed(call, platform.OperatorTable, version, operatorsWait)
+	// A feed that was held answers what was new at its end, but for the time in which it may be blind.
+	return rows, max(asked, clock.Boot()-feedBlind), err
+}
+
+// waitWoken waits for a moment, or until another instance knows a newer document; the rows are read whole then.
+func (e *Edge) waitWoken(ctx context.Context, version int64) int64 {
+	timer := time.NewTimer(followPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return version
+	case <-timer.C:
+		return version
+	case <-e.changed:
+	}
+	rows, confirmed, err := e.askOperators(ctx, -1)
 	if err != nil {
-		select {
-		case <-woken:
-			return rows, errWoken
-		default:
+		e.log.Info("store: a newer document could not be read", "error", err.Error())
+		if pause(ctx, 0) {
+			e.wake()
 		}
+		return version
 	}
-	return rows, err
+	for _, row := range rows.Rows {
+		e.operatorRow(row, false)
+	}
+	e.feed.Confirm(confirmed)
+	return max(version, rows.Version)
 }
 
-// wakeDelay is how long a feed may still bring what another instance knows already.
-const wakeDelay = 150 * time.Millisecond
-
 func (e *Edge) get(ctx context.Context, table string) (platform.Rows, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -158,7 +159,7 @@
 }
 
 // operatorRow takes one of the operators' rows.
-func (e *Edge) operatorRow(row platform.Row) {
+func (e *Edge) operatorRow(row platform.Row, whole bool) {
 	if row.Deleted {
 		return
 	}
@@ -178,49 +179,73 @@
 		e.log.Info("weights: announcement cannot be read", "row", row.Version, "error", err.Error())
 		return
 	}
-	if ok && e.feed.Announce(clock.Boot(), model, number) {
-		e.log.Info("weights: announced", "model", model, "version", number, "row", row.Version)
-		e.roll.wake()
+	if !ok {
+		return
 	}
+	at := clock.Boot()
+	if whole {
+		// It may have been announced at any time since the last confirmation, or long before the start.
+		if age, known := e.feed.Age(at); known {
+			at -= age
+		} else {
+			at -= e.handler.Settings.WeightsAge
+		}
+	}
+	e.announced(at, model, number, "store")
 }
 
-// followList keeps the list of upstreams up to date.
+// followList keeps the list of upstreams up to date, from the store or by the word of an instance that read it.
 func (e *Edge) followList(ctx context.Context) {
 	dep := dependency{edge: e, name: "list"}
-	version := int64(-1)
 	for ctx.Err() == nil {
-		var rows platform.Rows
-		var err error
-		whole := version < 0
-		if whole {
-			rows, err = e.get(ctx, platform.ListTable)
-		} else {
-			call, cancel := context.WithTimeout(ctx, storeTimeout)
-			rows, err = e.store.Feed(call, platform.ListTable, version, time.Millisecond)
-			cancel()
-		}
 		now := time.Now()
-		if errors.Is(err, platform.ErrHistoryLost) {
-			e.log.Info("store: history lost, reading all", "for", dep.name, "after", version)
-			version = -1
+		age, version := e.list.age(now)
+		if due := share.Due(e.circle.Rank(now), listPause); version >= 0 && age < due {
+			if !sleep(ctx, min(due-age, listLook)) {
+				return
+			}
 			continue
 		}
-		if err != nil {
+		if err := e.readList(ctx, version); errors.Is(err, platform.ErrHistoryLost) {
+			e.log.Info("store: history lost, reading all", "for", dep.name, "after", version)
+			e.list.forget()
+		} else if err != nil {
 			dep.failed(err)
-			e.fleet.Away(now)
-			version = -1
+			e.fleet.Away(time.Now())
+			e.list.lost(time.Now())
 			if !pause(ctx, dep.failures) {
 				return
 			}
-			continue
+		} else {
+			dep.worked()
 		}
-		dep.worked()
-		e.listRows(now, rows.Rows, whole)
-		version = max(version, rows.Version)
-		if !sleep(ctx, listPause) {
-			return
+	}
+}
+
+// readList reads the list whole, or what changed after a version.
+func (e *Edge) readList(ctx context.Context, version int64) error {
+	asked := time.Now()
+	if version < 0 {
+		rows, err := e.get(ctx, platform.ListTable)
+		if err != nil {
+			return err
 		}
+		e.listRows(time.Now(), rows.Rows, true)
+		e.list.read(asked, rows.Version, nil)
+		return nil
 	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, err := e.store.Feed(call, platform.ListTable, version, time.Millisecond)
+	if err != nil {
+		return err
+	}
+	changes := e.listRows(time.Now(), rows.Rows, false)
+	e.list.read(asked, max(version, rows.Version), changes)
+	if len(changes) > 0 {
+		e.exchange.Now()
+	}
+	return nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -234,58 +259,69 @@
 	}
 }
 
-// listRows takes rows of the list; whole tells that what it lacks is gone.
-func (e *Edge) listRows(now time.Time, rows []platform.Row, whole bool) {
+// announced takes an announcement of weights.
+func (e *Edge) announced(at time.Duration, model string, version int64, from string) {
+	if !e.feed.Announce(at, model, version) {
+		return
+	}
+	e.log.Info("weights: announced", "model", model, "version", version, "from", from,
+		"age_ms", (clock.Boot() - at).Milliseconds())
+	e.roll.wake()
+	e.exchange.Now()
+}
+
+// listRows takes rows of the list and returns what changed by them; whole tells that what it lacks is gone.
+func (e *Edge) listRows(now time.Time, rows []platform.Row, whole bool) []pulse.ListChange {
 	var entries []fleet.Entry
+	var changes []pulse.ListChange
 	for _, row := range rows {
-		if row.Deleted {
-			if e.fleet.Drop(now, row.Key) {
-				e.log.Info("list: upstream is gone", "upstream", row.Key, "row", row.Version)
+		change := pulse.ListChange{Version: row.Version, ID: row.Key}
+		if !row.Deleted {
+			entry, err := platform.Entry(row)
+			if err != nil {
+				e.log.Info("list: entry names no upstream", "upstream", row.Key, "row", row.Version, "error", err.Error())
+			} else {
+				change.Entry = &entry
+				entries = append(entries, entry)
 			}
-			continue
-		}
-		entry, err := platform.Entry(row)
-		if err != nil {
-			e.log.Info("list: entry names no upstream", "upstream", row.Key, "row", row.Version, "error", err.Error())
-			e.fleet.Drop(now, row.Key)
-			continue
 		}
-		entries = append(entries, entry)
-		if !whole && e.fleet.Put(entry) {
-			e.log.Info("list: upstream changed", "upstream", entry.ID, "service", entry.Service, "state", string(entry.State),
-				"weights", entry.Weights, "row", row.Version)
+		if !whole && e.listChange(now, change) {
+			changes = append(changes, change)
 		}
 	}
 	if whole {
 		e.fleet.Replace(now, entries)
 		e.log.Info("list: read whole", "upstreams", len(entries))
 	}
+	return changes
+}
+
+// listChange takes one change of the list and tells whether it changed what is believed.
+func (e *Edge) listChange(now time.Time, c pulse.ListChange) bool {
+	if c.Entry == nil {
+		if !e.fleet.Drop(now, c.ID) {
+			return false
+		}
+		e.log.Info("list: upstream is gone", "upstream", c.ID, "row", c.Version)
+		return true
+	}
+	if !e.fleet.Put(*c.Entry) {
+		return false
+	}
+	e.log.Info("list: upstream changed", "upstream", c.ID, "service", c.Entry.Service, "state", string(c.Entry.State),
+		"weights", c.Entry.Weights, "row", c.Version)
+	return true
 }
 
-// join makes the instance known to the others and meets those that come.
+// join makes the instance known. Every other instance either reads its row or sends it a message first, because each
+// reads the rows after it has written its own.
 func (e *Edge) join(ctx context.Context) {
 	dep := dependency{edge: e, name: "instances"}
-	version := int64(-1)
-	joined := false
 	for ctx.Err() == nil {
-		var err error
-		if !joined {
-			err = e.register(ctx)
-			joined = err == nil
-		}
+		err := e.register(ctx)
 		var rows platform.Rows
-		switch {
-		case err != nil:
-		case version < 0:
+		if err == nil {
 			rows, err = e.get(ctx, instancesTable)
-		default:
-			call, cancel := context.WithTimeout(ctx, instancesWait+storeTimeout)
-			rows, err = e.store.Feed(call, instancesTable, version, instancesWait)
-			cancel()
-		}
-		if errors.Is(err, platform.ErrHistoryLost) {
-			version = -1
-			continue
 		}
 		if err != nil {
 			dep.failed(err)
@@ -296,14 +332,14 @@
 		}
 		dep.worked()
 		for _, row := range rows.Rows {
-			if row.Deleted || row.Key == e.settings.Peer {
-				continue
+			if !row.Deleted && row.Key != e.settings.Peer {
+				e.exchange.Meet(row.Key)
+				e.quota.Join(clock.Boot(), row.Key)
 			}
-			e.exchange.Meet(row.Key)
-			e.quota.Join(clock.Boot(), row.Key)
 		}
-		version = max(version, rows.Version)
 		e.exchange.Now()
+		e.log.Info("member: joined", "instances", e.exchange.Size())
+		return
 	}
 }
 
@@ -328,15 +364,20 @@
 
 const (
 	// keptWait is how long the kept store holds a question; shorter ones count as probes.
-	keptWait = 1000 * time.Millisecond
+	keptWait = 300 * time.Millisecond
+	// keptPause is the pause between questions.
+	keptPause = 400 * time.Millisecond
 )
 
-// watchKeptStore notices when the store of kept KV cache is down, so that engines do not wait for it.
+// watchKeptStore notices when the store of kept KV cache is down, so that engines do not wait for it. The first
+// instance asks for all.
 func (e *Edge) watchKeptStore(ctx context.Context) {
 	since := int64(0)
-	for sleep(ctx, keptWait) {
+	for sleep(ctx, keptPause) {
 		doc := e.feed.Document()
-		if doc == nil || doc.KeptStore() == nil {
+		asking := doc != nil && doc.KeptStore() != nil && e.circle.Rank(time.Now()) == 0
+		e.asksKept.Store(asking)
+		if !asking {
 			continue
 		}
 		next, err := e.engines.KeptEvents(ctx, doc.KeptStore().StoreAddress, since, keptWait)
@@ -344,13 +385,19 @@
 		if ctx.Err() != nil {
 			return
 		}
-		alive := err == nil
-		if e.handler.KeptStore.Swap(alive) != alive {
-			reason := ""
-			if err != nil {
-				reason = err.Error()
-			}
-			e.log.Info("kept store: changed", "alive", alive, "error", reason)
-		}
+		e.keptStore(err == nil, "asked", err)
+	}
+}
+
+// keptStore records whether the store of kept KV cache answers.
+func (e *Edge) keptStore(alive bool, from string, err error) {
+	if e.handler.KeptStore.Swap(alive) == alive {
+		return
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
 	}
+	e.log.Info("kept store: changed", "alive", alive, "from", from, "error", reason)
+	e.exchange.Now()
 }
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -12,7 +12,6 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/roll/lease"
 	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
-	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
 
@@ -20,9 +19,11 @@
 	// rolloutTick is the pause between looks at the rollout.
 	rolloutTick = 50 * time.Millisecond
 	// loadMost is how long one engine may take to finish its requests and load.
-	loadMost = 5 * time.Second
+	loadMost = 9 * time.Second
 	// askPause is the pause between questions to a loading engine; its reports are some 100 ms old.
 	askPause = 150 * time.Millisecond
+	// reorder is the pause before an order without an answer is given again; its effect shows in reports by then.
+	reorder = 600 * time.Millisecond
 	// orderRetry is the pause before an engine that did not take an order is tried again.
 	orderRetry = 700 * time.Millisecond
 	// actTime is how long an instance that gave orders lately is given to begin.
@@ -139,7 +140,7 @@
 			continue
 		}
 		for _, w := range r.edge.feed.Announced() {
-			r.advance(ctx, now, w.Model, w.Version)
+			r.advance(ctx, now, plan.Target{Model: w.Model, Version: w.Version, Age: clock.Boot() - w.Learnt})
 		}
 	}
 }
@@ -279,31 +280,32 @@
 }
 
 // advance begins to load the version on the engines whose turn it is.
-func (r *rollout) advance(ctx context.Context, now time.Time, model string, version int64) {
+func (r *rollout) advance(ctx context.Context, now time.Time, t plan.Target) {
 	doc := r.edge.feed.Document()
-	views := r.edge.fleet.Views(now, doc.Serves(model))
+	views := r.edge.fleet.Views(now, doc.Serves(t.Model))
 	r.mu.Lock()
-	next := plan.Next(now, model, version, views, r.progress)
-	for _, v := range next {
-		r.progress[v.ID] = plan.Progress{Started: now}
-		r.edge.fleet.Switch(v.ID, now.Add(loadMost))
+	next := plan.Next(now, t, views, r.progress)
+	for _, m := range next {
+		r.progress[m.Engine.ID] = plan.Progress{Started: now, Version: t.Version}
+		r.edge.fleet.Switch(m.Engine.ID, now.Add(loadMost))
 	}
 	r.mu.Unlock()
 	if len(next) == 0 {
 		return
 	}
 	r.edge.exchange.Now()
-	for _, v := range next {
-		r.loads.Go(func() { r.load(ctx, v, model, version) })
+	for _, m := range next {
+		r.loads.Go(func() { r.load(ctx, m, t.Model, t.Version) })
 	}
 }
 
 // load brings one engine to a version and waits until it is there.
-func (r *rollout) load(ctx context.Context, v fleet.View, model string, version int64) {
+func (r *rollout) load(ctx context.Context, m plan.Move, model string, version int64) {
+	v := m.Engine
 	ctx, cancel := context.WithTimeout(ctx, loadMost)
 	defer cancel()
 	began := time.Now()
-	err := r.order(ctx, v, model, version)
+	err := r.order(ctx, m, model, version)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -330,8 +332,10 @@
 
 // order asks the engine, orders it when needed and asks until the version is loaded. The order's condition on the number
 // of earlier orders makes one that is carried out late harmless.
-func (r *rollout) order(ctx context.Context, v fleet.View, model string, version int64) error {
-	ordered := int64(-1)
+func (r *rollout) order(ctx context.Context, m plan.Move, model string, version int64) error {
+	v := m.Engine
+	// ordered is the number of orders that the engine has with the last one given, due is when another may be given.
+	ordered, due := int64(0), time.Time{}
 	for {
 		report, err := r.edge.engines.Report(ctx, v.ID, v.Address)
 		if err != nil {
@@ -340,10 +344,11 @@
 		if report.Weights[model] >= version && !report.Busy {
 			return nil
 		}
-		if !report.Busy && report.Orders != ordered {
-			if ordered, err = r.give(ctx, v, model, version, report); err != nil {
+		if now := time.Now(); !report.Busy && report.Orders >= ordered && !now.Before(due) {
+			if ordered, err = r.give(ctx, m, model, version, report); err != nil {
 				return err
 			}
+			due = now.Add(reorder)
 		}
 		if !sleep(ctx, askPause) {
 			return ctx.Err()
@@ -352,7 +357,8 @@
 }
 
 // give sends one order. It returns the number of orders after which the engine has this one.
-func (r *rollout) give(ctx context.Context, v fleet.View, model string, version int64, report plan.Report) (int64, error) {
+func (r *rollout) give(ctx context.Context, m plan.Move, model string, version int64, report plan.Report) (int64, error) {
+	v := m.Engine
 	r.mu.Lock()
 	held := r.held
 	r.mu.Unlock()
@@ -360,7 +366,7 @@
 		return 0, errLeaseLost
 	}
 	outcome, err := r.edge.engines.Load(ctx, plan.Order{
-		Upstream: v.ID, Address: v.Address, Model: model, Version: version, Mode: plan.Finish,
+		Upstream: v.ID, Address: v.Address, Model: model, Version: version, Mode: m.Mode,
 		Holder: r.edge.settings.Peer, Token: held.Token, After: report.Orders,
 	})
 	text := ""
@@ -368,14 +374,14 @@
 		text = err.Error()
 	}
 	r.edge.log.Info("weights: order given", "upstream", v.ID, "model", model, "version", version, "token", held.Token,
-		"after", report.Orders, "running", report.Running, "outcome", string(outcome), "error", text)
+		"mode", string(m.Mode), "after", report.Orders, "running", report.Running, "outcome", string(outcome), "error", text)
 	switch outcome {
 	case plan.Accepted, plan.Already:
 		return report.Orders + 1, nil
 	case plan.Unknown:
 		// It may have been accepted; the next report tells.
-		return -1, nil
+		return report.Orders, nil
 	default:
-		return -1, err
+		return report.Orders, err
 	}
 }
--- a/internal/conf/policy/feed.go
+++ b/internal/conf/policy/feed.go
@@ -9,7 +9,7 @@
 type Weights struct {
 	Model   string
 	Version int64
-	// Learnt is when this instance learnt of the version, by the clock that counts suspensions.
+	// Learnt is when an instance learnt of the version, by this instance's clock that counts suspensions.
 	Learnt time.Duration
 }
 
@@ -21,12 +21,13 @@
 	doc       *Document
 	confirmed time.Duration
 	known     bool
-	weights   map[string]Weights
+	// weights are the announcements of each model in order of version.
+	weights map[string][]Weights
 }
 
 // NewFeed returns a feed without a document.
 func NewFeed() *Feed {
-	return &Feed{weights: make(map[string]Weights)}
+	return &Feed{weights: make(map[string][]Weights)}
 }
 
 // Offer puts a document in force unless it is older than the one in force, and tells whether it did.
@@ -40,17 +41,48 @@
 	return true
 }
 
-// Announce records a version of a model's weights unless it is not newer, and tells whether it did.
-func (f *Feed) Announce(now time.Duration, model string, version int64) bool {
+// Announce records a version of a model's weights with the time it was announced, and tells whether it is new. A later
+// time for a known version, from an instance that saw the announcement, goes before an earlier one that was assumed.
+func (f *Feed) Announce(at time.Duration, model string, version int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.weights[model].Version >= version {
+	all := f.weights[model]
+	for i := range all {
+		if all[i].Version == version {
+			all[i].Learnt = max(all[i].Learnt, at)
+			return false
+		}
+	}
+	if newest(all).Version > version {
 		return false
 	}
-	f.weights[model] = Weights{Model: model, Version: version, Learnt: now}
+	f.weights[model] = append(all, Weights{Model: model, Version: version, Learnt: at})
 	return true
 }
 
+func newest(all []Weights) Weights {
+	if len(all) == 0 {
+		return Weights{}
+	}
+	return all[len(all)-1]
+}
+
+// Floor returns the newest version of a model that was learnt of before a time, or zero. It is kept for each version by
+// itself, so that a later announcement gives no more time to an earlier one.
+func (f *Feed) Floor(model string, before time.Duration) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := f.weights[model]
+	for i := len(all) - 1; i >= 0; i-- {
+		if all[i].Learnt <= before {
+			// Earlier ones are never asked for again.
+			f.weights[model] = all[i:]
+			return all[i].Version
+		}
+	}
+	return 0
+}
+
 // Confirm records that the store had nothing newer at a time.
 func (f *Feed) Confirm(at time.Duration) {
 	f.mu.Lock()
@@ -79,7 +111,7 @@
 func (f *Feed) Weights(model string) Weights {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.weights[model]
+	return newest(f.weights[model])
 }
 
 // Announced returns the newest announced versions of all models.
@@ -88,7 +120,22 @@
 	defer f.mu.Unlock()
 	all := make([]Weights, 0, len(f.weights))
 	for _, w := range f.weights {
-		all = append(all, w)
+		all = append(all, newest(w))
 	}
 	return all
 }
+
+// Recent returns the announcements that were made after a time, of all models.
+func (f *Feed) Recent(after time.Duration) []Weights {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var recent []Weights
+	for _, all := range f.weights {
+		for _, w := range all {
+			if w.Learnt > after {
+				recent = append(recent, w)
+			}
+		}
+	}
+	return recent
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -124,9 +124,8 @@
 func (x *exchange) place(now time.Time) (place.Choice, bool) {
 	q := place.Question{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.ask.ID), Own: x.ask.Prompt}
 	if x.route.Language && x.ask.Model != "" {
-		weights := x.Feed.Weights(x.ask.Model)
-		q.Model, q.Version = x.ask.Model, weights.Version
-		q.Strict = weights.Version > 0 && x.Boot()-weights.Learnt > x.Settings.StrictAfter
+		q.Model, q.Version = x.ask.Model, x.Feed.Weights(x.ask.Model).Version
+		q.Floor = x.Feed.Floor(x.ask.Model, x.Boot()-x.Settings.WeightsAge)
 		q.Shared = x.ask.Shared()
 		q.Own = max(0, x.ask.Prompt-q.Shared)
 		if n := len(x.ask.Parts); n > 1 {
@@ -137,7 +136,7 @@
 	x.last = choice
 	if ok {
 		x.Log.Info("route: placed", "id", x.ask.ID, "upstream", choice.ID, "weights", choice.Version, "newest", q.Version,
-			"strict", q.Strict, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(),
+			"floor", q.Floor, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(),
 			"running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected, "switching", choice.Switching)
 	}
 	return choice, ok
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -48,8 +48,8 @@
 	Zone string
 	// KeyAge is the age of the document up to which keys are trusted.
 	KeyAge time.Duration
-	// StrictAfter is how long after their announcement older weights may still begin requests.
-	StrictAfter time.Duration
+	// WeightsAge is how long after the announcement of new weights older ones may still begin requests.
+	WeightsAge time.Duration
 }
 
 // Handler serves callers. Its fields are set once.
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -53,10 +53,56 @@
 	Switching []string `json:"w,omitempty"`
 	// Loaded are upstreams that were seen to have loaded a version, by model.
 	Loaded []Loaded `json:"d,omitempty"`
+	// Following says that the sender has a question for changes of the operators' rows with the store.
+	Following bool `json:"f,omitempty"`
+	// Announced are versions of weights that the sender or another instance saw announced.
+	Announced []Announced `json:"a,omitempty"`
+	// List is set by instances that read the list of upstreams from the store.
+	List *ListNews `json:"y,omitempty"`
+	// Kept says whether the store of kept KV cache answers, or nothing.
+	Kept Kept `json:"k,omitempty"`
 	// Crashers count deaths of upstreams by the fingerprint of the request that they ran.
 	Crashers map[string]int `json:"x,omitempty"`
 }
 
+// Kept is what an instance that asks the store of kept KV cache found.
+type Kept string
+
+// The values of Kept.
+const (
+	KeptUp   Kept = "up"
+	KeptDown Kept = "down"
+)
+
+// Announced is a version of a model's weights with its age.
+type Announced struct {
+	Model   string `json:"m"`
+	Version int64  `json:"v"`
+	// Age is in nanoseconds since it was learnt of.
+	Age int64 `json:"g"`
+}
+
+// ListNews are changes of the list of upstreams.
+type ListNews struct {
+	// Since and Version are the store's versions between which the changes happened.
+	Since   int64 `json:"s"`
+	Version int64 `json:"v"`
+	// Age is in nanoseconds since the store was read.
+	Age int64 `json:"g"`
+	// Away is in nanoseconds since the store was last found unreachable; negative when it never was.
+	Away    int64        `json:"w"`
+	Changes []ListChange `json:"c,omitempty"`
+}
+
+// ListChange is one changed entry.
+type ListChange struct {
+	Version int64 `json:"v"`
+	// ID of the upstream.
+	ID string `json:"i"`
+	// Entry is nil when the upstream is gone.
+	Entry *fleet.Entry `json:"e,omitempty"`
+}
+
 // Loaded says that an upstream runs a version of a model's weights.
 type Loaded struct {
 	Upstream string `json:"r"`
--- /dev/null
+++ b/internal/peer/share/share.go
@@ -0,0 +1,86 @@
+// Package share decides which instance asks the store on behalf of all. Every instance ranks itself among those it hears;
+// the first asks and tells the others, and the next ones step in by rank when they hear nothing for too long. Nothing
+// is agreed on: two instances that both ask only cost a call.
+package share
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// fresh is how long an instance counts after it was heard. Messages come four times a second.
+	fresh = 800 * time.Millisecond
+	// followerFresh is how long another instance's word that it follows the operators' rows counts.
+	followerFresh = 600 * time.Millisecond
+	// takeOver is how much older than the asking instance's pause knowledge must be before the next one asks itself.
+	takeOver = 500 * time.Millisecond
+	// perRank spreads those that step in.
+	perRank = 60 * time.Millisecond
+	// rankMost bounds that spread, so that a lone instance among silent ones asks in time.
+	rankMost = 8
+)
+
+type peer struct {
+	heard     time.Time
+	following time.Time
+}
+
+// Circle is what an instance knows of who else is awake. It is safe for concurrent use.
+type Circle struct {
+	me    string
+	mu    sync.Mutex
+	peers map[string]peer
+}
+
+// NewCircle returns a circle of one.
+func NewCircle(me string) *Circle {
+	return &Circle{me: me, peers: make(map[string]peer)}
+}
+
+// Hear records a message of another instance and whether it follows the operators' rows.
+func (c *Circle) Hear(now time.Time, name string, following bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[name]
+	p.heard = now
+	if following {
+		p.following = now
+	} else {
+		p.following = time.Time{}
+	}
+	c.peers[name] = p
+}
+
+// Rank returns the number of instances that were heard lately and come before this one.
+func (c *Circle) Rank(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for name, p := range c.peers {
+		if name < c.me && now.Sub(p.heard) < fresh {
+			n++
+		}
+	}
+	return n
+}
+
+// Follow tells whether this instance should follow the operators' rows itself.
+func (c *Circle) Follow(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, p := range c.peers {
+		if name < c.me && !p.following.IsZero() && now.Sub(p.following) < followerFresh {
+			return false
+		}
+	}
+	return true
+}
+
+// Due returns the age of knowledge at which an instance of a rank asks the store itself.
+func Due(rank int, pause time.Duration) time.Duration {
+	if rank == 0 {
+		return pause
+	}
+	return pause + takeOver + time.Duration(min(rank, rankMost))*perRank
+}
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -65,40 +65,83 @@
 type Progress struct {
 	// Started is when loading was begun; zero when it is not in progress.
 	Started time.Time
+	// Version is what it was begun for.
+	Version int64
 	// Retry is the earliest next try after a failure.
 	Retry time.Time
 }
 
-// AtOnce returns how many engines may be out for loading at the same time: a third of them, which brings the whole
-// fleet to a version in three rounds of draining and loading, within the users' bound of 8 s.
-func AtOnce(engines int) int {
-	return max(1, (engines+2)/3)
+const (
+	// firstWave is the divisor of the fleet that loads first. New requests go to it, so that the others drain by
+	// themselves.
+	firstWave = 3
+	// drained is the number of requests with which an engine counts as drained: ending them on the new weights costs less
+	// than the load itself.
+	drained = 2
+	// patience is how long after the announcement engines may drain by themselves. Long answers take some seconds, and
+	// the users' bound for the whole rollout is 8 s.
+	patience = 3 * time.Second
+)
+
+// Move is an engine that should begin to load, and what happens to its requests.
+type Move struct {
+	Engine fleet.View
+	Mode   Mode
+}
+
+// Target is the version to which a model's engines are brought.
+type Target struct {
+	Model   string
+	Version int64
+	// Age is the time since its announcement.
+	Age time.Duration
 }
 
-// Next returns the engines that should begin to load a version now, those with the least work first so that least has
-// to be waited for.
-func Next(now time.Time, model string, version int64, engines []fleet.View, progress map[string]Progress) []fleet.View {
+// Next returns the engines that should begin to load now, those with the least work first. The first wave goes on with
+// its few requests on the new weights, which costs a part of their worth and gives new requests a place seconds earlier.
+// The others follow when they have drained, or when patience is over by finishing first, never more of them at once than
+// already serve the new weights.
+func Next(now time.Time, t Target, engines []fleet.View, progress map[string]Progress) []Move {
 	var open []fleet.View
-	busy, size := 0, 0
+	busy, size, done := 0, 0, 0
 	for i := range engines {
 		e := &engines[i]
-		if e.State != fleet.Ready || e.Weights[model] == 0 {
+		if e.State != fleet.Ready || e.Weights[t.Model] == 0 {
 			continue
 		}
 		size++
 		p := progress[e.ID]
-		if !p.Started.IsZero() {
-			busy++
-			continue
-		}
-		if e.Weights[model] < version && !now.Before(p.Retry) {
+		switch {
+		case !p.Started.IsZero():
+			if p.Version == t.Version {
+				busy++
+			}
+		case e.Weights[t.Model] >= t.Version:
+			done++
+		case !now.Before(p.Retry):
 			open = append(open, *e)
 		}
 	}
 	slices.SortFunc(open, func(a, b fleet.View) int {
 		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
-	return open[:max(0, min(len(open), AtOnce(size)-busy))]
+	first := max(1, size/firstWave)
+	var moves []Move
+	for _, e := range open {
+		switch {
+		case done+busy+len(moves) < first:
+			moves = append(moves, Move{Engine: e, Mode: Continue})
+		case busy+len(moves) >= max(first, done):
+			return moves
+		case done < first:
+			return moves
+		case e.Running <= drained:
+			moves = append(moves, Move{Engine: e, Mode: Continue})
+		case t.Age > patience:
+			moves = append(moves, Move{Engine: e, Mode: Finish})
+		}
+	}
+	return moves
 }
 
 // Pending returns the number of engines that run an older version than announced.
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -123,7 +123,7 @@
 		f.states[e.ID] = &state{entry: e, confirmed: make(map[string]seen)}
 		return true
 	}
-	changed := s.entry.State != e.State || !s.gone.IsZero()
+	changed := s.entry.State != e.State || !s.gone.IsZero() || (s.entry.Cold > 0) != (e.Cold > 0)
 	for model, version := range e.Weights {
 		changed = changed || s.entry.Weights[model] != version
 	}
@@ -193,7 +193,9 @@
 func (f *Fleet) Away(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.away = now
+	if now.After(f.away) {
+		f.away = now
+	}
 }
 
 // Expire drops upstreams whose grace is over and returns their ids.
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -36,6 +36,9 @@
 	coldDelay = 100 * time.Millisecond
 	// failingDelay is weighed by the share of failures, so that a failing upstream is used when the others are full.
 	failingDelay = 2 * time.Second
+	// staleDelay is the wait that a request on the newest weights is worth: a fifth of a request's worth is lost on
+	// superseded ones, and more than half when it is late.
+	staleDelay = 250 * time.Millisecond
 	// fullDelay is added per request beyond the upstream's slots; the answers before it take that long each.
 	fullDelay = 40 * time.Millisecond
 )
@@ -52,8 +55,8 @@
 	// Model and Version are the weights that the request should run on; Model is empty for plain services.
 	Model   string
 	Version int64
-	// Strict forbids upstreams on older weights.
-	Strict bool
+	// Floor is the oldest version that may begin the request.
+	Floor int64
 	// Avoid are upstreams that had this request already.
 	Avoid map[string]bool
 	// Seed draws between equals.
@@ -72,22 +75,20 @@
 }
 
 // tier orders upstreams before their cost does; lower is better.
-func tier(q *Question, v *fleet.View, stale bool) int {
+func tier(v *fleet.View) int {
 	t := 0
-	if stale {
-		t++
-	}
 	if v.Switching {
-		t += 2
+		t++
 	}
 	if v.Ejected {
-		t += 4
+		t += 2
 	}
 	return t
 }
 
-// Choose returns the upstream with the least expected wait; false when none may take the request. Requests go to the
-// newest weights first, which answers rollouts under load; upstreams that fail are used only when no other is left.
+// Choose returns the upstream with the least expected wait; false when none may take the request. Requests prefer the
+// newest weights unless those engines are full, which answers rollouts under load; upstreams that fail or load weights
+// are used only when no other is left.
 func Choose(q Question, views []fleet.View, costs Costs) (Choice, bool) {
 	var best Choice
 	bestTier := -1
@@ -102,12 +103,15 @@
 			continue
 		}
 		stale := q.Model != "" && version < q.Version
-		if stale && q.Strict {
+		if version < q.Floor {
 			continue
 		}
 		best.Considered++
-		t := tier(&q, v, stale)
+		t := tier(v)
 		c := cost(&q, v, ranks[v.ID], costs)
+		if stale {
+			c += staleDelay
+		}
 		if bestTier >= 0 && (t > bestTier || t == bestTier && c >= best.Cost) {
 			continue
 		}
