Rollouts: announcements keep the time at which an instance saw them; a stopping holder finishes its rollout

Change: only seen announcements are told, the earliest seen time holds, an assumed one never replaces it; a holder goes on until it has stopped; engines no longer wait for requests 6 s after the announcement.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -315,7 +315,9 @@
 	e.deaths.Hear(now, m.Name, m.Crashers)
 	e.budget.Resize(e.exchange.Size())
 	for _, a := range m.Announced {
-		e.announced(boot-time.Duration(a.Age), a.Model, a.Version, m.Name)
+		e.announced(policy.Weights{
+			Model: a.Model, Version: a.Version, Learnt: boot - time.Duration(a.Age), Seen: true,
+		}, m.Name)
 	}
 	e.roll.hear(now, m)
 	if m.List != nil {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -83,6 +84,7 @@
 			version = e.waitWoken(ctx, version)
 			continue
 		}
+		before := e.lastConfirmed()
 		rows, confirmed, err := e.askOperators(ctx, version)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			e.log.Info("store: history lost, reading all", "for", dep.name, "after", version)
@@ -101,7 +103,11 @@
 		}
 		dep.worked()
 		for _, row := range rows.Rows {
-			e.operatorRow(row, version < 0)
+			if version < 0 {
+				e.operatorRow(row, before, false)
+			} else {
+				e.operatorRow(row, clock.Boot(), true)
+			}
 		}
 		version = max(version, rows.Version)
 		e.following.Store(true)
@@ -111,6 +117,16 @@
 	}
 }
 
+// lastConfirmed returns when the store last had nothing newer. Before the first time it is so early that announced
+// weights count as due.
+func (e *Edge) lastConfirmed() time.Duration {
+	now := clock.Boot()
+	if age, known := e.feed.Age(now); known {
+		return now - age
+	}
+	return now - e.handler.Settings.WeightsAge
+}
+
 // askOperators reads the operators' rows whole, or what changed after a version. It returns the time at which the store
 // had nothing newer.
 func (e *Edge) askOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
@@ -137,6 +153,7 @@
 		return version
 	case <-e.changed:
 	}
+	before := e.lastConfirmed()
 	rows, confirmed, err := e.askOperators(ctx, -1)
 	if err != nil {
 		e.log.Info("store: a newer document could not be read", "error", err.Error())
@@ -146,7 +163,7 @@
 		return version
 	}
 	for _, row := range rows.Rows {
-		e.operatorRow(row, false)
+		e.operatorRow(row, before, false)
 	}
 	e.feed.Confirm(confirmed)
 	return max(version, rows.Version)
@@ -158,8 +175,9 @@
 	return e.store.Get(call, table, "")
 }
 
-// operatorRow takes one of the operators' rows.
-func (e *Edge) operatorRow(row platform.Row, whole bool) {
+// operatorRow takes one of the operators' rows. Seen is when it was written at the earliest; live tells that it was
+// written just now.
+func (e *Edge) operatorRow(row platform.Row, seen time.Duration, live bool) {
 	if row.Deleted {
 		return
 	}
@@ -182,16 +200,18 @@
 	if !ok {
 		return
 	}
-	at := clock.Boot()
-	if whole {
-		// It may have been announced at any time since the last confirmation, or long before the start.
-		if age, known := e.feed.Age(at); known {
-			at -= age
-		} else {
-			at -= e.handler.Settings.WeightsAge
-		}
+	e.announced(policy.Weights{Model: model, Version: number, Learnt: seen, Seen: live}, "store")
+}
+
+// announced takes an announcement of weights.
+func (e *Edge) announced(w policy.Weights, from string) {
+	if !e.feed.Announce(w) {
+		return
 	}
-	e.announced(at, model, number, "store")
+	e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", w.Seen,
+		"age_ms", (clock.Boot() - w.Learnt).Milliseconds())
+	e.roll.wake()
+	e.exchange.Now()
 }
 
 // followList keeps the list of upstreams up to date, from the store or by the word of an instance that read it.
@@ -259,17 +279,6 @@
 	}
 }
 
-// announced takes an announcement of weights.
-func (e *Edge) announced(at time.Duration, model string, version int64, from string) {
-	if !e.feed.Announce(at, model, version) {
-		return
-	}
-	e.log.Info("weights: announced", "model", model, "version", version, "from", from,
-		"age_ms", (clock.Boot() - at).Milliseconds())
-	e.roll.wake()
-	e.exchange.Now()
-}
-
 // listRows takes rows of the list and returns what changed by them; whole tells that what it lacks is gone.
 func (e *Edge) listRows(now time.Time, rows []platform.Row, whole bool) []pulse.ListChange {
 	var entries []fleet.Entry
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -128,7 +128,7 @@
 		}
 		now := time.Now()
 		pending := r.pending(now)
-		if pending == 0 || r.edge.handler.Draining.Load() {
+		if pending == 0 || r.edge.handler.Draining.Load() && !r.holds() {
 			pendingSince = time.Time{}
 			continue
 		}
@@ -145,6 +145,13 @@
 	}
 }
 
+// holds tells whether this instance holds the lease. An instance that is about to stop goes on while it does.
+func (r *rollout) holds() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held.Holds(clock.Boot())
+}
+
 func (r *rollout) pending(now time.Time) int {
 	doc := r.edge.feed.Document()
 	if doc == nil {
--- a/internal/conf/policy/feed.go
+++ b/internal/conf/policy/feed.go
@@ -11,6 +11,8 @@
 	Version int64
 	// Learnt is when an instance learnt of the version, by this instance's clock that counts suspensions.
 	Learnt time.Duration
+	// Seen tells that an instance saw the announcement; otherwise the time is assumed, early rather than late.
+	Seen bool
 }
 
 // Feed is what this instance knows of the routing document and of announced weights. It is safe for concurrent use.
@@ -41,22 +43,25 @@
 	return true
 }
 
-// Announce records a version of a model's weights with the time it was announced, and tells whether it is new. A later
-// time for a known version, from an instance that saw the announcement, goes before an earlier one that was assumed.
-func (f *Feed) Announce(at time.Duration, model string, version int64) bool {
+// Announce records a version of a model's weights and tells whether it is new. A time that an instance saw goes before an
+// assumed one, and of two that were seen the earlier one holds.
+func (f *Feed) Announce(w Weights) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := f.weights[model]
+	all := f.weights[w.Model]
 	for i := range all {
-		if all[i].Version == version {
-			all[i].Learnt = max(all[i].Learnt, at)
-			return false
+		if all[i].Version != w.Version {
+			continue
+		}
+		if w.Seen && (!all[i].Seen || w.Learnt < all[i].Learnt) {
+			all[i] = w
 		}
+		return false
 	}
-	if newest(all).Version > version {
+	if newest(all).Version > w.Version {
 		return false
 	}
-	f.weights[model] = append(all, Weights{Model: model, Version: version, Learnt: at})
+	f.weights[w.Model] = append(all, w)
 	return true
 }
 
@@ -125,14 +130,14 @@
 	return all
 }
 
-// Recent returns the announcements that were made after a time, of all models.
+// Recent returns the announcements that were seen after a time, of all models.
 func (f *Feed) Recent(after time.Duration) []Weights {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var recent []Weights
 	for _, all := range f.weights {
 		for _, w := range all {
-			if w.Learnt > after {
+			if w.Seen && w.Learnt > after {
 				recent = append(recent, w)
 			}
 		}
--- a/internal/roll/lease/lease.go
+++ b/internal/roll/lease/lease.go
@@ -17,11 +17,11 @@
 
 const (
 	// Valid is how long after a renewal was sent its holder may give orders. Three renewals fit into it.
-	Valid = 1200 * time.Millisecond
+	Valid = 900 * time.Millisecond
 	// Renew is the pause between renewals.
-	Renew = 400 * time.Millisecond
+	Renew = 300 * time.Millisecond
 	// Margin covers an order's way and the error of the holder's idea of the store's clock.
-	Margin = 500 * time.Millisecond
+	Margin = 300 * time.Millisecond
 )
 
 // Verdict is what may be done about a lease.
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -81,6 +81,9 @@
 	// patience is how long after the announcement engines may drain by themselves. Long answers take some seconds, and
 	// the users' bound for the whole rollout is 8 s.
 	patience = 3 * time.Second
+	// urgent is how long after the announcement engines no longer wait for their requests; the users' bound for all
+	// engines is 11 s, and no request begins on superseded weights by then.
+	urgent = 6 * time.Second
 )
 
 // Move is an engine that should begin to load, and what happens to its requests.
@@ -135,7 +138,7 @@
 			return moves
 		case done < first:
 			return moves
-		case e.Running <= drained:
+		case e.Running <= drained || t.Age > urgent:
 			moves = append(moves, Move{Engine: e, Mode: Continue})
 		case t.Age > patience:
 			moves = append(moves, Move{Engine: e, Mode: Finish})
