--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -403,6 +403,8 @@
 	if e.handler.KeptStore.Swap(alive) == alive {
 		return
 	}
+	// A store that comes back comes back empty.
+	e.kept.Clear()
 	reason := ""
 	if err != nil {
 		reason = err.Error()
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -128,7 +128,9 @@
 		q.Floor = x.Feed.Floor(x.ask.Model, x.Boot()-x.Settings.WeightsAge)
 		q.Shared = x.ask.Shared()
 		q.Own = max(0, x.ask.Prompt-q.Shared)
+		q.Kept = func(version int64) bool { return x.Kept.Holds(now, x.prefix(version)) }
 		if n := len(x.ask.Parts); n > 1 {
+			q.Group = xxhash.Sum64String(x.wall() + x.ask.Parts[0].ID)
 			q.Affinity = xxhash.Sum64String(x.wall() + x.ask.Parts[n-2].ID)
 		}
 	}
@@ -136,12 +138,18 @@
 	x.last = choice
 	if ok {
 		x.Log.Info("route: placed", "id", x.ask.ID, "upstream", choice.ID, "weights", choice.Version, "newest", q.Version,
-			"floor", q.Floor, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(),
-			"running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected, "switching", choice.Switching)
+			"floor", q.Floor, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
+			"reads", choice.Reads, "running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected,
+			"switching", choice.Switching)
 	}
 	return choice, ok
 }
 
+// prefix identifies the shared parts of the prompt under the salt of a version.
+func (x *exchange) prefix(version int64) uint64 {
+	return xxhash.Sum64String(x.salt(version) + "/" + x.ask.Parts[len(x.ask.Parts)-2].ID)
+}
+
 // wall names the workspaces that may share cached prefixes with the request.
 func (x *exchange) wall() string {
 	if x.workspace != nil && x.workspace.Isolated {
@@ -176,8 +184,20 @@
 	}
 	priority = max(0, min(priorityMost, priority))
 	p.Priority = &priority
-	if kept := x.doc.KeptStore(); kept != nil && x.KeptStore.Load() && x.ask.Shared() > 0 {
-		p.FetchFrom, p.SaveTo = kept.StoreAddress, kept.StoreAddress
+	if x.ask.Shared() == 0 {
+		return p
+	}
+	kept := x.doc.KeptStore()
+	alive := kept != nil && x.KeptStore.Load()
+	saved := alive && x.Kept.Holds(now, x.prefix(choice.Version))
+	switch {
+	case saved || alive && choice.Home == "":
+		p.FetchFrom = kept.StoreAddress
+	case choice.Home != "":
+		p.FetchFrom = choice.Home
+	}
+	if alive && !saved {
+		p.SaveTo = kept.StoreAddress
 	}
 	return p
 }
@@ -187,15 +207,17 @@
 	now := time.Now()
 	x.tally.Sends++
 	x.avoid[choice.ID] = true
-	tokens := x.ask.Prompt
+	tokens := choice.Reads
 	x.Fleet.Sent(choice.ID, tokens)
 	defer func() { x.Fleet.Ended(choice.ID, tokens) }()
+	pass := x.pass(now, choice)
+	x.saving = pass.SaveTo != ""
 	reply, err := x.Pool.Send(ctx, now, link.Request{
 		Address: choice.Address,
 		Method:  x.r.Method,
 		Target:  x.r.RequestURI,
 		Host:    x.r.Host,
-		Header:  x.Dialect.Forward(x.r.Header, x.ask, x.pass(now, choice)),
+		Header:  x.Dialect.Forward(x.r.Header, x.ask, pass),
 		Body:    x.body,
 		Matches: func(h http.Header) bool { return x.Dialect.Verdict(h).ID == x.ask.ID },
 		Once:    x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/kept"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -61,6 +62,7 @@
 	Pool     *link.Pool
 	Quota    *quota.Keeper
 	Budget   *budget.Budget
+	Kept     *kept.Book
 	Crashers Crashers
 	Costs    place.Costs
 	Log      logr.Logger
@@ -100,6 +102,8 @@
 	resumed string
 	// streaming tells that the answer's head has gone to the caller.
 	streaming bool
+	// saving tells that the last send asked for its prefix to be saved to the kept store.
+	saving bool
 	// first is the time to the head of a stream.
 	first time.Duration
 	// paid tells that the next send was already decided and paid for.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -45,9 +45,7 @@
 		if !x.newer(ev.id) {
 			continue
 		}
-		if _, err := x.w.Write(ev.raw); err == nil {
-			err = http.NewResponseController(x.w).Flush()
-		} else {
+		if !x.forward(ev.raw) {
 			reply.Abort()
 			x.left()
 		}
@@ -57,6 +55,14 @@
 	}
 }
 
+// forward passes bytes on at once; false when the caller does not take them.
+func (x *exchange) forward(raw []byte) bool {
+	if _, err := x.w.Write(raw); err != nil {
+		return false
+	}
+	return http.NewResponseController(x.w).Flush() == nil
+}
+
 // begin sends the answer's head. A stream that goes on elsewhere keeps the head of its first upstream.
 func (x *exchange) begin(reply *link.Reply) {
 	if x.streaming {
@@ -86,8 +92,12 @@
 // finish ends a complete stream.
 func (x *exchange) finish(choice place.Choice, reply *link.Reply) (result, error) {
 	x.begin(reply)
-	reply.Done(time.Now())
+	now := time.Now()
+	reply.Done(now)
 	x.Fleet.Succeeded(choice.ID)
+	if x.saving {
+		x.Kept.Save(now, x.prefix(choice.Version))
+	}
 	x.log("route: answered", reply.Status, "answered", "first_ms", x.first.Milliseconds(), "last_event", x.resumed)
 	return answered, nil
 }
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -61,6 +61,8 @@
 	List *ListNews `json:"y,omitempty"`
 	// Kept says whether the store of kept KV cache answers, or nothing.
 	Kept Kept `json:"k,omitempty"`
+	// Saved are prefixes that the sender had saved to the kept store a moment ago.
+	Saved []uint64 `json:"p,omitempty"`
 	// Crashers count deaths of upstreams by the fingerprint of the request that they ran.
 	Crashers map[string]int `json:"x,omitempty"`
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -19,7 +19,7 @@
 	PerRunning time.Duration
 	// Hop is the added round trip when the upstream is in another availability zone.
 	Hop time.Duration
-	// Fetch is the time to bring one token's KV cache from the kept store, as a part of PerToken.
+	// Fetch is the time to bring one token's KV cache from elsewhere, as a part of PerToken.
 	Fetch float64
 }
 
@@ -30,8 +30,11 @@
 }
 
 const (
-	// homes is the number of engines among which a prefix is kept first.
-	homes = 2
+	// near is the divisor of the engines among which prompts with the same first part are kept. All of them need that
+	// part, so that fewer engines read it.
+	near = 3
+	// farRank is the rank from which the expected cost of a prefix that is elsewhere grows no further.
+	farRank = 4
 	// coldDelay is the expected extra wait at an upstream that has just started.
 	coldDelay = 100 * time.Millisecond
 	// failingDelay is weighed by the share of failures, so that a failing upstream is used when the others are full.
@@ -45,11 +48,14 @@
 
 // Question is one request to place.
 type Question struct {
-	// Affinity is the hash of the last shared part of the prompt with its salt; zero where there is none.
+	// Group is the hash of the first shared part of the prompt, Affinity that of the last one; zero where there is none.
+	Group    uint64
 	Affinity uint64
 	// Shared are the tokens of the shared parts, Own those of the rest of the prompt.
 	Shared int64
 	Own    int64
+	// Kept tells whether the shared parts are believed to be in the kept store for a version.
+	Kept func(version int64) bool
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Model and Version are the weights that the request should run on; Model is empty for plain services.
@@ -72,6 +78,13 @@
 	Cost time.Duration
 	// Considered is the number of upstreams that were weighed.
 	Considered int
+	// Rank is the place of the upstream among those that the prefix belongs to; zero is its home.
+	Rank int
+	// Reads is the number of prompt tokens that the engine is expected to read.
+	Reads int64
+	// Home is the address of the engine that should hold the prefix for the same weights, or "" when that is the chosen
+	// one or cannot be asked.
+	Home string
 }
 
 // tier orders upstreams before their cost does; lower is better.
@@ -92,7 +105,7 @@
 func Choose(q Question, views []fleet.View, costs Costs) (Choice, bool) {
 	var best Choice
 	bestTier := -1
-	ranks := rank(q.Affinity, views)
+	homes := rank(&q, views)
 	for i := range views {
 		v := &views[i]
 		if v.State != fleet.Ready || q.Avoid[v.ID] {
@@ -108,7 +121,9 @@
 		}
 		best.Considered++
 		t := tier(v)
-		c := cost(&q, v, ranks[v.ID], costs)
+		rank := homes.ranks[v.ID]
+		reads := reads(&q, rank, version, costs)
+		c := cost(&q, v, reads, rank, costs)
 		if stale {
 			c += staleDelay
 		}
@@ -116,14 +131,31 @@
 			continue
 		}
 		bestTier = t
-		best.View, best.Version, best.Cost = *v, version, c
+		best.View, best.Version, best.Cost, best.Rank, best.Reads = *v, version, c, rank, reads
+	}
+	if best.Rank > 0 {
+		best.Home = homes.first[best.Version]
 	}
 	return best, bestTier >= 0
 }
 
+// reads returns the tokens that an engine is expected to read; tokens that are fetched count by their part.
+func reads(q *Question, rank int, version int64, costs Costs) int64 {
+	switch {
+	case q.Shared == 0:
+		return q.Own
+	case rank == 0 && q.Kept(version):
+		return q.Own
+	case q.Kept(version):
+		return q.Own + int64(float64(q.Shared)*costs.Fetch)
+	default:
+		return q.Own + q.Shared
+	}
+}
+
 // cost returns the expected time to the first token, or to the answer of a plain service.
-func cost(q *Question, v *fleet.View, rank int, costs Costs) time.Duration {
-	c := time.Duration(v.Tokens)*costs.PerToken + time.Duration(v.Running)*costs.PerRunning
+func cost(q *Question, v *fleet.View, reads int64, rank int, costs Costs) time.Duration {
+	c := time.Duration(v.Tokens+reads)*costs.PerToken + time.Duration(v.Running)*costs.PerRunning
 	if over := v.Running - v.Slots; v.Slots > 0 && over > 0 {
 		c += time.Duration(over) * fullDelay
 	}
@@ -136,36 +168,58 @@
 	if !v.Healthy() {
 		c += time.Duration(v.Failing * float64(failingDelay))
 	}
-	read := float64(q.Own) * float64(costs.PerToken)
-	if rank > 0 {
-		read += float64(q.Shared) * float64(costs.PerToken) * costs.Fetch * (1 + float64(min(rank, 2*homes))/homes)
-	}
+	// An engine away from the home displaces other prefixes for this one.
+	away := float64(min(rank, farRank)) / farRank
+	c += time.Duration(float64(q.Shared) * float64(costs.PerToken) * costs.Fetch * away)
 	// A draw below the resolution of the estimate spreads equals.
-	draw := time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID)) % uint64(time.Millisecond/2))
-	return c + time.Duration(read) + draw
+	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(time.Millisecond/2))
 }
 
-// rank orders the upstreams for a prefix by rendezvous hashing, so that all instances choose the same homes unasked.
-func rank(affinity uint64, views []fleet.View) map[string]int {
-	if affinity == 0 {
-		return nil
-	}
-	type scored struct {
-		id    string
-		score uint64
+// belonging says which engines a prefix belongs to.
+type belonging struct {
+	// ranks are by upstream id, among the engines on the same weights.
+	ranks map[string]int
+	// first are the addresses of the homes by weights version; a home that failed lately is left out.
+	first map[int64]string
+}
+
+// scored is an engine with its hashes for a prompt.
+type scored struct {
+	view  *fleet.View
+	group uint64
+	score uint64
+}
+
+// rank orders the engines on each version for a prefix by rendezvous hashing, so that all instances choose the same homes
+// unasked, also while a rollout moves engines from one version to the next. Prompts with the same first part have their
+// homes on the same third of the engines.
+func rank(q *Question, views []fleet.View) belonging {
+	if q.Affinity == 0 {
+		return belonging{}
 	}
-	all := make([]scored, 0, len(views))
+	groups := make(map[int64][]scored)
 	for i := range views {
-		if views[i].State == fleet.Ready {
-			all = append(all, scored{views[i].ID, mix(affinity ^ xxhash.Sum64String(views[i].ID))})
+		v := &views[i]
+		if v.State == fleet.Ready {
+			version, hash := v.Weights[q.Model], xxhash.Sum64String(v.ID)
+			groups[version] = append(groups[version], scored{v, mix(q.Group ^ hash), mix(q.Affinity ^ hash)})
 		}
 	}
-	slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	ranks := make(map[string]int, len(all))
-	for i, s := range all {
-		ranks[s.id] = i
+	b := belonging{ranks: make(map[string]int, len(views)), first: make(map[int64]string, len(groups))}
+	for version, all := range groups {
+		slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.group, a.group) })
+		size := (len(all) + near - 1) / near
+		byScore := func(a, b scored) int { return cmp.Compare(b.score, a.score) }
+		slices.SortFunc(all[:size], byScore)
+		slices.SortFunc(all[size:], byScore)
+		for i, s := range all {
+			b.ranks[s.view.ID] = i
+		}
+		if home := all[0].view; !home.Ejected {
+			b.first[version] = home.Address
+		}
 	}
-	return ranks
+	return b
 }
 
 // mix is the finaliser of splitmix64.
