Routing: engines and the kept store are remembered as holders of prefixes, and prompts fetch from them

Change: instances tell each other which engine read which prefix; the choice counts what an engine holds, and an engine that lacks a prefix fetches it from one that has it.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -30,7 +30,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
-	"github.com/skylarkquay/skylarkquay/internal/route/kept"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
@@ -69,7 +69,7 @@
 	quota       *quota.Keeper
 	budget      *budget.Budget
 	deaths      *deaths.Book
-	kept        *kept.Book
+	holders     *holder.Book
 	handler     *serve.Handler
 	exchange    *pulse.Exchange
 	roll        *rollout
@@ -93,7 +93,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	e := &Edge{
 		settings: s, path: path, log: log.WithValues("instance", s.Name), dropped: dropped, incarnation: time.Now().UnixNano(),
-		feed: policy.NewFeed(), fleet: fleet.New(), quota: quota.NewKeeper(), deaths: deaths.NewBook(), kept: kept.NewBook(),
+		feed: policy.NewFeed(), fleet: fleet.New(), quota: quota.NewKeeper(), deaths: deaths.NewBook(), holders: holder.NewBook(),
 		counters: meter.NewCounters(), changed: make(chan struct{}, 1), circle: share.NewCircle(s.Peer), list: newList(),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
@@ -107,7 +107,7 @@
 			Zone: s.Zone, KeyAge: millis(s.Revocation) - keyMargin, WeightsAge: millis(s.Weights) - weightsMargin,
 		},
 		Dialect: platform.Dialect{}, Feed: e.feed, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
-		Kept: e.kept, Crashers: e.deaths, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.Boot,
+		Holders: e.holders, Crashers: e.deaths, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.Boot,
 	}
 	e.handler.KeptStore.Store(true)
 	e.roll = newRollout(e)
@@ -285,7 +285,7 @@
 	m.Used = e.quota.Used()
 	m.Loads = e.fleet.Loads()
 	m.Crashers = e.deaths.Tell(now)
-	m.Saved = e.kept.Tell(now)
+	m.Uses = e.holders.Tell(now)
 	m.Leaving = e.handler.Draining.Load() && e.handler.Open.Load() == 0
 	m.Following = e.following.Load()
 	m.List = e.list.tell(now)
@@ -316,7 +316,7 @@
 	}
 	e.fleet.PeerLoads(now, m.Name, m.Loads)
 	e.deaths.Hear(now, m.Name, m.Crashers)
-	e.kept.Hear(now, m.Saved)
+	e.holders.Hear(now, m.Uses)
 	e.budget.Resize(e.exchange.Size())
 	for _, a := range m.Announced {
 		e.announced(policy.Weights{
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
 
@@ -404,7 +405,7 @@
 		return
 	}
 	// A store that comes back comes back empty.
-	e.kept.Clear()
+	e.holders.Forget(holder.Store)
 	reason := ""
 	if err != nil {
 		reason = err.Error()
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -14,6 +14,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -126,12 +127,15 @@
 	if x.route.Language && x.ask.Model != "" {
 		q.Model, q.Version = x.ask.Model, x.Feed.Weights(x.ask.Model).Version
 		q.Floor = x.Feed.Floor(x.ask.Model, x.Boot()-x.Settings.WeightsAge)
-		q.Shared = x.ask.Shared()
-		q.Own = max(0, x.ask.Prompt-q.Shared)
-		q.Kept = func(version int64) bool { return x.Kept.Holds(now, x.prefix(version)) }
-		if n := len(x.ask.Parts); n > 1 {
-			q.Group = xxhash.Sum64String(x.wall() + x.ask.Parts[0].ID)
-			q.Affinity = xxhash.Sum64String(x.wall() + x.ask.Parts[n-2].ID)
+		q.Own = x.ask.Prompt
+		for _, part := range x.ask.Shared() {
+			q.Shared = append(q.Shared, part.Tokens)
+			q.Own = max(0, q.Own-part.Tokens)
+		}
+		q.Depths = func(version int64) map[string]int { return x.Holders.Depths(now, x.chain(version)) }
+		if shared := x.ask.Shared(); len(shared) > 0 {
+			q.Group = xxhash.Sum64String(x.wall() + shared[0].ID)
+			q.Affinity = xxhash.Sum64String(x.wall() + shared[len(shared)-1].ID)
 		}
 	}
 	choice, ok := place.Choose(q, x.Fleet.Views(now, x.service), x.Costs)
@@ -139,15 +143,23 @@
 	if ok {
 		x.Log.Info("route: placed", "id", x.ask.ID, "upstream", choice.ID, "weights", choice.Version, "newest", q.Version,
 			"floor", q.Floor, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
-			"reads", choice.Reads, "running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected,
+			"depth", choice.Depth, "source", choice.Source, "reads", choice.Reads, "running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected,
 			"switching", choice.Switching)
 	}
 	return choice, ok
 }
 
-// prefix identifies the shared parts of the prompt under the salt of a version.
-func (x *exchange) prefix(version int64) uint64 {
-	return xxhash.Sum64String(x.salt(version) + "/" + x.ask.Parts[len(x.ask.Parts)-2].ID)
+// chain identifies the shared parts of the prompt under the salt of a version, each with all before it.
+func (x *exchange) chain(version int64) []uint64 {
+	d := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = d.WriteString(x.salt(version))
+	var chain []uint64
+	for _, part := range x.ask.Shared() {
+		_, _ = d.WriteString("/" + part.ID)
+		chain = append(chain, d.Sum64())
+	}
+	return chain
 }
 
 // wall names the workspaces that may share cached prefixes with the request.
@@ -184,24 +196,46 @@
 	}
 	priority = max(0, min(priorityMost, priority))
 	p.Priority = &priority
-	if x.ask.Shared() == 0 {
-		return p
-	}
 	kept := x.doc.KeptStore()
-	alive := kept != nil && x.KeptStore.Load()
-	saved := alive && x.Kept.Holds(now, x.prefix(choice.Version))
+	if kept == nil || !x.KeptStore.Load() {
+		kept = nil
+	}
 	switch {
-	case saved || alive && choice.Home == "":
+	case choice.Source == holder.Store && kept != nil:
 		p.FetchFrom = kept.StoreAddress
-	case choice.Home != "":
-		p.FetchFrom = choice.Home
+	case choice.SourceAddress != "":
+		p.FetchFrom = choice.SourceAddress
 	}
-	if alive && !saved {
+	if kept != nil && !choice.Saved && x.sharedTokens() >= saveLeast {
 		p.SaveTo = kept.StoreAddress
 	}
 	return p
 }
 
+// saveLeast is the number of shared tokens from which a prefix is saved to the kept store; reading fewer takes an engine
+// less time than the transfer.
+const saveLeast = 1024
+
+func (x *exchange) sharedTokens() int64 {
+	sum := int64(0)
+	for _, part := range x.ask.Shared() {
+		sum += part.Tokens
+	}
+	return sum
+}
+
+// read records that an engine has read the prompt, and that it saves it when it was asked to.
+func (x *exchange) read(now time.Time, choice place.Choice) {
+	if choice.Version == 0 || len(x.ask.Shared()) == 0 {
+		return
+	}
+	chain := x.chain(choice.Version)
+	x.Holders.Used(now, holder.Use{Holder: choice.ID, Chain: chain})
+	if x.saving {
+		x.Holders.Used(now, holder.Use{Holder: holder.Store, Chain: chain})
+	}
+}
+
 // attempt sends the request to one upstream and passes the answer on when there is one.
 func (x *exchange) attempt(ctx context.Context, choice place.Choice) (result, error) {
 	now := time.Now()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -19,7 +19,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
-	"github.com/skylarkquay/skylarkquay/internal/route/kept"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -62,7 +62,7 @@
 	Pool     *link.Pool
 	Quota    *quota.Keeper
 	Budget   *budget.Budget
-	Kept     *kept.Book
+	Holders  *holder.Book
 	Crashers Crashers
 	Costs    place.Costs
 	Log      logr.Logger
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -41,6 +41,7 @@
 		if first {
 			first = false
 			x.begin(reply)
+			x.read(time.Now(), choice)
 		}
 		if !x.newer(ev.id) {
 			continue
@@ -92,12 +93,8 @@
 // finish ends a complete stream.
 func (x *exchange) finish(choice place.Choice, reply *link.Reply) (result, error) {
 	x.begin(reply)
-	now := time.Now()
-	reply.Done(now)
+	reply.Done(time.Now())
 	x.Fleet.Succeeded(choice.ID)
-	if x.saving {
-		x.Kept.Save(now, x.prefix(choice.Version))
-	}
 	x.log("route: answered", reply.Status, "answered", "first_ms", x.first.Milliseconds(), "last_event", x.resumed)
 	return answered, nil
 }
--- a/internal/front/serve/types.go
+++ b/internal/front/serve/types.go
@@ -31,13 +31,12 @@
 	LastEvent string
 }
 
-// Shared returns the tokens of the parts that other requests may share.
-func (a *Ask) Shared() int64 {
-	sum := int64(0)
-	for i := 0; i+1 < len(a.Parts); i++ {
-		sum += a.Parts[i].Tokens
+// Shared returns the parts that other requests may share.
+func (a *Ask) Shared() []Part {
+	if len(a.Parts) == 0 {
+		return nil
 	}
-	return sum
+	return a.Parts[:len(a.Parts)-1]
 }
 
 // Pass is what the system adds to a request on its way to an upstream.
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
 
 const (
@@ -61,8 +62,8 @@
 	List *ListNews `json:"y,omitempty"`
 	// Kept says whether the store of kept KV cache answers, or nothing.
 	Kept Kept `json:"k,omitempty"`
-	// Saved are prefixes that the sender had saved to the kept store a moment ago.
-	Saved []uint64 `json:"p,omitempty"`
+	// Uses are prompts that engines have read for the sender a moment ago.
+	Uses []holder.Use `json:"p,omitempty"`
 	// Crashers count deaths of upstreams by the fingerprint of the request that they ran.
 	Crashers map[string]int `json:"x,omitempty"`
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
 
 // Costs are the slopes by which the expected wait at an upstream is computed.
@@ -51,11 +52,11 @@
 	// Group is the hash of the first shared part of the prompt, Affinity that of the last one; zero where there is none.
 	Group    uint64
 	Affinity uint64
-	// Shared are the tokens of the shared parts, Own those of the rest of the prompt.
-	Shared int64
+	// Shared are the tokens of the shared parts in order, Own those of the rest of the prompt.
+	Shared []int64
 	Own    int64
-	// Kept tells whether the shared parts are believed to be in the kept store for a version.
-	Kept func(version int64) bool
+	// Depths gives how many shared parts each holder is believed to have under a version.
+	Depths func(version int64) map[string]int
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Model and Version are the weights that the request should run on; Model is empty for plain services.
@@ -82,9 +83,14 @@
 	Rank int
 	// Reads is the number of prompt tokens that the engine is expected to read.
 	Reads int64
-	// Home is the address of the engine that should hold the prefix for the same weights, or "" when that is the chosen
-	// one or cannot be asked.
-	Home string
+	// Depth is the number of shared parts that the engine is believed to hold.
+	Depth int
+	// Source is the holder from which the other shared parts can be had: an engine's id, holder.Store, or "".
+	Source string
+	// SourceAddress is the address of that engine.
+	SourceAddress string
+	// Saved tells that the store of kept KV cache is believed to hold all shared parts.
+	Saved bool
 }
 
 // tier orders upstreams before their cost does; lower is better.
@@ -105,7 +111,8 @@
 func Choose(q Question, views []fleet.View, costs Costs) (Choice, bool) {
 	var best Choice
 	bestTier := -1
-	homes := rank(&q, views)
+	ranks := rank(&q, views)
+	lookup := newLookup(&q, views)
 	for i := range views {
 		v := &views[i]
 		if v.State != fleet.Ready || q.Avoid[v.ID] {
@@ -121,9 +128,9 @@
 		}
 		best.Considered++
 		t := tier(v)
-		rank := homes.ranks[v.ID]
-		reads := reads(&q, rank, version, costs)
-		c := cost(&q, v, reads, rank, costs)
+		holds := lookup.at(version)
+		reads := holds.reads(&q, v.ID, costs)
+		c := cost(&q, v, reads, ranks[v.ID], costs)
 		if stale {
 			c += staleDelay
 		}
@@ -131,26 +138,84 @@
 			continue
 		}
 		bestTier = t
-		best.View, best.Version, best.Cost, best.Rank, best.Reads = *v, version, c, rank, reads
+		best.View, best.Version, best.Cost, best.Rank, best.Reads = *v, version, c, ranks[v.ID], reads
 	}
-	if best.Rank > 0 {
-		best.Home = homes.first[best.Version]
+	if bestTier >= 0 {
+		lookup.at(best.Version).explain(&best)
 	}
 	return best, bestTier >= 0
 }
 
+// holdings are the holders of a prompt's shared parts under one version.
+type holdings struct {
+	depths map[string]int
+	// source holds most among the engines that run the version and can be asked, or the store.
+	source  string
+	address string
+	shared  int
+}
+
+// lookup finds holdings by version, each once.
+type lookup struct {
+	q     *Question
+	views []fleet.View
+	found map[int64]*holdings
+}
+
+func newLookup(q *Question, views []fleet.View) *lookup {
+	return &lookup{q: q, views: views, found: make(map[int64]*holdings, 2)}
+}
+
+func (l *lookup) at(version int64) *holdings {
+	if h, ok := l.found[version]; ok {
+		return h
+	}
+	h := &holdings{shared: len(l.q.Shared)}
+	l.found[version] = h
+	if h.shared == 0 {
+		return h
+	}
+	h.depths = l.q.Depths(version)
+	deepest := 0
+	for i := range l.views {
+		v := &l.views[i]
+		if v.Ejected || v.Weights[l.q.Model] != version {
+			continue
+		}
+		// Equal holders are drawn, so that one does not send all.
+		if d := h.depths[v.ID]; d > deepest || d == deepest && d > 0 && mix(l.q.Seed^xxhash.Sum64String(v.ID))%2 == 0 {
+			deepest, h.source, h.address = d, v.ID, v.Address
+		}
+	}
+	// The kept store gives nothing up for seconds, so that it goes before an equal engine.
+	if d := h.depths[holder.Store]; d > 0 && d >= deepest {
+		h.source, h.address = holder.Store, ""
+	}
+	return h
+}
+
 // reads returns the tokens that an engine is expected to read; tokens that are fetched count by their part.
-func reads(q *Question, rank int, version int64, costs Costs) int64 {
-	switch {
-	case q.Shared == 0:
-		return q.Own
-	case rank == 0 && q.Kept(version):
-		return q.Own
-	case q.Kept(version):
-		return q.Own + int64(float64(q.Shared)*costs.Fetch)
-	default:
-		return q.Own + q.Shared
+func (h *holdings) reads(q *Question, id string, costs Costs) int64 {
+	reads := q.Own
+	for i, tokens := range q.Shared {
+		switch {
+		case i < h.depths[id]:
+		case i < h.depths[h.source]:
+			reads += int64(float64(tokens) * costs.Fetch)
+		default:
+			reads += tokens
+		}
 	}
+	return reads
+}
+
+// explain adds to a choice what is known of the prompt's parts.
+func (h *holdings) explain(c *Choice) {
+	c.Depth = h.depths[c.ID]
+	if h.source != c.ID && h.depths[h.source] > c.Depth {
+		c.Source, c.SourceAddress = h.source, h.address
+	}
+	c.Saved = h.shared > 0 && h.depths[holder.Store] == h.shared
 }
 
 // cost returns the expected time to the first token, or to the answer of a plain service.
@@ -170,19 +235,15 @@
 	}
 	// An engine away from the home displaces other prefixes for this one.
 	away := float64(min(rank, farRank)) / farRank
-	c += time.Duration(float64(q.Shared) * float64(costs.PerToken) * costs.Fetch * away)
+	shared := int64(0)
+	for _, tokens := range q.Shared {
+		shared += tokens
+	}
+	c += time.Duration(float64(shared) * float64(costs.PerToken) * costs.Fetch * away)
 	// A draw below the resolution of the estimate spreads equals.
 	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(time.Millisecond/2))
 }
 
-// belonging says which engines a prefix belongs to.
-type belonging struct {
-	// ranks are by upstream id, among the engines on the same weights.
-	ranks map[string]int
-	// first are the addresses of the homes by weights version; a home that failed lately is left out.
-	first map[int64]string
-}
-
 // scored is an engine with its hashes for a prompt.
 type scored struct {
 	view  *fleet.View
@@ -193,9 +254,9 @@
 // rank orders the engines on each version for a prefix by rendezvous hashing, so that all instances choose the same homes
 // unasked, also while a rollout moves engines from one version to the next. Prompts with the same first part have their
 // homes on the same third of the engines.
-func rank(q *Question, views []fleet.View) belonging {
+func rank(q *Question, views []fleet.View) map[string]int {
 	if q.Affinity == 0 {
-		return belonging{}
+		return nil
 	}
 	groups := make(map[int64][]scored)
 	for i := range views {
@@ -205,21 +266,18 @@
 			groups[version] = append(groups[version], scored{v, mix(q.Group ^ hash), mix(q.Affinity ^ hash)})
 		}
 	}
-	b := belonging{ranks: make(map[string]int, len(views)), first: make(map[int64]string, len(groups))}
-	for version, all := range groups {
+	ranks := make(map[string]int, len(views))
+	byScore := func(a, b scored) int { return cmp.Compare(b.score, a.score) }
+	for _, all := range groups {
 		slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.group, a.group) })
 		size := (len(all) + near - 1) / near
-		byScore := func(a, b scored) int { return cmp.Compare(b.score, a.score) }
 		slices.SortFunc(all[:size], byScore)
 		slices.SortFunc(all[size:], byScore)
 		for i, s := range all {
-			b.ranks[s.view.ID] = i
-		}
-		if home := all[0].view; !home.Ejected {
-			b.first[version] = home.Address
+			ranks[s.view.ID] = i
 		}
 	}
-	return b
+	return ranks
 }
 
 // mix is the finaliser of splitmix64.
