Limits: a new instance takes over the others' levels, a cut-off one goes on with its part; tests of the new decisions

Cause (property test of windows): two sides of a cut each went on with the whole level of a bucket, and instances that restarted in turn each brought half a burst: 2.70 M units in a window of 2.66 M. Change: the level is split when others fall silent; a restarted instance takes over the levels that it is told and says that it is ready 0.3 s after it has met the others.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -52,6 +52,9 @@
 	weightsMargin = 2500 * time.Millisecond
 	// readyAge is the age of the document up to which the instance says that it is ready.
 	readyAge = 2500 * time.Millisecond
+	// hearTime is how long a new instance listens to the others before it says that it is ready, so that it knows what
+	// workspaces have used of their rates.
+	hearTime = 300 * time.Millisecond
 )
 
 // Edge is one router on the platform.
@@ -83,6 +86,8 @@
 	list        *list
 	// following tells that this instance has a question for changes of the operators' rows with the store.
 	following atomic.Bool
+	// joined is when the instance had met the others, in nanoseconds of the clock that counts suspensions; zero before.
+	joined atomic.Int64
 	// asksKept tells that this instance asks the store of kept KV cache.
 	asksKept atomic.Bool
 }
@@ -221,8 +226,10 @@
 
 // ready answers the balancer.
 func (e *Edge) ready(w http.ResponseWriter, _ *http.Request) {
-	age, known := e.feed.Age(clock.Boot())
-	if e.handler.Draining.Load() || !known || e.feed.Document() == nil || !e.fleet.Listed() || age > readyAge {
+	now := clock.Boot()
+	age, known := e.feed.Age(now)
+	joined := time.Duration(e.joined.Load())
+	if e.handler.Draining.Load() || joined == 0 || now-joined < hearTime || !known || e.feed.Document() == nil || !e.fleet.Listed() || age > readyAge {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -282,7 +289,7 @@
 // Tell implements pulse.Source.
 func (e *Edge) Tell(boot time.Duration, m *pulse.Message) (time.Duration, bool) {
 	now := time.Now()
-	m.Used = e.quota.Used()
+	m.Rates = e.quota.Tell(boot)
 	m.Loads = e.fleet.Loads()
 	m.Crashers = e.deaths.Tell(now)
 	m.Uses = e.holders.Tell(now)
@@ -310,7 +317,7 @@
 func (e *Edge) Hear(boot time.Duration, m *pulse.Message, confirmed time.Duration, known bool) {
 	now := time.Now()
 	e.circle.Hear(now, m.Name, m.Following)
-	e.quota.Hear(boot, m.Name, m.Incarnation, m.Used)
+	e.quota.Hear(boot, m.Name, m.Incarnation, m.Rates)
 	if m.Leaving {
 		e.quota.Leave(m.Name)
 	}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -348,6 +348,7 @@
 			}
 		}
 		e.exchange.Now()
+		e.joined.Store(int64(clock.Boot()))
 		e.log.Info("member: joined", "instances", e.exchange.Size())
 		return
 	}
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -10,10 +10,13 @@
 
 const (
 	// startShare is the part of the burst that a bucket holds at the start of an instance. All instances may start
-	// at once right after a full burst was used; the users' slack of a tenth over eight seconds covers the rest.
+	// at once right after a full burst was used; the users' slack of a tenth over eight seconds covers the rest. An
+	// instance that starts among others takes over their lower levels within a message's time.
 	startShare = 0.25
+	// toldBelow is the part of the burst below which a bucket's level is told.
+	toldBelow = 0.9
 	// peerFresh is how long another instance counts as heard. Messages come several times a second.
-	peerFresh = 1500 * time.Millisecond
+	peerFresh = 1000 * time.Millisecond
 	// peerForgotten is how long a silent instance keeps its part of every rate. It may be cut off and admitting.
 	peerForgotten = 30 * time.Second
 )
@@ -30,10 +33,20 @@
 	limit Limit
 	level float64
 	at    time.Duration
+	// share is the part of the rate at the last look.
+	share float64
 	// used is all that this instance admitted since it started.
 	used float64
 }
 
+// Account is what an instance tells of its buckets, by workspace.
+type Account struct {
+	// Used is all that the instance admitted since it started.
+	Used map[string]float64 `json:"u,omitempty"`
+	// Levels are those of buckets that are not full.
+	Levels map[string]float64 `json:"l,omitempty"`
+}
+
 type peer struct {
 	incarnation int64
 	heard       time.Duration
@@ -45,6 +58,8 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	// met tells that another instance's levels were taken over.
+	met bool
 }
 
 // NewKeeper returns a keeper without limits.
@@ -64,7 +79,11 @@
 	for name, l := range limits {
 		b, ok := k.buckets[name]
 		if !ok {
-			k.buckets[name] = &bucket{limit: l, level: l.Burst * startShare, at: now}
+			// What others admitted of it before is in the levels that they tell next.
+			for _, p := range k.peers {
+				p.used = nil
+			}
+			k.buckets[name] = &bucket{limit: l, level: l.Burst * startShare, at: now, share: k.share(now)}
 			continue
 		}
 		k.fill(now, b)
@@ -88,9 +107,16 @@
 	return float64(heard) / float64(all)
 }
 
+// fill adds what has come back. When other instances fall silent, they may be cut off with the same level, so that this
+// one goes on with its part of it.
 func (k *Keeper) fill(now time.Duration, b *bucket) {
+	share := k.share(now)
+	if b.level > 0 && share < b.share {
+		b.level *= share / b.share
+	}
+	b.share = share
 	if passed := now - b.at; passed > 0 {
-		b.level = min(b.limit.Burst, b.level+b.limit.Rate*passed.Seconds()*k.share(now))
+		b.level = min(b.limit.Burst, b.level+b.limit.Rate*passed.Seconds()*share)
 	}
 	b.at = now
 }
@@ -125,17 +151,20 @@
 	}
 }
 
-// Used returns what this instance admitted since it started, by workspace.
-func (k *Keeper) Used() map[string]float64 {
+// Tell returns what other instances need to know.
+func (k *Keeper) Tell(now time.Duration) Account {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	used := make(map[string]float64)
+	a := Account{Used: make(map[string]float64), Levels: make(map[string]float64)}
 	for name, b := range k.buckets {
 		if b.used != 0 {
-			used[name] = b.used
+			a.Used[name] = b.used
+		}
+		if k.fill(now, b); b.level < b.limit.Burst*toldBelow {
+			a.Levels[name] = b.level
 		}
 	}
-	return used
+	return a
 }
 
 // Join records that an instance exists, heard or not.
@@ -154,8 +183,8 @@
 	delete(k.peers, name)
 }
 
-// Hear records what another incarnation of an instance has admitted since its start.
-func (k *Keeper) Hear(now time.Duration, name string, incarnation int64, used map[string]float64) {
+// Hear records what another incarnation of an instance tells.
+func (k *Keeper) Hear(now time.Duration, name string, incarnation int64, a Account) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	p, ok := k.peers[name]
@@ -166,22 +195,38 @@
 	if incarnation < p.incarnation {
 		return
 	}
-	first := p.used == nil
-	if incarnation > p.incarnation {
-		p.incarnation = incarnation
+	if p.used == nil {
+		k.meet(now, p, a)
+	}
+	if incarnation > p.incarnation && p.incarnation != 0 {
 		p.used = make(map[string]float64)
 	}
-	for workspace, total := range used {
-		b, ok := k.buckets[workspace]
-		if !ok {
-			continue
-		}
-		// What an instance admitted before it was first heard was admitted before this one's bucket began.
-		if !first {
+	p.incarnation = incarnation
+	for workspace, total := range a.Used {
+		if b, ok := k.buckets[workspace]; ok {
 			k.fill(now, b)
 			b.level -= total - p.used[workspace]
+			p.used[workspace] = total
 		}
-		p.used[workspace] = total
 	}
 	p.heard = now
 }
+
+// meet takes over the levels of an instance that is heard for the first time; what it admitted before is in them. The
+// first one goes before what this instance assumed at its start, of the others the lower level holds.
+func (k *Keeper) meet(now time.Duration, p *peer, a Account) {
+	p.used = make(map[string]float64)
+	for workspace, b := range k.buckets {
+		k.fill(now, b)
+		level, ok := a.Levels[workspace]
+		if !ok {
+			level = b.limit.Burst * toldBelow
+		}
+		if k.met {
+			level = min(b.level, level)
+		}
+		b.level = level
+		p.used[workspace] = a.Used[workspace]
+	}
+	k.met = k.met || len(k.buckets) > 0
+}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
@@ -46,8 +47,8 @@
 	Leaving bool `json:"q,omitempty"`
 	// Duty says that the sender holds the lease for rollouts.
 	Duty bool `json:"o,omitempty"`
-	// Used is what the sender admitted since its start, by workspace, in units of the workspace's rate.
-	Used map[string]float64 `json:"u,omitempty"`
+	// Rates is what the sender admitted of the workspaces' rates.
+	Rates quota.Account `json:"u"`
 	// Loads are the sender's requests on their way, by upstream.
 	Loads map[string]fleet.Load `json:"l,omitempty"`
 	// Switching are upstreams that are told to load weights.
--- /dev/null
+++ b/internal/route/place/place_test.go
@@ -0,0 +1,161 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+)
+
+func engine(id string, version int64) fleet.View {
+	return fleet.View{Entry: fleet.Entry{
+		ID: id, Address: "address of " + id, Zone: "a", State: fleet.Ready, Slots: 16, Weights: map[string]int64{"m": version},
+	}}
+}
+
+func question(depths map[string]int) Question {
+	return Question{
+		Zone: "a", Model: "m", Version: 1, Group: 11, Affinity: 7, Shared: []int64{2500, 3800}, Own: 2900,
+		Depths: func(int64) map[string]int { return depths },
+	}
+}
+
+func engines(n int, version int64) []fleet.View {
+	var views []fleet.View
+	for i := range n {
+		views = append(views, engine(fmt.Sprintf("e%02d", i), version))
+	}
+	return views
+}
+
+func TestAnEngineThatHoldsThePrefixIsChosen(t *testing.T) {
+	views := engines(6, 1)
+	choice, ok := Choose(question(map[string]int{"e03": 2}), views, DefaultCosts())
+	must.True(t, ok)
+	must.Eq(t, "e03", choice.ID)
+	must.Eq(t, 2900, choice.Reads)
+	must.Eq(t, "", choice.Source)
+}
+
+// One prefix gets much of the traffic: its holder fills up and prompts spread, fetching from the holder.
+func TestHotPrefixSpreadsAndIsFetched(t *testing.T) {
+	views := engines(6, 1)
+	views[3].Running, views[3].Tokens = 16, 30000
+	choice, ok := Choose(question(map[string]int{"e03": 2}), views, DefaultCosts())
+	must.True(t, ok)
+	must.NotEq(t, "e03", choice.ID)
+	must.Eq(t, "e03", choice.Source)
+	must.Eq(t, "address of e03", choice.SourceAddress)
+}
+
+func TestTheKeptStoreGoesBeforeAnEqualEngine(t *testing.T) {
+	views := engines(6, 1)
+	views[3].Running, views[3].Tokens = 16, 30000
+	choice, _ := Choose(question(map[string]int{"e03": 2, holder.Store: 2}), views, DefaultCosts())
+	must.Eq(t, holder.Store, choice.Source)
+	must.True(t, choice.Saved)
+}
+
+func TestColdPrefixHasTheSameHomeEverywhere(t *testing.T) {
+	first, _ := Choose(question(nil), engines(12, 1), DefaultCosts())
+	must.Eq(t, 0, first.Rank)
+	for seed := range uint64(20) {
+		q := question(nil)
+		q.Seed = seed
+		choice, _ := Choose(q, engines(12, 1), DefaultCosts())
+		must.Eq(t, first.ID, choice.ID)
+	}
+}
+
+// A rollout under load: prompts prefer the newest weights until those engines are full.
+func TestNewestWeightsArePreferredUntilTheyAreFull(t *testing.T) {
+	views := append(engines(1, 2), engine("old", 1))
+	q := question(nil)
+	q.Version = 2
+	choice, _ := Choose(q, views, DefaultCosts())
+	must.Eq(t, 2, choice.Version)
+	views[0].Running, views[0].Tokens = 16, 40000
+	choice, _ = Choose(q, views, DefaultCosts())
+	must.Eq(t, 1, choice.Version)
+	q.Floor = 2
+	choice, _ = Choose(q, views, DefaultCosts())
+	must.Eq(t, 2, choice.Version)
+}
+
+func TestFailedEnginesAreUsedOnlyWhenNoOtherIsLeft(t *testing.T) {
+	views := engines(2, 1)
+	views[0].Ejected = true
+	views[1].Tokens = 1 << 20
+	choice, _ := Choose(question(nil), views, DefaultCosts())
+	must.Eq(t, "e01", choice.ID)
+	views[1].Ejected = true
+	_, ok := Choose(question(nil), views, DefaultCosts())
+	must.True(t, ok)
+}
+
+func TestAFailingUpstreamIsUsedWhenTheOthersAreFull(t *testing.T) {
+	views := []fleet.View{engine("good", 0), engine("grey", 0)}
+	views[1].Failing = 0.4
+	q := Question{Zone: "a"}
+	choice, _ := Choose(q, views, DefaultCosts())
+	must.Eq(t, "good", choice.ID)
+	views[0].Running = 60
+	choice, _ = Choose(q, views, DefaultCosts())
+	must.Eq(t, "grey", choice.ID)
+}
+
+func TestChooseKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var views []fleet.View
+		for i := range rapid.IntRange(0, 8).Draw(t, "engines") {
+			v := engine(fmt.Sprint(i), rapid.Int64Range(0, 4).Draw(t, "version"))
+			v.Running = rapid.IntRange(0, 40).Draw(t, "running")
+			v.Tokens = rapid.Int64Range(0, 1<<18).Draw(t, "tokens")
+			v.Ejected = rapid.Bool().Draw(t, "ejected")
+			v.Switching = rapid.Bool().Draw(t, "switching")
+			if rapid.Bool().Draw(t, "draining") {
+				v.State = fleet.Draining
+			}
+			views = append(views, v)
+		}
+		q := question(map[string]int{"0": rapid.IntRange(0, 2).Draw(t, "depth")})
+		q.Version = 4
+		q.Floor = rapid.Int64Range(0, 4).Draw(t, "floor")
+		q.Avoid = map[string]bool{fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "avoid")): true}
+		choice, ok := Choose(q, views, DefaultCosts())
+		usable, sound := 0, 0
+		for _, v := range views {
+			if v.State == fleet.Ready && !q.Avoid[v.ID] && v.Weights["m"] > 0 && v.Weights["m"] >= q.Floor {
+				usable++
+				if !v.Ejected {
+					sound++
+				}
+			}
+		}
+		must.Eq(t, usable > 0, ok)
+		if !ok {
+			return
+		}
+		must.Eq(t, fleet.Ready, choice.State)
+		must.False(t, q.Avoid[choice.ID])
+		must.GreaterEq(t, q.Floor, choice.Version)
+		must.Eq(t, choice.Weights["m"], choice.Version)
+		must.Eq(t, sound > 0, !choice.Ejected)
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{18, 90} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			views := engines(n, 1)
+			q := question(map[string]int{"e03": 2})
+			for b.Loop() {
+				Choose(q, views, DefaultCosts())
+			}
+		})
+	}
+}
