--- a/internal/front/serve/decide.go
+++ b/internal/front/serve/decide.go
@@ -72,11 +72,11 @@
 	may := left > leftLeast && t.Sends < sendsMost
 	switch r {
 	case unsent:
-		if may {
+		if may && (repeatable || t.Ran == 0) {
 			return again
 		}
 	case notRun:
-		if may && affordable() {
+		if may && (repeatable || t.Ran == 0) && affordable() {
 			return again
 		}
 	case failed:
--- /dev/null
+++ b/internal/peer/share/share_test.go
@@ -0,0 +1,39 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestRankCountsThoseHeardLately(t *testing.T) {
+	c := NewCircle("b")
+	c.Hear(start, "a", false)
+	c.Hear(start, "c", false)
+	must.Eq(t, 1, c.Rank(start))
+	must.Eq(t, 0, c.Rank(start.Add(fresh)))
+}
+
+// The instance that follows freezes: the next one follows within the time that the messages allow.
+func TestFollow(t *testing.T) {
+	c := NewCircle("b")
+	must.True(t, c.Follow(start))
+	c.Hear(start, "a", true)
+	c.Hear(start, "c", true)
+	must.False(t, c.Follow(start))
+	must.True(t, c.Follow(start.Add(followerFresh)))
+	c.Hear(start, "a", false)
+	must.True(t, c.Follow(start))
+}
+
+func TestDueGrowsWithTheRank(t *testing.T) {
+	must.Eq(t, time.Second, Due(0, time.Second))
+	must.Greater(t, Due(0, time.Second)+takeOver, Due(1, time.Second))
+	must.Greater(t, Due(1, time.Second), Due(2, time.Second))
+	must.Eq(t, Due(rankMost, time.Second), Due(100, time.Second))
+	// The list must be younger than the shortest bound on draining, two seconds, when the first two readers fail.
+	must.Less(t, 2*time.Second, Due(2, 600*time.Millisecond))
+}
