--- /dev/null
+++ b/internal/app/edge/edge_test.go
@@ -0,0 +1,493 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/skylarkquay/skylarkquay/platform/stand"
+)
+
+// router is one running edge.
+type router struct {
+	*Edge
+	stop context.CancelFunc
+	done chan error
+}
+
+// ports returns free ports; the listener is closed right before the router opens it.
+func port(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func settings(t *testing.T, s *stand.Site) Settings {
+	return Settings{
+		Name: "router", Zone: "a", Listen: port(t), Ready: port(t), Peer: port(t), Metrics: port(t), Store: s.StoreAddr,
+		MemoryMB: 500, Grace: 2, Revocation: 5000, Weights: 8000, Turn: 300, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10,
+		Level: "info",
+	}
+}
+
+func start(t *testing.T, set Settings) *router {
+	t.Helper()
+	e, err := New(set, "", logr.Discard(), func() int64 { return 0 })
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &router{Edge: e, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- e.Run(ctx) }()
+	t.Cleanup(func() { r.halt(t) })
+	return r
+}
+
+func (r *router) halt(t *testing.T) {
+	r.stop()
+	if r.done != nil {
+		must.NoError(t, <-r.done)
+		r.done = nil
+	}
+}
+
+func (r *router) isReady() bool {
+	resp, err := http.Get("http://" + r.settings.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(20*time.Second), wait.Gap(20*time.Millisecond), wait.BoolFunc(f)), must.Sprint(what))
+}
+
+func site(t *testing.T, engines, jobs int) *stand.Site {
+	t.Helper()
+	s, err := stand.NewSite(engines, jobs)
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// begin starts a site with one router that is ready.
+func begin(t *testing.T, engines, jobs int) (*stand.Site, *router) {
+	t.Helper()
+	s := site(t, engines, jobs)
+	r := start(t, settings(t, s))
+	eventually(t, "ready", r.isReady)
+	return s, r
+}
+
+var ids atomic.Int64
+
+func call(method, path string) stand.Call {
+	return stand.Call{Method: method, Path: path, ID: fmt.Sprintf("%08x", ids.Add(1)), Key: stand.Key, Deadline: 5000}
+}
+
+func prompt(path string) stand.Call {
+	c := call(http.MethodPost, path)
+	c.Prompt, c.Body = 1000, "a prompt"
+	return c
+}
+
+func (r *router) ask(t *testing.T, c stand.Call) stand.Reply {
+	t.Helper()
+	reply, err := stand.Ask(context.Background(), r.settings.Listen, c)
+	must.NoError(t, err)
+	return reply
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestWholePath(t *testing.T) {
+	s, r := begin(t, 2, 2)
+	c := call(http.MethodPost, "/book/visit?day=2")
+	c.Body = "a booking"
+	reply := r.ask(t, c)
+	must.Eq(t, http.StatusOK, reply.Status)
+	must.True(t, reply.Signed)
+	must.Eq(t, "POST a booking", reply.Body)
+	runs := append(s.Jobs[0].Runs(), s.Jobs[1].Runs()...)
+	must.SliceLen(t, 1, runs)
+	must.Eq(t, "acme", runs[0].Workspace)
+	must.Eq(t, "/book/visit?day=2", runs[0].Path)
+	must.Eq(t, "", runs[0].Header.Get("Authorization"))
+
+	reply = r.ask(t, prompt("/quote/1"))
+	must.Eq(t, http.StatusOK, reply.Status)
+	must.Eq(t, events(1, 5), reply.Body)
+}
+
+func TestWhatACallerSetsForTheSystemGoesNowhere(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	c := prompt("/brief/1")
+	c.Header = http.Header{
+		"X-Tenant": {"another"}, "X-Cache-Salt": {"mine"}, "X-Hold": {"1"}, "Kv-From": {"1"}, "X-Request-Priority": {"0"},
+		"X-Echo": {"kept", "with " + stand.Key}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
+	}
+	must.Eq(t, http.StatusOK, r.ask(t, c).Status)
+	run := s.Engines[0].Runs()[0]
+	must.Eq(t, "acme", run.Workspace)
+	must.NotEq(t, "mine", run.Salt)
+	must.Eq(t, []string{"kept"}, run.Header.Values("X-Echo"))
+	for _, name := range []string{"X-Hold", "Kv-From", "X-Hop"} {
+		must.Eq(t, "", run.Header.Get(name))
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	for _, c := range []struct {
+		name   string
+		change func(*stand.Call)
+		want   int
+	}{
+		{"unknown key", func(c *stand.Call) { c.Key = "other" }, http.StatusUnauthorized},
+		{"no key", func(c *stand.Call) { c.Key = "" }, http.StatusUnauthorized},
+		{"unknown route", func(c *stand.Call) { c.Path = "/nowhere/" }, http.StatusNotFound},
+		{"no id", func(c *stand.Call) { c.ID = "" }, http.StatusBadRequest},
+		{"two ids", func(c *stand.Call) { c.Header = http.Header{stand.HeaderID: {"1", "2"}}; c.ID = "" }, http.StatusBadRequest},
+		{"spoilt deadline", func(c *stand.Call) { c.Deadline = 0; c.Header = http.Header{stand.HeaderDeadline: {"soon"}} }, http.StatusBadRequest},
+		{"long body", func(c *stand.Call) { c.Body = strings.Repeat("x", 70000) }, http.StatusRequestEntityTooLarge},
+		{"long header", func(c *stand.Call) { c.Header = http.Header{"X-Long": {strings.Repeat("x", 20000)}} }, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		sent := call(http.MethodPost, "/book/1")
+		c.change(&sent)
+		must.Eq(t, c.want, r.ask(t, sent).Status, must.Sprint(c.name))
+	}
+	must.SliceEmpty(t, s.Jobs[0].Runs())
+	open := call(http.MethodGet, "/open/1")
+	open.Key = ""
+	must.Eq(t, http.StatusOK, r.ask(t, open).Status)
+	must.Eq(t, "", s.Jobs[0].Runs()[0].Workspace)
+}
+
+func TestBookingsRunOnce(t *testing.T) {
+	s, r := begin(t, 1, 2)
+	for _, u := range s.Jobs {
+		u.Set(stand.Faults{Crash: true})
+	}
+	must.Eq(t, http.StatusBadGateway, r.ask(t, call(http.MethodPost, "/book/1")).Status)
+	must.SliceLen(t, 1, append(s.Jobs[0].Runs(), s.Jobs[1].Runs()...))
+}
+
+func TestDeclinedBookingsGoElsewhereOrComeBack(t *testing.T) {
+	s, r := begin(t, 1, 2)
+	s.Jobs[0].Set(stand.Faults{Shed: true})
+	for range 4 {
+		must.Eq(t, http.StatusOK, r.ask(t, call(http.MethodPost, "/book/1")).Status)
+	}
+	s.Jobs[1].Set(stand.Faults{Shed: true})
+	reply := r.ask(t, call(http.MethodPost, "/book/1"))
+	must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+	must.NotEq(t, "", reply.Header.Get("Retry-After"))
+	must.SliceLen(t, 4, s.Jobs[1].Runs())
+}
+
+func TestLookUpsAreTriedAgain(t *testing.T) {
+	s, r := begin(t, 1, 2)
+	s.Jobs[0].Set(stand.Faults{Fail: true})
+	for range 4 {
+		must.Eq(t, http.StatusOK, r.ask(t, call(http.MethodGet, "/look/1")).Status)
+	}
+	s.Jobs[1].Set(stand.Faults{Fail: true})
+	reply := r.ask(t, call(http.MethodGet, "/look/1"))
+	must.Eq(t, http.StatusInternalServerError, reply.Status)
+	must.True(t, reply.Signed)
+}
+
+func TestUnsignedAnswersAreNoSuccess(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	s.Jobs[0].Set(stand.Faults{Unsigned: true})
+	must.Eq(t, http.StatusBadGateway, r.ask(t, call(http.MethodPost, "/book/1")).Status)
+}
+
+// A resumable stream goes on elsewhere behind the last whole event; another one is cut so that it does not look complete.
+func TestStreamsThatBreakOff(t *testing.T) {
+	s, r := begin(t, 2, 1)
+	s.Engines[0].Set(stand.Faults{CutAfter: 2})
+	s.Engines[1].Set(stand.Faults{CutAfter: 2})
+	reply := r.ask(t, prompt("/brief/1"))
+	must.False(t, reply.Whole)
+	must.Eq(t, events(1, 2), reply.Body)
+
+	for _, broken := range []int{0, 1} {
+		s.Engines[broken].Set(stand.Faults{CutAfter: 2})
+		s.Engines[1-broken].Set(stand.Faults{})
+		reply := r.ask(t, prompt("/quote/1"))
+		must.True(t, reply.Whole)
+		must.Eq(t, events(1, 5), reply.Body)
+	}
+}
+
+func TestWorkspacesStayWithinTheirRate(t *testing.T) {
+	s := site(t, 1, 1)
+	s.Rate, s.Burst = 10, 3000
+	s.Publish()
+	r := start(t, settings(t, s))
+	eventually(t, "ready", r.isReady)
+	counts := map[int]int{}
+	for range 8 {
+		counts[r.ask(t, prompt("/brief/1")).Status]++
+	}
+	must.MapContainsKey(t, counts, http.StatusTooManyRequests)
+	must.LessEq(t, 3, counts[http.StatusOK])
+	walled := prompt("/brief/1")
+	walled.Key = stand.WalledKey
+	must.Eq(t, http.StatusOK, r.ask(t, walled).Status)
+}
+
+func TestWalledWorkspacesShareNoPrefix(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	walled := prompt("/brief/1")
+	walled.Key = stand.WalledKey
+	r.ask(t, prompt("/brief/1"))
+	r.ask(t, prompt("/brief/1"))
+	r.ask(t, walled)
+	runs := s.Engines[0].Runs()
+	must.Eq(t, runs[0].Salt, runs[1].Salt)
+	must.NotEq(t, runs[0].Salt, runs[2].Salt)
+}
+
+func TestChangesOfTheDocument(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	s.NoLook = true
+	s.Publish()
+	eventually(t, "route is gone", func() bool {
+		return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusNotFound
+	})
+	s.SpoilDocument()
+	s.NoLook = false
+	s.Keys = []string{"new key"}
+	must.Eq(t, http.StatusOK, r.ask(t, call(http.MethodPost, "/book/1")).Status)
+	s.Publish()
+	eventually(t, "key is withdrawn", func() bool {
+		return r.ask(t, call(http.MethodPost, "/book/1")).Status == http.StatusUnauthorized
+	})
+	c := call(http.MethodGet, "/look/1")
+	c.Key = "new key"
+	must.Eq(t, http.StatusOK, r.ask(t, c).Status)
+}
+
+func TestLostHistoryIsReadWhole(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	s.NoLook = true
+	s.Publish()
+	s.Store.Compact()
+	eventually(t, "route is gone", func() bool {
+		return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusNotFound
+	})
+}
+
+// Without the store keys are trusted for a while, then requests are refused as not run until it is back.
+func TestKeysWithoutTheStore(t *testing.T) {
+	for _, fault := range []stand.Fault{stand.Busy, stand.Silent, stand.LoseAnswers} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			s := site(t, 1, 1)
+			set := settings(t, s)
+			set.Revocation = 2500
+			r := start(t, set)
+			eventually(t, "ready", r.isReady)
+			s.Store.Set(fault)
+			must.Eq(t, http.StatusOK, r.ask(t, call(http.MethodPost, "/book/1")).Status)
+			var reply stand.Reply
+			eventually(t, "refused", func() bool {
+				reply = r.ask(t, call(http.MethodPost, "/book/1"))
+				return reply.Status == http.StatusServiceUnavailable
+			})
+			must.NotEq(t, "", reply.Header.Get("Retry-After"))
+			open := call(http.MethodGet, "/open/1")
+			open.Key = ""
+			must.Eq(t, http.StatusOK, r.ask(t, open).Status)
+			s.Store.Set(stand.Sound)
+			eventually(t, "served again", func() bool { return r.ask(t, call(http.MethodPost, "/book/1")).Status == http.StatusOK })
+		})
+	}
+}
+
+func TestARouterWithoutADocumentSaysComeBack(t *testing.T) {
+	s := site(t, 1, 1)
+	s.Store.Set(stand.Busy)
+	r := start(t, settings(t, s))
+	eventually(t, "listening", func() bool {
+		_, err := stand.Ask(context.Background(), r.settings.Listen, call(http.MethodPost, "/book/1"))
+		return err == nil
+	})
+	must.False(t, r.isReady())
+	must.Eq(t, http.StatusServiceUnavailable, r.ask(t, call(http.MethodPost, "/nowhere/1")).Status)
+}
+
+func TestLeavingUpstreamsGetNothingNew(t *testing.T) {
+	s, r := begin(t, 1, 2)
+	s.List(s.Jobs[0], "draining")
+	s.Unlist(s.Jobs[1])
+	eventually(t, "nobody left", func() bool {
+		return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusServiceUnavailable
+	})
+	s.List(s.Jobs[1], "ready")
+	eventually(t, "back", func() bool { return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusOK })
+}
+
+func TestSpoiltEntriesNameNoUpstream(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	for id, text := range map[string]string{
+		"a": "{", "b": "[]", "c": `{"Service":7}`, "d": `{"Service":"jobs","Address":"nowhere","Zone":"a","State":"ready","Slots":1}`,
+		"e": `{"Service":"jobs","Address":"127.0.0.1:1","Zone":"a","State":"asleep","Slots":1}`, "f": "\xff\xfe",
+	} {
+		s.Spoil(id, text)
+	}
+	s.List(s.Jobs[0], "draining")
+	eventually(t, "the rest holds", func() bool {
+		return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusServiceUnavailable
+	})
+	must.Eq(t, http.StatusOK, r.ask(t, prompt("/brief/1")).Status)
+}
+
+// Several routers bring the engines to the newest version; orders come from one at a time, and no request runs on weights
+// under another version's salt.
+func TestRollout(t *testing.T) {
+	s := site(t, 5, 1)
+	var routers []*router
+	for range 3 {
+		routers = append(routers, start(t, settings(t, s)))
+	}
+	for _, r := range routers {
+		eventually(t, "ready", r.isReady)
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var failed atomic.Int64
+	for _, r := range routers {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				reply, err := stand.Ask(context.Background(), r.settings.Listen, prompt("/quote/1"))
+				if err != nil || reply.Status != http.StatusOK || reply.Body != events(1, 5) {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	for version := range int64(3) {
+		s.Announce(version + 2)
+		time.Sleep(150 * time.Millisecond)
+	}
+	eventually(t, "all engines loaded", func() bool {
+		for _, u := range s.Engines {
+			if u.Version() != 4 {
+				return false
+			}
+		}
+		return true
+	})
+	close(stop)
+	callers.Wait()
+	must.Eq(t, 0, failed.Load())
+	salts := map[string]int64{}
+	for _, u := range s.Engines {
+		last := stand.Order{}
+		for _, o := range u.Orders() {
+			must.GreaterEq(t, last.Version, o.Version)
+			must.GreaterEq(t, last.Token, o.Token)
+			if last.Holder != "" && o.Holder != last.Holder {
+				must.GreaterEq(t, 300*time.Millisecond, o.At.Sub(last.At))
+			}
+			last = o
+		}
+		for _, run := range u.Runs() {
+			if version, ok := salts[run.Salt]; ok {
+				must.Eq(t, version, run.Version)
+			}
+			salts[run.Salt] = run.Version
+		}
+	}
+}
+
+// A planned stop cuts no request: those in progress end, new ones on kept connections are told to close.
+func TestPlannedStop(t *testing.T) {
+	s, r := begin(t, 1, 1)
+	s.Engines[0].Pause = 100 * time.Millisecond
+	got := make(chan stand.Reply, 1)
+	go func() {
+		reply, err := stand.Ask(context.Background(), r.settings.Listen, prompt("/brief/1"))
+		if err != nil {
+			reply.Body = err.Error()
+		}
+		got <- reply
+	}()
+	eventually(t, "the stream runs", func() bool { return len(s.Engines[0].Runs()) == 1 })
+	r.stop()
+	eventually(t, "not ready", func() bool { return !r.isReady() })
+	must.Eq(t, events(1, 5), (<-got).Body)
+	must.NoError(t, <-r.done)
+	r.done = nil
+}
+
+func TestInstancesShareOneReader(t *testing.T) {
+	s := site(t, 1, 1)
+	var routers []*router
+	for range 3 {
+		routers = append(routers, start(t, settings(t, s)))
+	}
+	for _, r := range routers {
+		eventually(t, "ready", r.isReady)
+	}
+	eventually(t, "one follows", func() bool {
+		n := 0
+		for _, r := range routers {
+			if r.following.Load() {
+				n++
+			}
+		}
+		return n == 1
+	})
+	s.NoLook = true
+	s.Publish()
+	s.List(s.Engines[0], "draining")
+	for _, r := range routers {
+		eventually(t, "all know", func() bool {
+			return r.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusNotFound &&
+				r.ask(t, prompt("/brief/1")).Status == http.StatusServiceUnavailable
+		})
+	}
+}
+
+func TestMetrics(t *testing.T) {
+	_, r := begin(t, 1, 1)
+	r.ask(t, call(http.MethodPost, "/book/1"))
+	eventually(t, "counted", func() bool {
+		resp, err := http.Get("http://" + r.settings.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body := make([]byte, 1<<16)
+		n, _ := resp.Body.Read(body)
+		return strings.Contains(string(body[:n]), `skylarkquay_requests{kind="non_idempotent",outcome="answered"} 1`)
+	})
+}
