--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -99,7 +99,7 @@
 	e := &Edge{
 		settings: s, path: path, log: log.WithValues("instance", s.Name), dropped: dropped, incarnation: time.Now().UnixNano(),
 		feed: policy.NewFeed(), fleet: fleet.New(), quota: quota.NewKeeper(), deaths: deaths.NewBook(), holders: holder.NewBook(),
-		counters: meter.NewCounters(), changed: make(chan struct{}, 1), circle: share.NewCircle(s.Peer), list: newList(),
+		counters: meter.NewCounters(), changed: make(chan struct{}, 1), circle: share.NewCircle(share.Order(s.size(), s.Peer)), list: newList(),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closer = scope, closer.Close
@@ -120,11 +120,16 @@
 		return nil, err
 	}
 	e.exchange = pulse.New(pulse.Settings{
-		Conn: e.socket, Name: s.Peer, Incarnation: e.incarnation, Clock: clock.Boot, Source: e, Sink: e, Log: e.log,
+		Conn: e.socket, Node: e.node(), Incarnation: e.incarnation, Clock: clock.Boot, Source: e, Sink: e, Log: e.log,
 	})
 	return e, nil
 }
 
+// node is this instance as others address it.
+func (e *Edge) node() pulse.Node {
+	return pulse.Node{Name: e.settings.Peer, Zone: e.settings.Zone, Size: e.settings.size()}
+}
+
 func (e *Edge) count(name, call string) {
 	e.metrics.Tagged(map[string]string{"call": call}).Counter(name).Inc(1)
 }
@@ -158,7 +163,7 @@
 	if service == nil || service.MaxConns == 0 {
 		return 0
 	}
-	return max(2, service.MaxConns*4/5/e.exchange.Size())
+	return max(2, service.MaxConns*4/5/e.exchange.Count())
 }
 
 // Run serves until the context ends, then stops in order.
@@ -254,6 +259,7 @@
 		}
 		now := time.Now()
 		e.pool.Sweep(now)
+		e.quota.Cover(e.exchange.Cover())
 		for _, id := range e.fleet.Expire(now) {
 			e.log.Info("list: upstream did not come back with the store", "upstream", id)
 		}
@@ -294,7 +300,7 @@
 	m.Crashers = e.deaths.Tell(now)
 	m.Uses = e.holders.Tell(now)
 	m.Leaving = e.handler.Draining.Load() && e.handler.Open.Load() == 0
-	m.Following = e.following.Load()
+	m.Following = e.following.Load() || !e.circle.Follow(now)
 	m.List = e.list.tell(now)
 	if e.asksKept.Load() {
 		m.Kept = pulse.KeptDown
@@ -316,15 +322,15 @@
 // Hear implements pulse.Sink.
 func (e *Edge) Hear(boot time.Duration, m *pulse.Message, confirmed time.Duration, known bool) {
 	now := time.Now()
-	e.circle.Hear(now, m.Name, m.Following)
-	e.quota.Hear(boot, m.Name, m.Incarnation, m.Rates)
+	e.circle.Hear(now, share.Order(m.Size, m.Name), m.Following)
+	e.quota.Hear(boot, m.Name+string(m.Kind), m.Incarnation, m.Rates)
 	if m.Leaving {
 		e.quota.Leave(m.Name)
 	}
 	e.fleet.PeerLoads(now, m.Name, m.Loads)
 	e.deaths.Hear(now, m.Name, m.Crashers)
 	e.holders.Hear(now, m.Uses)
-	e.budget.Resize(e.exchange.Size())
+	e.budget.Resize(e.exchange.Count())
 	for _, a := range m.Announced {
 		e.announced(policy.Weights{
 			Model: a.Model, Version: a.Version, Learnt: boot - time.Duration(a.Age), Seen: true,
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -78,7 +78,9 @@
 func (r *rollout) tell(now time.Time, m *pulse.Message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m.Duty = r.held.Holds(clock.Boot())
+	if r.held.Holds(clock.Boot()) {
+		m.Duty = r.edge.settings.Peer
+	}
 	for id, p := range r.progress {
 		if !p.Started.IsZero() {
 			m.Switching = append(m.Switching, id)
@@ -102,12 +104,12 @@
 	for _, l := range m.Loaded {
 		r.edge.fleet.Loaded(now, l.Upstream, l.Model, l.Version)
 	}
-	if !m.Duty {
+	if m.Duty == "" || m.Duty == r.edge.settings.Peer {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.duty, r.dutyName = now, m.Name
+	r.duty, r.dutyName = now, m.Duty
 }
 
 // switchingHeard is how long an engine is avoided after the word that it loads; the word comes several times a second.
--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -26,6 +26,10 @@
 	Store string `yaml:"store" validate:"required,hostname_port"`
 	// MemoryMB bounds the process.
 	MemoryMB int64 `yaml:"memory" validate:"gt=0"`
+	// Cores and Link are the machine's share of processors and its link in Mbit/s; instances with more of both take duties
+	// for others first.
+	Cores float64 `yaml:"cores" validate:"gt=0"`
+	Link  float64 `yaml:"link" validate:"gt=0"`
 	// Grace is the time between the signal to stop and the kill, in seconds.
 	Grace float64 `yaml:"grace" validate:"gt=0"`
 	// Revocation is the bound after which a withdrawn key must not work.
@@ -58,6 +62,9 @@
 	return s, nil
 }
 
+// size is what the machine can bear: the lesser of its processor in thousandths and its link in tenths of Mbit/s.
+func (s *Settings) size() int { return int(min(s.Cores*1000, s.Link*10)) }
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if x.r.Context().Err() != nil {
-		x.left()
+		x.abandon()
 		return
 	}
 	x.refuse(fault.Later(fault.NoUpstream, comeBackSoon, "%s", err))
@@ -90,11 +90,15 @@
 // lose answers a request whose outcome is not known, or cuts its stream.
 func (x *exchange) lose(ctx context.Context, err error) {
 	if x.r.Context().Err() != nil {
-		x.left()
+		x.abandon()
 		return
 	}
 	if x.streaming {
-		x.log("route: cut", http.StatusOK, "cut", "reason", text(err))
+		reason := text(err)
+		if ctx.Err() != nil {
+			reason = "the time was up"
+		}
+		x.log("route: cut", http.StatusOK, "cut", "reason", reason)
 		panic(http.ErrAbortHandler)
 	}
 	if ctx.Err() != nil && x.tally.Ran == 0 {
@@ -115,8 +119,8 @@
 	return err.Error()
 }
 
-// left notes that the caller has gone.
-func (x *exchange) left() {
+// abandon notes that the caller has gone.
+func (x *exchange) abandon() {
 	x.log("route: caller left", 0, "left")
 	panic(http.ErrAbortHandler)
 }
@@ -340,7 +344,7 @@
 // note logs a send that brought no answer.
 func (x *exchange) note(r result, choice place.Choice, err error) {
 	x.Log.Info("route: send brought no answer", "id", x.ask.ID, "upstream", choice.ID, "result", string(r), "error", text(err),
-		"sends", x.tally.Sends, "ran", x.tally.Ran, "left_ms", time.Until(x.ends).Milliseconds())
+		"sends", x.tally.Sends, "ran", x.tally.Ran, "left_ms", x.left().Milliseconds())
 }
 
 // whole reads an answer to its end before any of it goes to the caller, so that one that breaks off can be had elsewhere.
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -290,6 +290,14 @@
 	x.log("route: refused", a.Status, string(e.Kind), "reason", e.Message)
 }
 
+// left returns the time in which the caller is owed a final answer; zero before that is known.
+func (x *exchange) left() time.Duration {
+	if x.ends.IsZero() {
+		return 0
+	}
+	return time.Until(x.ends)
+}
+
 // log writes the line of a finished request and counts it.
 func (x *exchange) log(text string, status int, outcome string, more ...any) {
 	took := time.Since(x.started)
@@ -307,7 +315,7 @@
 	fields := []any{
 		"id", x.ask.ID, "status", status, "outcome", outcome, "route", route, "workspace", workspace, "revision", revision,
 		"confirmed_ms", x.age.Milliseconds(), "upstream", x.last.ID, "weights", x.last.Version, "sends", x.tally.Sends,
-		"ran", x.tally.Ran, "left_ms", time.Until(x.ends).Milliseconds(), "took_ms", took.Milliseconds(),
+		"ran", x.tally.Ran, "left_ms", x.left().Milliseconds(), "took_ms", took.Milliseconds(),
 	}
 	x.Log.Info(text, append(fields, more...)...)
 	scope := x.Metrics.Tagged(map[string]string{"outcome": outcome, "kind": kind})
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -48,7 +48,7 @@
 		}
 		if !x.forward(ev.raw) {
 			reply.Abort()
-			x.left()
+			x.abandon()
 		}
 		if ev.id != "" {
 			x.resumed = ev.id
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -60,6 +60,8 @@
 	peers   map[string]*peer
 	// met tells that another instance's levels were taken over.
 	met bool
+	// heard and known are the instances that are covered by what is heard, in sites where not all tell each other.
+	heard, known int
 }
 
 // NewKeeper returns a keeper without limits.
@@ -94,6 +96,9 @@
 
 // share is the part of every rate that this instance and those it hears may use.
 func (k *Keeper) share(now time.Duration) float64 {
+	if k.known > 0 {
+		return float64(k.heard) / float64(k.known)
+	}
 	heard, all := 1, 1
 	for _, p := range k.peers {
 		silent := now - p.heard
@@ -167,6 +172,13 @@
 	return a
 }
 
+// Cover sets for how many of the known instances what is heard speaks; zero known ones mean that each is heard itself.
+func (k *Keeper) Cover(heard, known int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heard, k.known = heard, known
+}
+
 // Join records that an instance exists, heard or not.
 func (k *Keeper) Join(now time.Duration, name string) {
 	k.mu.Lock()
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -4,39 +4,38 @@
 package pulse
 
 import (
-	"context"
-	"encoding/binary"
-	"encoding/json"
-	"errors"
-	"net"
-	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
 
+// Kind says for whom a message speaks.
+type Kind string
+
+// The kinds of messages.
 const (
-	// interval is the pause between messages in a small site. In it a site of 19 instances can admit too much by a
-	// twentieth of what an instance of the limits' window may.
-	interval = 250 * time.Millisecond
-	// perPeer stretches the interval with the number of instances, so that one receives at most 80 messages a second.
-	perPeer = 12500 * time.Microsecond
-	// silence is how long an instance may be unheard before its messages are sent less often; its address may be gone.
-	silence = 5 * time.Second
-	// headBytes is the size of the part of a message that differs by receiver.
-	headBytes = 16
-	// mostBytes bounds a message; datagrams over loopback and switches carry 64 KiB.
-	mostBytes = 60000
+	// Own messages speak for their sender.
+	Own Kind = ""
+	// Zone messages speak for the sender's availability zone, from the head of one zone to that of another.
+	Zone Kind = "zone"
+	// All messages speak for all instances but the receiver, from the head of a zone to its members.
+	All Kind = "all"
 )
 
-// Message is what one instance tells all others.
+// Message is what one instance tells others.
 type Message struct {
 	// Name is the address at which the sender is reached.
 	Name string `json:"n"`
+	// Zone is the sender's availability zone, Size a measure of what its machine can bear.
+	Zone string `json:"z,omitempty"`
+	Size int    `json:"b,omitempty"`
+	Kind Kind   `json:"t,omitempty"`
+	// Heard is the number of instances for which the message speaks, zero for the sender alone.
+	Heard int `json:"h,omitempty"`
+	// Urgent asks a head to pass the message on without waiting.
+	Urgent bool `json:"j,omitempty"`
 	// Incarnation grows with each start of the sender.
 	Incarnation int64 `json:"i"`
 	// Stamp is the sender's clock at sending, which receivers echo.
@@ -45,8 +44,8 @@
 	Revision int64 `json:"v,omitempty"`
 	// Leaving says that the sender admits nothing any more.
 	Leaving bool `json:"q,omitempty"`
-	// Duty says that the sender holds the lease for rollouts.
-	Duty bool `json:"o,omitempty"`
+	// Duty names the instance that holds the lease for rollouts, or nobody.
+	Duty string `json:"o,omitempty"`
 	// Rates is what the sender admitted of the workspaces' rates.
 	Rates quota.Account `json:"u"`
 	// Loads are the sender's requests on their way, by upstream.
@@ -55,7 +54,8 @@
 	Switching []string `json:"w,omitempty"`
 	// Loaded are upstreams that were seen to have loaded a version, by model.
 	Loaded []Loaded `json:"d,omitempty"`
-	// Following says that the sender has a question for changes of the operators' rows with the store.
+	// Following says that the sender, or an instance before it in order, has a question for changes of the operators' rows
+	// with the store.
 	Following bool `json:"f,omitempty"`
 	// Announced are versions of weights that the sender or another instance saw announced.
 	Announced []Announced `json:"a,omitempty"`
@@ -124,176 +124,3 @@
 type Sink interface {
 	Hear(now time.Duration, m *Message, confirmed time.Duration, known bool)
 }
-
-type contact struct {
-	addr *net.UDPAddr
-	// stamp is the newest stamp heard, at is when.
-	stamp int64
-	at    time.Duration
-}
-
-// Exchange sends and receives messages. Clock counts suspensions.
-type Exchange struct {
-	conn        *net.UDPConn
-	name        string
-	incarnation int64
-	clock       func() time.Duration
-	source      Source
-	sink        Sink
-	log         logr.Logger
-	mu          sync.Mutex
-	contacts    map[string]*contact
-	now         chan struct{}
-	round       int
-}
-
-// Settings are the parts of an exchange.
-type Settings struct {
-	Conn        *net.UDPConn
-	Name        string
-	Incarnation int64
-	Clock       func() time.Duration
-	Source      Source
-	Sink        Sink
-	Log         logr.Logger
-}
-
-// New returns an exchange without contacts.
-func New(s Settings) *Exchange {
-	return &Exchange{
-		conn: s.Conn, name: s.Name, incarnation: s.Incarnation, clock: s.Clock, source: s.Source, sink: s.Sink, log: s.Log,
-		contacts: make(map[string]*contact), now: make(chan struct{}, 1),
-	}
-}
-
-// Meet adds an instance by its address.
-func (e *Exchange) Meet(name string) {
-	if name == e.name {
-		return
-	}
-	addr, err := net.ResolveUDPAddr("udp4", name)
-	if err != nil {
-		e.log.Info("peer: address of an instance cannot be read", "address", name, "error", err.Error())
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if _, ok := e.contacts[name]; !ok {
-		e.contacts[name] = &contact{addr: addr}
-	}
-}
-
-// Size returns the number of known instances, this one included.
-func (e *Exchange) Size() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.contacts) + 1
-}
-
-// Now sends a message without waiting for the interval.
-func (e *Exchange) Now() {
-	select {
-	case e.now <- struct{}{}:
-	default:
-	}
-}
-
-// Interval returns the pause between messages for a number of instances.
-func Interval(size int) time.Duration {
-	return max(interval, time.Duration(size)*perPeer)
-}
-
-// Run sends until the context ends.
-func (e *Exchange) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.now:
-		case <-timer.C:
-		}
-		e.Send()
-		timer.Reset(Interval(e.Size()))
-	}
-}
-
-// Send tells all contacts at once. Silent ones are told in every fourth round.
-func (e *Exchange) Send() {
-	now := e.clock()
-	m := Message{Name: e.name, Incarnation: e.incarnation, Stamp: int64(now)}
-	confirmed, known := e.source.Tell(now, &m)
-	body, err := json.Marshal(&m)
-	if err != nil || len(body) > mostBytes {
-		e.log.Info("peer: a message could not be written", "bytes", len(body), "error", err)
-		return
-	}
-	packet := make([]byte, headBytes+len(body))
-	copy(packet[headBytes:], body)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.round++
-	for _, c := range e.contacts {
-		if c.stamp == 0 && e.round%4 != 0 || c.stamp != 0 && now-c.at > silence && e.round%4 != 0 {
-			continue
-		}
-		writeHead(packet, c, confirmed, known)
-		// Datagrams may be lost at any time; the next round makes that good.
-		_, _ = e.conn.WriteToUDP(packet, c.addr)
-	}
-}
-
-// writeHead echoes the receiver's newest stamp with the time from its arrival to the confirmation.
-func writeHead(packet []byte, c *contact, confirmed time.Duration, known bool) {
-	stamp, since := int64(0), int64(0)
-	if known && c.stamp != 0 {
-		stamp = c.stamp
-		since = int64(confirmed - c.at)
-	}
-	binary.LittleEndian.PutUint64(packet, uint64(stamp))
-	binary.LittleEndian.PutUint64(packet[8:], uint64(since))
-}
-
-// Listen receives until the connection is closed.
-func (e *Exchange) Listen() {
-	packet := make([]byte, headBytes+mostBytes)
-	for {
-		n, _, err := e.conn.ReadFromUDP(packet)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			e.log.Info("peer: receiving failed", "error", err.Error())
-			time.Sleep(interval)
-			continue
-		}
-		e.receive(packet[:n])
-	}
-}
-
-// receive takes one message. The sender's confirmation is placed on this instance's clock by the echo of its own
-// stamp: what came after the echo's arrival at the sender came after the stamp was sent.
-func (e *Exchange) receive(packet []byte) {
-	now := e.clock()
-	var m Message
-	if len(packet) < headBytes {
-		return
-	}
-	if err := json.Unmarshal(packet[headBytes:], &m); err != nil || m.Name == "" {
-		e.log.Info("peer: message cannot be read", "bytes", len(packet), "error", err)
-		return
-	}
-	echo := int64(binary.LittleEndian.Uint64(packet))
-	since := int64(binary.LittleEndian.Uint64(packet[8:]))
-	e.Meet(m.Name)
-	e.mu.Lock()
-	c, ok := e.contacts[m.Name]
-	if ok {
-		c.stamp = m.Stamp
-		c.at = now
-	}
-	e.mu.Unlock()
-	known := echo != 0 && echo <= int64(now)
-	e.sink.Hear(now, &m, time.Duration(echo+since), known)
-}
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -4,6 +4,7 @@
 package share
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -28,6 +29,7 @@
 
 // Circle is what an instance knows of who else is awake. It is safe for concurrent use.
 type Circle struct {
+	// me is this instance's place in the order of all.
 	me    string
 	mu    sync.Mutex
 	peers map[string]peer
@@ -38,7 +40,12 @@
 	return &Circle{me: me, peers: make(map[string]peer)}
 }
 
-// Hear records a message of another instance and whether it follows the operators' rows.
+// Order returns an instance's place in the order in which duties for all are taken: larger machines first.
+func Order(size int, name string) string {
+	return fmt.Sprintf("%08d %s", max(0, 99999999-size), name)
+}
+
+// Hear records a message of another instance by its place, and whether it or one before it follows the operators' rows.
 func (c *Circle) Hear(now time.Time, name string, following bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
