Instances pass on documents and lists; a source is named also for what an engine is believed to hold

Shared parts were read again because engines give up what they are believed to hold. Change: an instance copies a newer document from the one that knows it, and the whole list when it has none; a prompt names another holder in any case, from which an engine fetches only what it lacks. Test: TestAnInstanceTurnedAwayByTheStore.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -81,9 +81,12 @@
 	closer      func() error
 	socket      *net.UDPConn
 	listeners   []net.Listener
-	changed     chan struct{}
-	circle      *share.Circle
-	list        *list
+	// newer holds the address of an instance that knows a newer document.
+	newer chan string
+	// document is the row of the document in force.
+	document atomic.Pointer[platform.Row]
+	circle   *share.Circle
+	list     *list
 	// following tells that this instance has a question for changes of the operators' rows with the store.
 	following atomic.Bool
 	// joined is when the instance had met the others, in nanoseconds of the clock that counts suspensions; zero before.
@@ -99,7 +102,7 @@
 	e := &Edge{
 		settings: s, path: path, log: log.WithValues("instance", s.Name), dropped: dropped, incarnation: time.Now().UnixNano(),
 		feed: policy.NewFeed(), fleet: fleet.New(), quota: quota.NewKeeper(), deaths: deaths.NewBook(), holders: holder.NewBook(),
-		counters: meter.NewCounters(), changed: make(chan struct{}, 1), circle: share.NewCircle(share.Order(s.size(), s.Peer)), list: newList(),
+		counters: meter.NewCounters(), newer: make(chan string, 1), circle: share.NewCircle(share.Order(s.size(), s.Peer)), list: newList(),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closer = scope, closer.Close
@@ -142,7 +145,7 @@
 	if e.socket, err = net.ListenUDP("udp4", addr); err != nil {
 		return oops.Wrapf(err, "peer address")
 	}
-	for _, address := range []string{e.settings.Listen, e.settings.Ready, e.settings.Metrics} {
+	for _, address := range []string{e.settings.Listen, e.settings.Ready, e.settings.Metrics, e.settings.Peer} {
 		l, err := net.Listen("tcp4", address)
 		if err != nil {
 			return oops.Wrapf(err, "listen on %s", address)
@@ -174,7 +177,7 @@
 	var parts sync.WaitGroup
 	start := func(part func(context.Context)) { parts.Go(func() { part(work) }) }
 	for _, part := range []func(context.Context){
-		e.followOperators, e.followList, e.join, e.exchange.Run, e.watchKeptStore, e.keep, e.watchSettings, e.roll.run,
+		e.followOperators, e.followList, e.join, e.exchange.Run, e.watchKeptStore, e.keep, e.watchSettings, e.copyDocuments, e.roll.run,
 	} {
 		start(part)
 	}
@@ -183,7 +186,8 @@
 	front := &http.Server{Handler: e.handler, IdleTimeout: idleMost, MaxHeaderBytes: headerMost, ErrorLog: nil}
 	ready := &http.Server{Handler: http.HandlerFunc(e.ready), IdleTimeout: idleMost}
 	metrics := &http.Server{Handler: e.operators(), IdleTimeout: idleMost}
-	servers := []*http.Server{front, ready, metrics}
+	peers := &http.Server{Handler: e.peers(), IdleTimeout: idleMost}
+	servers := []*http.Server{front, ready, metrics, peers}
 	for i, s := range servers {
 		go func() { failed <- s.Serve(e.listeners[i]) }()
 	}
@@ -322,6 +326,8 @@
 // Hear implements pulse.Sink.
 func (e *Edge) Hear(boot time.Duration, m *pulse.Message, confirmed time.Duration, known bool) {
 	now := time.Now()
+	// An instance that the store turns away is met by the others.
+	e.joined.CompareAndSwap(0, int64(boot))
 	e.circle.Hear(now, share.Order(m.Size, m.Name), m.Following)
 	e.quota.Hear(boot, m.Name+string(m.Kind), m.Incarnation, m.Rates)
 	if m.Leaving {
@@ -345,9 +351,9 @@
 	}
 	doc := e.feed.Document()
 	switch {
+	case doc == nil && m.Revision > 0, doc != nil && m.Revision > doc.Revision:
+		e.wake(m.Name)
 	case doc == nil:
-	case m.Revision > doc.Revision:
-		e.wake()
 	case known && m.Revision == doc.Revision:
 		e.feed.Confirm(confirmed)
 	}
@@ -363,10 +369,10 @@
 	}
 }
 
-// wake asks for the operators' rows without waiting.
-func (e *Edge) wake() {
+// wake asks an instance for its newer document.
+func (e *Edge) wake(from string) {
 	select {
-	case e.changed <- struct{}{}:
+	case e.newer <- from:
 	default:
 	}
 }
--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -491,3 +491,23 @@
 		return strings.Contains(string(body[:n]), `skylarkquay_requests{kind="non_idempotent",outcome="answered"} 1`)
 	})
 }
+
+// An instance that the store turns away from its start takes document, list and confirmations from the others.
+func TestAnInstanceTurnedAwayByTheStore(t *testing.T) {
+	s, first := begin(t, 1, 1)
+	set := settings(t, s)
+	set.Store = port(t)
+	second := start(t, set)
+	first.exchange.Meet(second.node())
+	eventually(t, "ready", second.isReady)
+	must.Eq(t, http.StatusOK, second.ask(t, call(http.MethodPost, "/book/1")).Status)
+	s.NoLook = true
+	s.Publish()
+	eventually(t, "the newer document is in force", func() bool {
+		return second.ask(t, call(http.MethodGet, "/look/1")).Status == http.StatusNotFound
+	})
+	s.List(s.Jobs[0], "draining")
+	eventually(t, "the upstream leaves", func() bool {
+		return second.ask(t, call(http.MethodPost, "/book/1")).Status == http.StatusServiceUnavailable
+	})
+}
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -32,7 +32,7 @@
 	listLook = 100 * time.Millisecond
 	// retryLeast and retryMost bound the pause after a failed call.
 	retryLeast = 60 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
+	retryMost  = 1000 * time.Millisecond
 	// instancesTable holds a row for each instance, by its address for datagrams.
 	instancesTable = "instance"
 )
@@ -82,7 +82,7 @@
 	for ctx.Err() == nil {
 		if version >= 0 && !e.circle.Follow(time.Now()) {
 			e.following.Store(false)
-			version = e.waitWoken(ctx, version)
+			sleep(ctx, followPause)
 			continue
 		}
 		before := e.lastConfirmed()
@@ -143,33 +143,6 @@
 	return rows, max(asked, clock.Boot()-feedBlind), err
 }
 
-// waitWoken waits for a moment, or until another instance knows a newer document; the rows are read whole then.
-func (e *Edge) waitWoken(ctx context.Context, version int64) int64 {
-	timer := time.NewTimer(followPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return version
-	case <-timer.C:
-		return version
-	case <-e.changed:
-	}
-	before := e.lastConfirmed()
-	rows, confirmed, err := e.askOperators(ctx, -1)
-	if err != nil {
-		e.log.Info("store: a newer document could not be read", "error", err.Error())
-		if pause(ctx, 0) {
-			e.wake()
-		}
-		return version
-	}
-	for _, row := range rows.Rows {
-		e.operatorRow(row, before, false)
-	}
-	e.feed.Confirm(confirmed)
-	return max(version, rows.Version)
-}
-
 func (e *Edge) get(ctx context.Context, table string) (platform.Rows, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -188,6 +161,7 @@
 		return
 	}
 	if doc != nil && e.feed.Offer(doc) {
+		e.document.Store(&row)
 		e.limits(doc)
 		e.log.Info("config: document in force", "revision", doc.Revision, "row", row.Version, "routes", len(doc.Routes),
 			"keys", len(doc.Keys))
@@ -221,7 +195,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		age, version := e.list.age(now)
-		if due := share.Due(e.circle.Rank(now), listPause); version >= 0 && age < due {
+		if due := share.Due(e.circle.Rank(now), listPause, e.exchange.Delay()); version >= 0 && age < due {
 			if !sleep(ctx, min(due-age, listLook)) {
 				return
 			}
@@ -234,6 +208,11 @@
 			dep.failed(err)
 			e.fleet.Away(time.Now())
 			e.list.lost(time.Now())
+			if version < 0 {
+				if err := e.copyList(ctx); err != nil {
+					e.log.Info("list: not copied", "error", err.Error())
+				}
+			}
 			if !pause(ctx, dep.failures) {
 				return
 			}
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -51,12 +51,11 @@
 	l.version = -1
 }
 
-// lost records that the store could not be read. What was missed is read whole.
+// lost records that the store could not be read. What is missed comes with the next read or from others.
 func (l *list) lost(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.away = now
-	l.version = -1
 }
 
 // read records that the store was read up to a version.
@@ -76,6 +75,13 @@
 	l.version, l.asOf, l.own = version, asked, asked
 }
 
+// copied records that the whole list was taken from another instance.
+func (l *list) copied(now time.Time, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version, l.asOf = version, now
+}
+
 // tell returns what others should know, or nil when this instance did not read the store lately.
 func (l *list) tell(now time.Time) *pulse.ListNews {
 	l.mu.Lock()
--- a/internal/peer/pulse/exchange.go
+++ b/internal/peer/pulse/exchange.go
@@ -122,6 +122,32 @@
 	return len(e.contacts) + 1
 }
 
+// Awake returns the first instance in order that was heard lately.
+func (e *Exchange) Awake() (string, bool) {
+	now := e.Clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var first *contact
+	for _, c := range e.contacts {
+		if c.stamp != 0 && now-c.at < silence/4 && (first == nil || c.before(first.Node)) {
+			first = c
+		}
+	}
+	if first == nil {
+		return "", false
+	}
+	return first.Name, true
+}
+
+// Delay returns how long a message takes to all instances when one of them is lost: one interval, and in a large site one
+// for each of the two heads between.
+func (e *Exchange) Delay() time.Duration {
+	if e.Count() <= meshMost {
+		return 2 * interval
+	}
+	return 5 * interval
+}
+
 // Now sends a message without waiting for the interval.
 func (e *Exchange) Now() {
 	select {
--- a/internal/peer/share/share.go
+++ b/internal/peer/share/share.go
@@ -14,8 +14,6 @@
 	fresh = 800 * time.Millisecond
 	// followerFresh is how long another instance's word that it follows the operators' rows counts.
 	followerFresh = 600 * time.Millisecond
-	// takeOver is how much older than the asking instance's pause knowledge must be before the next one asks itself.
-	takeOver = 500 * time.Millisecond
 	// perRank spreads those that step in.
 	perRank = 60 * time.Millisecond
 	// rankMost bounds that spread, so that a lone instance among silent ones asks in time.
@@ -84,10 +82,11 @@
 	return true
 }
 
-// Due returns the age of knowledge at which an instance of a rank asks the store itself.
-func Due(rank int, pause time.Duration) time.Duration {
+// Due returns the age of knowledge at which an instance of a rank asks the store itself. Delay is how long the word of the
+// one that asks may take.
+func Due(rank int, pause, delay time.Duration) time.Duration {
 	if rank == 0 {
 		return pause
 	}
-	return pause + takeOver + time.Duration(min(rank, rankMost))*perRank
+	return pause + delay + time.Duration(min(rank, rankMost))*perRank
 }
--- a/internal/peer/share/share_test.go
+++ b/internal/peer/share/share_test.go
@@ -30,10 +30,11 @@
 }
 
 func TestDueGrowsWithTheRank(t *testing.T) {
-	must.Eq(t, time.Second, Due(0, time.Second))
-	must.Greater(t, Due(0, time.Second)+takeOver, Due(1, time.Second))
-	must.Greater(t, Due(1, time.Second), Due(2, time.Second))
-	must.Eq(t, Due(rankMost, time.Second), Due(100, time.Second))
+	const delay = 500 * time.Millisecond
+	must.Eq(t, time.Second, Due(0, time.Second, delay))
+	must.Greater(t, Due(0, time.Second, delay)+delay, Due(1, time.Second, delay))
+	must.Greater(t, Due(1, time.Second, delay), Due(2, time.Second, delay))
+	must.Eq(t, Due(rankMost, time.Second, delay), Due(100, time.Second, delay))
 	// The list must be younger than the shortest bound on draining, two seconds, when the first two readers fail.
-	must.Less(t, 2*time.Second, Due(2, 600*time.Millisecond))
+	must.Less(t, 2*time.Second, Due(2, 600*time.Millisecond, delay))
 }
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -182,6 +182,19 @@
 	return ids
 }
 
+// Entries returns the entries of all upstreams that are listed.
+func (f *Fleet) Entries() []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := make([]Entry, 0, len(f.states))
+	for _, s := range f.states {
+		if s.gone.IsZero() {
+			entries = append(entries, s.entry)
+		}
+	}
+	return entries
+}
+
 // Listed tells whether the list was read at least once.
 func (f *Fleet) Listed() bool {
 	f.mu.Lock()
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -141,7 +141,7 @@
 		best.View, best.Version, best.Cost, best.Rank, best.Reads = *v, version, c, ranks[v.ID], reads
 	}
 	if bestTier >= 0 {
-		lookup.at(best.Version).explain(&best)
+		lookup.explain(&best)
 	}
 	return best, bestTier >= 0
 }
@@ -149,9 +149,8 @@
 // holdings are the holders of a prompt's shared parts under one version.
 type holdings struct {
 	depths map[string]int
-	// source holds most among the engines that run the version and can be asked, or the store.
-	source  string
-	address string
+	// deepest is the most that an engine on the version, or the store, can give.
+	deepest int
 	shared  int
 }
 
@@ -176,21 +175,12 @@
 		return h
 	}
 	h.depths = l.q.Depths(version)
-	deepest := 0
+	h.deepest = h.depths[holder.Store]
 	for i := range l.views {
-		v := &l.views[i]
-		if v.Ejected || v.Weights[l.q.Model] != version {
-			continue
-		}
-		// Equal holders are drawn, so that one does not send all.
-		if d := h.depths[v.ID]; d > deepest || d == deepest && d > 0 && mix(l.q.Seed^xxhash.Sum64String(v.ID))%2 == 0 {
-			deepest, h.source, h.address = d, v.ID, v.Address
+		if v := &l.views[i]; !v.Ejected && v.Weights[l.q.Model] == version {
+			h.deepest = max(h.deepest, h.depths[v.ID])
 		}
 	}
-	// The kept store gives nothing up for seconds, so that it goes before an equal engine.
-	if d := h.depths[holder.Store]; d > 0 && d >= deepest {
-		h.source, h.address = holder.Store, ""
-	}
 	return h
 }
 
@@ -200,7 +190,7 @@
 	for i, tokens := range q.Shared {
 		switch {
 		case i < h.depths[id]:
-		case i < h.depths[h.source]:
+		case i < h.deepest:
 			reads += int64(float64(tokens) * costs.Fetch)
 		default:
 			reads += tokens
@@ -209,13 +199,27 @@
 	return reads
 }
 
-// explain adds to a choice what is known of the prompt's parts.
-func (h *holdings) explain(c *Choice) {
+// explain adds to a choice what is known of the prompt's parts. A source is named also when the engine is believed to hold
+// them: it may have given them up, and fetches only what it lacks.
+func (l *lookup) explain(c *Choice) {
+	h := l.at(c.Version)
 	c.Depth = h.depths[c.ID]
-	if h.source != c.ID && h.depths[h.source] > c.Depth {
-		c.Source, c.SourceAddress = h.source, h.address
-	}
 	c.Saved = h.shared > 0 && h.depths[holder.Store] == h.shared
+	deepest := 0
+	for i := range l.views {
+		v := &l.views[i]
+		if v.ID == c.ID || v.Ejected || v.Weights[l.q.Model] != c.Version {
+			continue
+		}
+		// Equal holders are drawn, so that one does not send all.
+		if d := h.depths[v.ID]; d > deepest || d == deepest && d > 0 && mix(l.q.Seed^xxhash.Sum64String(v.ID))%2 == 0 {
+			deepest, c.Source, c.SourceAddress = d, v.ID, v.Address
+		}
+	}
+	// The kept store gives nothing up for seconds, so that it goes before an equal engine.
+	if d := h.depths[holder.Store]; d > 0 && d >= deepest {
+		c.Source, c.SourceAddress = holder.Store, ""
+	}
 }
 
 // cost returns the expected time to the first token, or to the answer of a plain service.
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -41,6 +41,14 @@
 	must.Eq(t, "", choice.Source)
 }
 
+// An engine may have given up what it is believed to hold, so that another holder is named as well.
+func TestAnotherHolderIsNamed(t *testing.T) {
+	choice, _ := Choose(question(map[string]int{"e03": 2, "e04": 2}), engines(6, 1), DefaultCosts())
+	must.Eq(t, 2, choice.Depth)
+	must.NotEq(t, "", choice.Source)
+	must.NotEq(t, choice.ID, choice.Source)
+}
+
 // One prefix gets much of the traffic: its holder fills up and prompts spread, fetching from the holder.
 func TestHotPrefixSpreadsAndIsFetched(t *testing.T) {
 	views := engines(6, 1)
