--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -91,7 +91,7 @@
 	following atomic.Bool
 	// joined is when the instance had met the others, in nanoseconds of the clock that counts suspensions; zero before.
 	joined atomic.Int64
-	// asksKept tells that this instance asks the store of kept KV cache.
+	// asksKept tells that this instance asks the stores of kept KV cache.
 	asksKept atomic.Bool
 }
 
@@ -117,7 +117,6 @@
 		Dialect: platform.Dialect{}, Feed: e.feed, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, Crashers: e.deaths, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.Boot,
 	}
-	e.handler.KeptStore.Store(true)
 	e.roll = newRollout(e)
 	if err := e.open(); err != nil {
 		return nil, err
@@ -177,7 +176,7 @@
 	var parts sync.WaitGroup
 	start := func(part func(context.Context)) { parts.Go(func() { part(work) }) }
 	for _, part := range []func(context.Context){
-		e.followOperators, e.followList, e.join, e.exchange.Run, e.watchKeptStore, e.keep, e.watchSettings, e.copyDocuments, e.roll.run,
+		e.followOperators, e.followList, e.join, e.exchange.Run, e.watchKeptStores, e.keep, e.watchSettings, e.copyDocuments, e.roll.run,
 	} {
 		start(part)
 	}
@@ -307,10 +306,7 @@
 	m.Following = e.following.Load() || !e.circle.Follow(now)
 	m.List = e.list.tell(now)
 	if e.asksKept.Load() {
-		m.Kept = pulse.KeptDown
-		if e.handler.KeptStore.Load() {
-			m.Kept = pulse.KeptUp
-		}
+		m.Kept = e.handler.Kept.All()
 	}
 	for _, w := range e.feed.Recent(boot - announcedTold) {
 		m.Announced = append(m.Announced, pulse.Announced{Model: w.Model, Version: w.Version, Age: int64(boot - w.Learnt)})
@@ -346,8 +342,10 @@
 	if m.List != nil {
 		e.hearList(now, m.List)
 	}
-	if m.Kept != "" && !e.asksKept.Load() {
-		e.keptStore(m.Kept == pulse.KeptUp, m.Name, nil)
+	if !e.asksKept.Load() {
+		for address, alive := range m.Kept {
+			e.keptStore(address, alive, m.Name, nil)
+		}
 	}
 	doc := e.feed.Document()
 	switch {
--- a/internal/app/edge/follow.go
+++ b/internal/app/edge/follow.go
@@ -370,29 +370,31 @@
 	keptPause = 400 * time.Millisecond
 )
 
-// watchKeptStore notices when the store of kept KV cache is down, so that engines do not wait for it. The first
-// instance asks for all.
-func (e *Edge) watchKeptStore(ctx context.Context) {
-	since := int64(0)
+// watchKeptStores notices when a store of kept KV cache is down, so that engines do not wait for it. The first instance
+// asks for all.
+func (e *Edge) watchKeptStores(ctx context.Context) {
+	since := make(map[string]int64)
 	for sleep(ctx, keptPause) {
 		doc := e.feed.Document()
-		asking := doc != nil && doc.KeptStore() != nil && e.circle.Rank(time.Now()) == 0
+		asking := doc != nil && e.circle.Rank(time.Now()) == 0
 		e.asksKept.Store(asking)
 		if !asking {
 			continue
 		}
-		next, err := e.engines.KeptEvents(ctx, doc.KeptStore().StoreAddress, since, keptWait)
-		since = next
-		if ctx.Err() != nil {
-			return
+		for _, address := range doc.KeptStores() {
+			next, err := e.engines.KeptEvents(ctx, address, since[address], keptWait)
+			since[address] = next
+			if ctx.Err() != nil {
+				return
+			}
+			e.keptStore(address, err == nil, "asked", err)
 		}
-		e.keptStore(err == nil, "asked", err)
 	}
 }
 
-// keptStore records whether the store of kept KV cache answers.
-func (e *Edge) keptStore(alive bool, from string, err error) {
-	if e.handler.KeptStore.Swap(alive) == alive {
+// keptStore records whether a store of kept KV cache answers.
+func (e *Edge) keptStore(address string, alive bool, from string, err error) {
+	if !e.handler.Kept.Set(address, alive) {
 		return
 	}
 	// A store that comes back comes back empty.
@@ -401,6 +403,6 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	e.log.Info("kept store: changed", "alive", alive, "from", from, "error", reason)
+	e.log.Info("kept store: changed", "address", address, "alive", alive, "from", from, "error", reason)
 	e.exchange.Now()
 }
--- a/internal/conf/policy/policy.go
+++ b/internal/conf/policy/policy.go
@@ -169,15 +169,20 @@
 	return nil
 }
 
-// KeptStore returns the store of kept KV cache, or nil.
-func (d *Document) KeptStore() *Service {
-	var found *Service
+// KeptStores returns the addresses of the stores of kept KV cache in order of their services' names.
+func (d *Document) KeptStores() []string {
+	var found []*Service
 	for _, s := range d.Services {
-		if s.StoreAddress != "" && (found == nil || s.Name < found.Name) {
-			found = s
+		if s.StoreAddress != "" {
+			found = append(found, s)
 		}
 	}
-	return found
+	slices.SortFunc(found, func(a, b *Service) int { return cmp.Compare(a.Name, b.Name) })
+	addresses := make([]string, 0, len(found))
+	for _, s := range found {
+		addresses = append(addresses, s.StoreAddress)
+	}
+	return addresses
 }
 
 // Serves returns the name of the service whose engines run a model, or "".
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -200,18 +200,17 @@
 	}
 	priority = max(0, min(priorityMost, priority))
 	p.Priority = &priority
-	kept := x.doc.KeptStore()
-	if kept == nil || !x.KeptStore.Load() {
-		kept = nil
+	if len(x.ask.Shared()) == 0 {
+		return p
 	}
-	switch {
-	case choice.Source == holder.Store && kept != nil:
-		p.FetchFrom = kept.StoreAddress
-	case choice.SourceAddress != "":
-		p.FetchFrom = choice.SourceAddress
+	chain := x.chain(choice.Version)
+	kept := x.Kept.Choose(x.doc.KeptStores(), chain[len(chain)-1])
+	p.FetchFrom = choice.SourceAddress
+	if choice.Source == holder.Store {
+		p.FetchFrom = kept
 	}
-	if kept != nil && !choice.Saved && x.sharedTokens() >= saveLeast {
-		p.SaveTo = kept.StoreAddress
+	if !choice.Saved && x.sharedTokens() >= saveLeast {
+		p.SaveTo = kept
 	}
 	return p
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -71,8 +71,8 @@
 	Boot func() time.Duration
 	// Draining tells that the instance is about to stop.
 	Draining atomic.Bool
-	// KeptStore tells that the store of kept KV cache answers.
-	KeptStore atomic.Bool
+	// Kept says which stores of kept KV cache do not answer.
+	Kept KeptStores
 	// Open counts requests in progress.
 	Open atomic.Int64
 }
--- a/internal/peer/pulse/hub.go
+++ b/internal/peer/pulse/hub.go
@@ -142,7 +142,7 @@
 	if m.Duty == "" {
 		m.Duty = c.last.Duty
 	}
-	if m.Kept == "" {
+	if m.Kept == nil {
 		m.Kept = c.last.Kept
 	}
 	if n := c.last.List; n != nil && (m.List == nil || n.Version > m.List.Version) {
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -61,23 +61,14 @@
 	Announced []Announced `json:"a,omitempty"`
 	// List is set by instances that read the list of upstreams from the store.
 	List *ListNews `json:"y,omitempty"`
-	// Kept says whether the store of kept KV cache answers, or nothing.
-	Kept Kept `json:"k,omitempty"`
+	// Kept says which stores of kept KV cache answer, by address; it is set by an instance that asks them.
+	Kept map[string]bool `json:"k,omitempty"`
 	// Uses are prompts that engines have read for the sender a moment ago.
 	Uses []holder.Use `json:"p,omitempty"`
 	// Crashers count deaths of upstreams by the fingerprint of the request that they ran.
 	Crashers map[string]int `json:"x,omitempty"`
 }
 
-// Kept is what an instance that asks the store of kept KV cache found.
-type Kept string
-
-// The values of Kept.
-const (
-	KeptUp   Kept = "up"
-	KeptDown Kept = "down"
-)
-
 // Announced is a version of a model's weights with its age.
 type Announced struct {
 	Model   string `json:"m"`
