Routing: prefixes away from their home weigh three times; engines are believed for ten seconds

Cause: while a prefix was not known to be held, a home with three more requests lost to any other engine.

--- a/internal/route/holder/holder.go
+++ b/internal/route/holder/holder.go
@@ -12,7 +12,7 @@
 const (
 	// Believed is how long after its last use an engine counts as holding a prefix. Its memory turns over in six to
 	// fifteen seconds at the rates of the users' sheets.
-	Believed = 6 * time.Second
+	Believed = 10 * time.Second
 	// StoreBelieved is the same for the kept store, which holds four to twenty times as much as an engine.
 	StoreBelieved = 20 * time.Second
 	// told is how long a use is told to other instances, which is two messages.
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -36,6 +36,9 @@
 	near = 3
 	// farRank is the rank from which the expected cost of a prefix that is elsewhere grows no further.
 	farRank = 4
+	// displaceWeight weighs the prefix that an engine away from the home would hold besides, since every engine that holds
+	// one gives up another.
+	displaceWeight = 3
 	// coldDelay is the expected extra wait at an upstream that has just started.
 	coldDelay = 100 * time.Millisecond
 	// failingDelay is weighed by the share of failures, so that a failing upstream is used when the others are full.
@@ -243,7 +246,7 @@
 	for _, tokens := range q.Shared {
 		shared += tokens
 	}
-	c += time.Duration(float64(shared) * float64(costs.PerToken) * costs.Fetch * away)
+	c += time.Duration(float64(shared) * float64(costs.PerToken) * costs.Fetch * away * displaceWeight)
 	// A draw below the resolution of the estimate spreads equals.
 	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(time.Millisecond/2))
 }
