--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -132,8 +132,8 @@
 		best.Considered++
 		t := tier(v)
 		holds := lookup.at(version)
-		reads := holds.reads(&q, v.ID, costs)
-		c := cost(&q, v, reads, ranks[v.ID], costs)
+		reads, missing := holds.reads(&q, v.ID, costs)
+		c := cost(&q, v, reads, missing, ranks[v.ID], costs)
 		if stale {
 			c += staleDelay
 		}
@@ -187,19 +187,22 @@
 	return h
 }
 
-// reads returns the tokens that an engine is expected to read; tokens that are fetched count by their part.
-func (h *holdings) reads(q *Question, id string, costs Costs) int64 {
-	reads := q.Own
+// reads returns the tokens that an engine is expected to read, where those that are fetched count by their part, and the
+// shared tokens that it does not hold.
+func (h *holdings) reads(q *Question, id string, costs Costs) (reads, missing int64) {
+	reads = q.Own
 	for i, tokens := range q.Shared {
 		switch {
 		case i < h.depths[id]:
+			continue
 		case i < h.deepest:
 			reads += int64(float64(tokens) * costs.Fetch)
 		default:
 			reads += tokens
 		}
+		missing += tokens
 	}
-	return reads
+	return reads, missing
 }
 
 // explain adds to a choice what is known of the prompt's parts. A source is named also when the engine is believed to hold
@@ -226,7 +229,7 @@
 }
 
 // cost returns the expected time to the first token, or to the answer of a plain service.
-func cost(q *Question, v *fleet.View, reads int64, rank int, costs Costs) time.Duration {
+func cost(q *Question, v *fleet.View, reads, missing int64, rank int, costs Costs) time.Duration {
 	c := time.Duration(v.Tokens+reads)*costs.PerToken + time.Duration(v.Running)*costs.PerRunning
 	if over := v.Running - v.Slots; v.Slots > 0 && over > 0 {
 		c += time.Duration(over) * fullDelay
@@ -240,13 +243,9 @@
 	if !v.Healthy() {
 		c += time.Duration(v.Failing * float64(failingDelay))
 	}
-	// An engine away from the home displaces other prefixes for this one.
+	// An engine away from the home displaces other prefixes for what it does not hold yet.
 	away := float64(min(rank, farRank)) / farRank
-	shared := int64(0)
-	for _, tokens := range q.Shared {
-		shared += tokens
-	}
-	c += time.Duration(float64(shared) * float64(costs.PerToken) * costs.Fetch * away * displaceWeight)
+	c += time.Duration(float64(missing) * float64(costs.PerToken) * costs.Fetch * away * displaceWeight)
 	// A draw below the resolution of the estimate spreads equals.
 	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(time.Millisecond/2))
 }
