--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(GO) run ./cmd/skylarkload replay $(if $(TRACE),--trace $(TRACE))
 
 lint:
-	test -z "$$(gofmt -l cmd internal)"
+	test -z "$$(gofmt -l cmd internal platform)"
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	cd internal/peer/wire && sha256sum --check --quiet wire.sum
