--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -277,101 +277,6 @@
 	return v
 }
 
-// Sent records a request on its way to an upstream.
-func (f *Fleet) Sent(id string, tokens int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.own.running++
-		s.own.tokens += tokens
-	}
-}
-
-// Prefilled records that a request's prompt was read, so that its tokens wait no longer.
-func (f *Fleet) Prefilled(id string, tokens int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.own.tokens = max(0, s.own.tokens-tokens)
-	}
-}
-
-// Ended records that a request sent to an upstream is over, with the tokens that were not yet read.
-func (f *Fleet) Ended(id string, tokens int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.own.running = max(0, s.own.running-1)
-		s.own.tokens = max(0, s.own.tokens-tokens)
-	}
-}
-
-// Succeeded records a good answer.
-func (f *Fleet) Succeeded(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.failed = 0
-		s.ejected = time.Time{}
-		s.failing *= 1 - healthWeight
-	}
-}
-
-// Failed records that an upstream could not be reached or broke off, and passes it over for a while.
-func (f *Fleet) Failed(now time.Time, id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, ok := f.states[id]
-	if !ok {
-		return
-	}
-	s.failing += (1 - s.failing) * healthWeight
-	if now.Before(s.ejected) {
-		return
-	}
-	s.ejected = now.Add(min(ejectMost, ejectFirst<<min(s.failed, 5)))
-	s.failed++
-}
-
-// Erred records a failure that the upstream answered itself; it does not eject.
-func (f *Fleet) Erred(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.failing += (1 - s.failing) * healthWeight
-	}
-}
-
-// Full records that an upstream had no room, so that it is passed over for a moment.
-func (f *Fleet) Full(now time.Time, id string, pause time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok && now.Add(pause).After(s.ejected) {
-		s.ejected = now.Add(pause)
-	}
-}
-
-// Loaded records the version of a model's weights that an upstream was seen to run.
-func (f *Fleet) Loaded(now time.Time, id, model string, version int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s, ok := f.states[id]
-	if !ok || s.confirmed[model].version >= version {
-		return
-	}
-	s.confirmed[model] = seen{version: version, at: now}
-	s.switching = time.Time{}
-}
-
-// Switch records that an upstream is about to load weights and is to be avoided until a time.
-func (f *Fleet) Switch(id string, until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.states[id]; ok {
-		s.switching = until
-	}
-}
-
 // Loads returns what this instance has on its way, by upstream.
 func (f *Fleet) Loads() map[string]Load {
 	f.mu.Lock()
@@ -392,9 +297,6 @@
 	f.peers[peer] = peerLoad{at: now, loads: loads}
 }
 
-// Healthy tells whether an upstream's share of failures is ordinary.
-func (v *View) Healthy() bool { return v.Failing < healthyShare }
-
 // ServiceAt returns the service of the upstream at an address, or "".
 func (f *Fleet) ServiceAt(address string) string {
 	f.mu.Lock()
