--- /dev/null
+++ b/internal/app/edge/settings_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const sample = `name: n
+zone: z
+listen: 10.0.0.1:1
+ready: 10.0.0.1:2
+peer: 10.0.0.1:3
+metrics: 10.0.0.1:4
+store: 10.0.0.2:5
+memory: 120
+cores: 0.272
+link: 700.0
+grace: 8
+revocation: 5000
+weights: 8000
+turn: 3000
+ratio: 0.2
+slack: 122
+window: 10
+unknown: passed over
+`
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestSettings(t *testing.T) {
+	s, err := Load(file(t, sample))
+	must.NoError(t, err)
+	must.Eq(t, "info", s.Level)
+	must.Eq(t, 0.272, s.Cores)
+	must.Eq(t, 272, s.size())
+}
+
+func TestBadSettingsAreNamed(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{"listen: 10.0.0.1:1", "listen: here", "Listen"},
+		{"memory: 120", "memory: 0", "MemoryMB"},
+		{"zone: z", "zone: ''", "Zone"},
+		{"grace: 8", "grace: soon", "line 11"},
+		{"turn: 3000", "level: loud", "Level"},
+	} {
+		_, err := Load(file(t, string(bytes.Replace([]byte(sample), []byte(c.old), []byte(c.new), 1))))
+		must.Error(t, err)
+		must.StrContains(t, err.Error(), c.want)
+	}
+	_, err := Load("/nowhere")
+	must.Error(t, err)
+}
+
+func TestCommandLine(t *testing.T) {
+	var out, errs bytes.Buffer
+	must.Eq(t, exitOK, Main([]string{"check", "--config", file(t, sample)}, &out, &errs))
+	must.Eq(t, exitSettings, Main([]string{"check", "--config", file(t, "name: [")}, &out, &errs))
+	must.Eq(t, exitSettings, Main([]string{"dance", "--config", file(t, sample)}, &out, &errs))
+	must.Eq(t, exitSettings, Main(nil, &out, &errs))
+	must.Eq(t, exitOK, Main([]string{"--help"}, &out, &errs))
+	must.StrContains(t, out.String(), "--config")
+	must.StrContains(t, errs.String(), "unknown command")
+}
--- /dev/null
+++ b/internal/base/lines/lines_test.go
@@ -0,0 +1,42 @@
+package lines
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// stuck is a writer that waits until it is released.
+type stuck struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	return s.Buffer.Write(b)
+}
+
+func TestLinesAreDroppedAndCountedWhenTheQueueIsFull(t *testing.T) {
+	out := &stuck{release: make(chan struct{})}
+	w := NewWriter(out, 2)
+	for range 10 {
+		n, err := w.Write([]byte("line\n"))
+		must.NoError(t, err)
+		must.Eq(t, 5, n)
+	}
+	must.Between(t, 7, w.Dropped(), 8)
+	close(out.release)
+	w.Close()
+	must.Eq(t, (10-int(w.Dropped()))*5, out.Len())
+}
+
+func TestLevels(t *testing.T) {
+	var out bytes.Buffer
+	log := NewLogger("error", &out)
+	log.Info("hidden")
+	log.Error(nil, "shown")
+	must.StrNotContains(t, out.String(), "hidden")
+	must.StrContains(t, out.String(), "shown")
+}
