--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -182,7 +182,7 @@
 	}
 	parts.Go(e.exchange.Listen)
 	failed := make(chan error, len(e.listeners))
-	front := &http.Server{Handler: e.handler, IdleTimeout: idleMost, MaxHeaderBytes: headerMost, ErrorLog: nil}
+	front := &http.Server{Handler: e.handler, IdleTimeout: idleMost, MaxHeaderBytes: headerMost}
 	ready := &http.Server{Handler: http.HandlerFunc(e.ready), IdleTimeout: idleMost}
 	metrics := &http.Server{Handler: e.operators(), IdleTimeout: idleMost}
 	peers := &http.Server{Handler: e.peers(), IdleTimeout: idleMost}
--- a/internal/front/serve/decide.go
+++ b/internal/front/serve/decide.go
@@ -48,11 +48,10 @@
 
 // tally counts what was done for one request.
 type tally struct {
-	// Sends is the number of sends, Ran the number of upstreams that may have run the request.
+	// Sends is the number of sends.
 	Sends int
-	Ran   int
-	// Again tells that an arrival at an upstream beyond the first is to be paid from the budget.
-	Arrived int
+	// Ran is the number of upstreams that may have run the request.
+	Ran int
 }
 
 const (
