--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/skylarkquay/skylarkquay/internal/trial/site"
 	"github.com/skylarkquay/skylarkquay/platform/stand"
 )
 
@@ -25,13 +25,12 @@
 	done chan error
 }
 
-// ports returns free ports; the listener is closed right before the router opens it.
+// port returns an address out of the range from which the system draws ports of outgoing connections.
 func port(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := site.FreeAddress()
 	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func settings(t *testing.T, s *stand.Site) Settings {
@@ -75,7 +74,7 @@
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(20*time.Second), wait.Gap(20*time.Millisecond), wait.BoolFunc(f)), must.Sprint(what))
 }
 
-func site(t *testing.T, engines, jobs int) *stand.Site {
+func standIn(t *testing.T, engines, jobs int) *stand.Site {
 	t.Helper()
 	s, err := stand.NewSite(engines, jobs)
 	must.NoError(t, err)
@@ -86,7 +85,7 @@
 // begin starts a site with one router that is ready.
 func begin(t *testing.T, engines, jobs int) (*stand.Site, *router) {
 	t.Helper()
-	s := site(t, engines, jobs)
+	s := standIn(t, engines, jobs)
 	r := start(t, settings(t, s))
 	eventually(t, "ready", r.isReady)
 	return s, r
@@ -241,7 +240,7 @@
 }
 
 func TestWorkspacesStayWithinTheirRate(t *testing.T) {
-	s := site(t, 1, 1)
+	s := standIn(t, 1, 1)
 	s.Rate, s.Burst = 10, 3000
 	s.Publish()
 	r := start(t, settings(t, s))
@@ -304,7 +303,7 @@
 	for _, fault := range []stand.Fault{stand.Busy, stand.Silent, stand.LoseAnswers} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
-			s := site(t, 1, 1)
+			s := standIn(t, 1, 1)
 			set := settings(t, s)
 			set.Revocation = 2500
 			r := start(t, set)
@@ -327,7 +326,7 @@
 }
 
 func TestARouterWithoutADocumentSaysComeBack(t *testing.T) {
-	s := site(t, 1, 1)
+	s := standIn(t, 1, 1)
 	s.Store.Set(stand.Busy)
 	r := start(t, settings(t, s))
 	eventually(t, "listening", func() bool {
@@ -367,7 +366,7 @@
 // Several routers bring the engines to the newest version; orders come from one at a time, and no request runs on weights
 // under another version's salt.
 func TestRollout(t *testing.T) {
-	s := site(t, 5, 1)
+	s := standIn(t, 5, 1)
 	var routers []*router
 	for range 3 {
 		routers = append(routers, start(t, settings(t, s)))
@@ -449,7 +448,7 @@
 }
 
 func TestInstancesShareOneReader(t *testing.T) {
-	s := site(t, 1, 1)
+	s := standIn(t, 1, 1)
 	var routers []*router
 	for range 3 {
 		routers = append(routers, start(t, settings(t, s)))
