--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/samber/oops"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
@@ -78,7 +79,8 @@
 		rows, err := e.get(ctx, platform.OperatorTable)
 		if err != nil {
 			e.log.Info("config: newer document not read", "error", err.Error())
-			sleep(ctx, retryLeast)
+			// The next round sees the end of the context.
+			_ = pause.For(ctx, retryLeast)
 			continue
 		}
 		before := e.lastConfirmed()
--- a/internal/app/edge/member.go
+++ b/internal/app/edge/member.go
@@ -21,7 +21,7 @@
 		}
 		if err != nil {
 			dep.failed(err)
-			if !pause(ctx, dep.failures) {
+			if !retry(ctx, dep.failures) {
 				return
 			}
 			continue
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
@@ -32,17 +33,10 @@
 	instancesTable = "instance"
 )
 
-// pause waits for a random part of a doubling time after a failure; false when the context has ended.
-func pause(ctx context.Context, failures int) bool {
+// retry waits for a random part of a doubling time after a failure; false when the context has ended.
+func retry(ctx context.Context, failures int) bool {
 	most := min(retryMost, retryLeast<<min(failures, 5))
-	timer := time.NewTimer(most/2 + rand.N(most/2+1))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, most/2+rand.N(most/2+1)) == nil
 }
 
 // dependency logs when the store is lost and when it is back.
@@ -77,7 +71,8 @@
 	for ctx.Err() == nil {
 		if version >= 0 && !e.circle.Follow(time.Now()) {
 			e.following.Store(false)
-			sleep(ctx, followPause)
+			// The condition of the loop sees the end of the context.
+			_ = pause.For(ctx, followPause)
 			continue
 		}
 		before := e.lastConfirmed()
@@ -92,7 +87,7 @@
 			dep.failed(err)
 			// What was missed is read whole, because a new connection may meet a store without its history.
 			version = -1
-			if !pause(ctx, dep.failures) {
+			if !retry(ctx, dep.failures) {
 				return
 			}
 			continue
@@ -183,14 +178,3 @@
 	e.roll.wake()
 	e.exchange.Now()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -18,7 +19,7 @@
 		now := time.Now()
 		age, version := e.list.age(now)
 		if due := share.Due(e.circle.Rank(now), listPause, e.exchange.Delay()); version >= 0 && age < due {
-			if !sleep(ctx, min(due-age, listLook)) {
+			if pause.For(ctx, min(due-age, listLook)) != nil {
 				return
 			}
 			continue
@@ -35,7 +36,7 @@
 					e.log.Info("list: not copied", "error", err.Error())
 				}
 			}
-			if !pause(ctx, dep.failures) {
+			if !retry(ctx, dep.failures) {
 				return
 			}
 		} else {
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/peer/pulse"
 	"github.com/skylarkquay/skylarkquay/internal/roll/lease"
 	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
@@ -102,7 +103,7 @@
 		r.edge.fleet.Switch(id, now.Add(switchingHeard))
 	}
 	for _, l := range m.Loaded {
-		r.edge.fleet.Loaded(now, l.Upstream, l.Model, l.Version)
+		r.edge.fleet.Loaded(l.Upstream, l.Model, l.Version)
 	}
 	if m.Duty == "" || m.Duty == r.edge.settings.Peer {
 		return
@@ -326,7 +327,7 @@
 		return
 	}
 	delete(r.progress, v.ID)
-	r.edge.fleet.Loaded(now, v.ID, model, version)
+	r.edge.fleet.Loaded(v.ID, model, version)
 	r.loaded = append(r.loaded, told{
 		Loaded: pulse.Loaded{Upstream: v.ID, Model: model, Version: version}, until: now.Add(toldLoaded),
 	})
@@ -359,8 +360,8 @@
 			}
 			due = now.Add(reorder)
 		}
-		if !sleep(ctx, askPause) {
-			return ctx.Err()
+		if err := pause.For(ctx, askPause); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -13,10 +13,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 )
 
 const (
@@ -184,11 +185,6 @@
 	return nil, ErrStray
 }
 
-// Unframed tells whether only the end of the connection ends the body.
-func (r *Reply) Unframed() bool {
-	return r.raw.ContentLength < 0 && len(r.raw.TransferEncoding) == 0
-}
-
 // Reused tells whether the request went over a kept connection.
 func (r *Reply) Reused() bool { return r.reused }
 
@@ -262,7 +258,7 @@
 	} else if limit <= 0 {
 		p.reserve(r.Address, 1<<30)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: bound, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.GiveUp(unackedMost), KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp4", r.Address)
 	if err != nil {
 		p.release(r.Address)
@@ -272,15 +268,6 @@
 	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBuffer)}, false, nil
 }
 
-// bound makes the kernel give up a connection whose peer acknowledges nothing.
-func bound(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedMost.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // pop returns the connection that was used last, or nil.
 func (p *Pool) pop(now time.Time, r Request) *conn {
 	p.mu.Lock()
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -46,8 +46,13 @@
 		r, err := x.attempt(ctx, choice)
 		switch x.next(ctx, r) {
 		case again:
-			continue
+			if r == failed {
+				x.note(failed, choice, err)
+			}
 		case deliver:
+			if r == failed {
+				x.fail(ctx, err)
+			}
 			return
 		case refuse:
 			x.giveUp(ctx, err)
@@ -61,11 +66,11 @@
 
 // next decides what follows a send.
 func (x *exchange) next(ctx context.Context, r result) step {
-	if x.paid {
-		x.paid = false
-		return again
-	}
-	if ctx.Err() != nil && r != answered {
+	switch {
+	case ctx.Err() == nil, r == answered:
+	case r == failed:
+		return deliver
+	default:
 		return fail
 	}
 	now := time.Now()
@@ -292,7 +297,7 @@
 	x.Fleet.Prefilled(choice.ID, tokens)
 	tokens = 0
 	if choice.Version > 0 && verdict.Version > choice.Version {
-		x.Fleet.Loaded(now, choice.ID, x.ask.Model, verdict.Version)
+		x.Fleet.Loaded(choice.ID, x.ask.Model, verdict.Version)
 	}
 	if r == answered && x.route.Kind == policy.Streaming && reply.Status < http.StatusMultipleChoices {
 		return x.stream(ctx, choice, reply)
@@ -319,7 +324,7 @@
 	case reply.Status != http.StatusMisdirectedRequest:
 		x.Fleet.Full(now, choice.ID, fullPause)
 	case v.Version > 0 && v.Version != choice.Version:
-		x.Fleet.Loaded(now, choice.ID, x.ask.Model, v.Version)
+		x.Fleet.Loaded(choice.ID, x.ask.Model, v.Version)
 		// The upstream was right and the belief wrong, so that it may be asked again.
 		delete(x.avoid, choice.ID)
 	default:
@@ -360,28 +365,39 @@
 	reply.Done(time.Now())
 	if r == failed {
 		x.Fleet.Erred(choice.ID)
-		if x.next(ctx, failed) == again {
-			x.note(failed, choice, fmt.Errorf("status %d", reply.Status))
-			// The next send was paid for here.
-			x.paid = true
-			return failed, nil
-		}
-		if !deliverable(reply.Status) {
-			return broken, fmt.Errorf("upstream %s failed with status %d", choice.ID, reply.Status)
-		}
-	} else {
-		x.Fleet.Succeeded(choice.ID)
+		x.failure = failure{status: reply.Status, header: reply.Header, body: body}
+		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, reply.Status)
 	}
-	head := x.w.Header()
-	for name, values := range x.Dialect.Answer(reply.Header) {
-		head[name] = values
+	x.Fleet.Succeeded(choice.ID)
+	x.answer(reply.Status, reply.Header, body, answered)
+	return answered, nil
+}
+
+// fail passes an upstream's own failure on, unless its status would promise that the request has not run.
+func (x *exchange) fail(ctx context.Context, err error) {
+	if !deliverable(x.failure.status) {
+		x.lose(ctx, err)
+		return
 	}
-	head.Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(reply.Status)
+	x.answer(x.failure.status, x.failure.header, x.failure.body, failed)
+}
+
+// answer sends a whole answer.
+func (x *exchange) answer(status int, header http.Header, body []byte, r result) {
+	x.copyHead(header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
-		x.log("route: caller did not take the answer", reply.Status, "left", "error", err.Error())
-		return answered, nil
+		x.log("route: caller did not take the answer", status, "left", "error", err.Error())
+		return
+	}
+	x.log("route: answered", status, string(r))
+}
+
+// copyHead sets the headers of an upstream's answer that go to the caller.
+func (x *exchange) copyHead(header http.Header) {
+	head := x.w.Header()
+	for name, values := range x.Dialect.Answer(header) {
+		head[name] = values
 	}
-	x.log("route: answered", reply.Status, string(r))
-	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -16,6 +16,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -106,8 +107,15 @@
 	saving bool
 	// first is the time to the head of a stream.
 	first time.Duration
-	// paid tells that the next send was already decided and paid for.
-	paid bool
+	// failure is the upstream's own failure after the last send, which the caller gets when nothing follows.
+	failure failure
+}
+
+// failure is an upstream's failure as it answered it.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
 }
 
 // ServeHTTP serves one request of a caller.
@@ -136,7 +144,7 @@
 	if x.doc == nil {
 		return fault.Later(fault.NotCurrent, comeBackLater, "this instance has no routing document yet")
 	}
-	if headerSize(x.r.Header) > x.doc.Limits.HeaderBytes && x.doc.Limits.HeaderBytes > 0 {
+	if relay.Size(x.r.Header) > x.doc.Limits.HeaderBytes && x.doc.Limits.HeaderBytes > 0 {
 		return fault.New(fault.HeaderTooLarge, "the header is longer than %d bytes", x.doc.Limits.HeaderBytes)
 	}
 	if err := x.readBody(); err != nil {
@@ -249,16 +257,6 @@
 	return d.Sum64()
 }
 
-func headerSize(h http.Header) int {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 // context returns the context of the exchange with upstreams. Requests that may not be repeated run to their end also
 // when their caller leaves.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -70,11 +70,8 @@
 		return
 	}
 	x.streaming = true
-	head := x.w.Header()
-	for name, values := range x.Dialect.Answer(reply.Header) {
-		head[name] = values
-	}
-	head.Del("Content-Length")
+	x.copyHead(reply.Header)
+	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(reply.Status)
 	x.first = time.Since(x.started)
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -112,12 +112,12 @@
 	}
 }
 
-// share is the part of every rate that this instance and those it hears may use.
-func (k *Keeper) share(now time.Duration) float64 {
+// count returns how many instances are heard and how many may be admitting, this one included.
+func (k *Keeper) count(now time.Duration) (heard, all int) {
 	if k.known > 0 {
-		return float64(k.heard) / float64(k.known)
+		return k.heard, k.known
 	}
-	heard, all := 1, 1
+	heard, all = 1, 1
 	for _, p := range k.peers {
 		silent := now - p.heard
 		if silent < peerForgotten {
@@ -127,6 +127,12 @@
 			heard++
 		}
 	}
+	return heard, all
+}
+
+// share is the part of every rate that this instance and those it hears may use.
+func (k *Keeper) share(now time.Duration) float64 {
+	heard, all := k.count(now)
 	return float64(heard) / float64(all)
 }
 
@@ -163,7 +169,8 @@
 		b.since, b.mine = now, 0
 	}
 	// One request in a tick is always even enough.
-	part := (b.level + b.mine) * spread / float64(k.awake(now))
+	heard, _ := k.count(now)
+	part := (b.level + b.mine) * spread / float64(heard)
 	if b.paced(now, 0) > busy*b.limit.Rate && b.mine > 0 && b.mine+units > part {
 		return false, b.since + tick - now
 	}
@@ -184,20 +191,6 @@
 	return b.pace
 }
 
-// awake is the number of instances that are heard, this one included.
-func (k *Keeper) awake(now time.Duration) int {
-	if k.known > 0 {
-		return k.heard
-	}
-	n := 1
-	for _, p := range k.peers {
-		if now-p.heard < peerFresh {
-			n++
-		}
-	}
-	return n
-}
-
 // Refund gives units back that did not run.
 func (k *Keeper) Refund(workspace string, units float64) {
 	k.mu.Lock()
--- a/internal/route/fleet/answers.go
+++ b/internal/route/fleet/answers.go
@@ -79,14 +79,14 @@
 }
 
 // Loaded records the version of a model's weights that an upstream was seen to run.
-func (f *Fleet) Loaded(now time.Time, id, model string, version int64) {
+func (f *Fleet) Loaded(id, model string, version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s, ok := f.states[id]
-	if !ok || s.confirmed[model].version >= version {
+	if !ok || s.confirmed[model] >= version {
 		return
 	}
-	s.confirmed[model] = seen{version: version, at: now}
+	s.confirmed[model] = version
 	s.switching = time.Time{}
 }
 
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -80,12 +80,7 @@
 	gone      time.Time
 	switching time.Time
 	// confirmed is the version seen in answers and orders, which goes before an older list.
-	confirmed map[string]seen
-}
-
-type seen struct {
-	version int64
-	at      time.Time
+	confirmed map[string]int64
 }
 
 type peerLoad struct {
@@ -120,7 +115,7 @@
 	defer f.mu.Unlock()
 	s, ok := f.states[e.ID]
 	if !ok || s.entry.Born != e.Born || s.entry.Address != e.Address {
-		f.states[e.ID] = &state{entry: e, confirmed: make(map[string]seen)}
+		f.states[e.ID] = &state{entry: e, confirmed: make(map[string]int64)}
 		return true
 	}
 	changed := s.entry.State != e.State || !s.gone.IsZero() || (s.entry.Cold > 0) != (e.Cold > 0)
@@ -263,8 +258,8 @@
 		for model, version := range s.entry.Weights {
 			v.Weights[model] = version
 		}
-		for model, c := range s.confirmed {
-			v.Weights[model] = max(v.Weights[model], c.version)
+		for model, version := range s.confirmed {
+			v.Weights[model] = max(v.Weights[model], version)
 		}
 	}
 	for _, p := range f.peers {
--- a/internal/route/fleet/fleet_test.go
+++ b/internal/route/fleet/fleet_test.go
@@ -117,7 +117,7 @@
 	f.Put(entry("u"))
 	f.Switch("u", start.Add(time.Second))
 	must.True(t, one(t, f, start, "u").Switching)
-	f.Loaded(start, "u", "m", 3)
+	f.Loaded("u", "m", 3)
 	v := one(t, f, start, "u")
 	must.False(t, v.Switching)
 	must.Eq(t, 3, v.Weights["m"])
