Belief in upstreams is shared: failures counted by all instances, silence of seconds counted, forgotten connections learnt

Requests that got nothing until their time was up counted against nobody. Connections that an upstream had forgotten were found one by one. Change: the loads that instances tell each other carry answers and failures of the last seconds, only where some instance saw a failure; the share of failures of all weighs in the placement as one's own did. The pool learns the idle time at which a connection was found forgotten, for 10 s. Ruled out: shared ejections, since one instance without a working link would take all engines from the others.

--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -215,6 +215,21 @@
 	must.True(t, reply.Signed)
 }
 
+// An upstream whose health looks good answers nothing; it is believed to fail by what it did.
+func TestHangingUpstreamsArePassedOver(t *testing.T) {
+	s, r := begin(t, 1, 2)
+	s.Jobs[0].Set(stand.Faults{Hang: true})
+	lost := 0
+	for range 12 {
+		c := call(http.MethodGet, stand.Look+"1")
+		c.Deadline = 1400
+		if r.ask(t, c).Status != http.StatusOK {
+			lost++
+		}
+	}
+	must.LessEq(t, 2, lost)
+}
+
 func TestUnsignedAnswersAreNoSuccess(t *testing.T) {
 	s, r := begin(t, 1, 1)
 	s.Jobs[0].Set(stand.Faults{Unsigned: true})
--- a/internal/app/edge/words.go
+++ b/internal/app/edge/words.go
@@ -15,7 +15,7 @@
 func (e *Edge) Tell(boot time.Duration, m *pulse.Message) (time.Duration, bool) {
 	now := time.Now()
 	m.Rates = e.quota.Tell(boot)
-	m.Loads = e.fleet.Loads()
+	m.Loads = e.fleet.Loads(now)
 	m.Crashers = e.deaths.Tell(now)
 	m.Uses = e.holders.Tell(now)
 	m.Leaving = e.handler.Draining.Load() && e.handler.Open.Load() == 0
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -95,6 +95,7 @@
 	limit func(address string) int
 	// opened is called for each new connection.
 	opened func()
+	rest   rest
 }
 
 // NewPool returns a pool. Limit gives the most connections to an address, zero for no bound.
@@ -128,6 +129,9 @@
 	reply, err := p.read(c, r)
 	if err != nil {
 		stop()
+		if reused && forgotten(err) {
+			p.rest.learn(now, r.Address, now.Sub(c.used))
+		}
 		p.discard(c)
 		return nil, fmt.Errorf("no answer: %w", err)
 	}
@@ -278,7 +282,7 @@
 	}
 	c := kept[len(kept)-1]
 	unused := now.Sub(c.used)
-	if unused > c.idle {
+	if unused > p.rest.most(now, r.Address, c.idle, false) {
 		// The others were used even earlier.
 		for _, old := range kept {
 			_ = old.Close()
@@ -287,7 +291,7 @@
 		delete(p.idle, r.Address)
 		return nil
 	}
-	if r.Once && unused > freshMost {
+	if r.Once && unused > p.rest.most(now, r.Address, c.idle, true) {
 		return nil
 	}
 	p.idle[r.Address] = kept[:len(kept)-1]
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -302,6 +302,42 @@
 	reply.Abort()
 }
 
+// An upstream forgets connections that rested some time and resets them at the next request: the pool learns the time.
+func TestForgottenConnectionsTeachAnIdleTime(t *testing.T) {
+	u := listen(t, func(n int64, _ *http.Request, c net.Conn) bool {
+		if n == 2 {
+			must.NoError(t, c.(*net.TCPConn).SetLinger(0))
+			return false
+		}
+		_, err := io.WriteString(c, answer("1", ""))
+		return err == nil
+	})
+	p := pool(0)
+	now := time.Now()
+	send := func(at time.Time, once bool) error {
+		r := request(u, "1")
+		r.Once = once
+		reply, err := p.Send(context.Background(), at, r)
+		if err == nil {
+			reply.Done(at)
+		}
+		return err
+	}
+	must.NoError(t, send(now, false))
+	must.Error(t, send(now.Add(400*time.Millisecond), false))
+	must.NoError(t, send(now.Add(500*time.Millisecond), true))
+	opened := u.opened.Load()
+	must.NoError(t, send(now.Add(700*time.Millisecond), true))
+	must.Eq(t, opened, u.opened.Load(), must.Sprint("200 ms of rest are safe"))
+	must.NoError(t, send(now.Add(1050*time.Millisecond), true))
+	must.Eq(t, opened+1, u.opened.Load(), must.Sprint("350 ms are not"))
+	// The time is forgotten again.
+	must.NoError(t, send(now.Add(12*time.Second), false))
+	opened = u.opened.Load()
+	must.NoError(t, send(now.Add(12900*time.Millisecond), false))
+	must.Eq(t, opened, u.opened.Load())
+}
+
 func TestSweep(t *testing.T) {
 	u := answering(t, answer("1", "one"))
 	p := pool(0)
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -247,6 +247,7 @@
 // attempt sends the request to one upstream and passes the answer on when there is one.
 func (x *exchange) attempt(ctx context.Context, choice place.Choice) (result, error) {
 	now := time.Now()
+	x.sent = now
 	x.tally.Sends++
 	x.avoid[choice.ID] = true
 	tokens := choice.Reads
@@ -288,7 +289,7 @@
 	case broken:
 		x.tally.Ran++
 		reply.Abort()
-		x.Fleet.Erred(choice.ID)
+		x.Fleet.Erred(time.Now(), choice.ID)
 		err := fmt.Errorf("upstream %s sent an answer without a signature, status %d", choice.ID, reply.Status)
 		x.note(r, choice, err)
 		return r, err
@@ -333,13 +334,17 @@
 	}
 }
 
-// brokenOff learns from an upstream that broke off, unless the caller left or the time was up.
+// brokenOff learns from an upstream that broke off. When the caller left or the time was up, only a long silence counts
+// against the upstream.
 func (x *exchange) brokenOff(ctx context.Context, choice place.Choice, err error) {
 	x.note(broken, choice, err)
+	now := time.Now()
 	if ctx.Err() != nil {
+		if !x.streaming && now.Sub(x.sent) >= silenceLeast {
+			x.Fleet.Erred(now, choice.ID)
+		}
 		return
 	}
-	now := time.Now()
 	x.Fleet.Failed(now, choice.ID)
 	x.Crashers.Died(now, x.fingerprint)
 	x.Pool.Forget(choice.Address)
@@ -364,11 +369,11 @@
 	}
 	reply.Done(time.Now())
 	if r == failed {
-		x.Fleet.Erred(choice.ID)
+		x.Fleet.Erred(time.Now(), choice.ID)
 		x.failure = failure{status: reply.Status, header: reply.Header, body: body}
 		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, reply.Status)
 	}
-	x.Fleet.Succeeded(choice.ID)
+	x.Fleet.Succeeded(time.Now(), choice.ID)
 	x.answer(reply.Status, reply.Header, body, answered)
 	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -99,6 +99,8 @@
 	avoid       map[string]bool
 	// last is the last placement, for the log.
 	last place.Choice
+	// sent is when the last send began.
+	sent time.Time
 	// resumed is the id of the last event that was passed on.
 	resumed string
 	// streaming tells that the answer's head has gone to the caller.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -91,7 +91,7 @@
 func (x *exchange) finish(choice place.Choice, reply *link.Reply) (result, error) {
 	x.begin(reply)
 	reply.Done(time.Now())
-	x.Fleet.Succeeded(choice.ID)
+	x.Fleet.Succeeded(time.Now(), choice.ID)
 	x.log("route: answered", reply.Status, "answered", "first_ms", x.first.Milliseconds(), "last_event", x.resumed)
 	return answered, nil
 }
--- a/internal/peer/pulse/hub.go
+++ b/internal/peer/pulse/hub.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"time"
-
-	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
 const (
@@ -133,8 +131,7 @@
 	}
 	m.Heard += max(1, c.last.Heard)
 	for id, l := range c.last.Loads {
-		sum := m.Loads[id]
-		m.Loads[id] = fleet.Load{Running: sum.Running + l.Running, Tokens: sum.Tokens + l.Tokens}
+		m.Loads[id] = m.Loads[id].Plus(l)
 	}
 	for fingerprint, n := range c.last.Crashers {
 		m.Crashers[fingerprint] += n
@@ -172,8 +169,7 @@
 	}
 	m.Loads = cloned(all.Loads)
 	for id, l := range c.last.Loads {
-		sum := m.Loads[id]
-		m.Loads[id] = fleet.Load{Running: sum.Running - l.Running, Tokens: sum.Tokens - l.Tokens}
+		m.Loads[id] = m.Loads[id].Minus(l)
 	}
 	m.Crashers = cloned(all.Crashers)
 	for fingerprint, n := range c.last.Crashers {
--- a/internal/route/fleet/answers.go
+++ b/internal/route/fleet/answers.go
@@ -34,10 +34,11 @@
 }
 
 // Succeeded records a good answer.
-func (f *Fleet) Succeeded(id string) {
+func (f *Fleet) Succeeded(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.states[id]; ok {
+		s.answers.add(now, true)
 		s.failed = 0
 		s.ejected = time.Time{}
 		s.failing *= 1 - healthWeight
@@ -53,6 +54,7 @@
 		return
 	}
 	s.failing += (1 - s.failing) * healthWeight
+	s.answers.add(now, false)
 	if now.Before(s.ejected) {
 		return
 	}
@@ -61,10 +63,11 @@
 }
 
 // Erred records a failure that the upstream answered itself; it does not eject.
-func (f *Fleet) Erred(id string) {
+func (f *Fleet) Erred(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.states[id]; ok {
+		s.answers.add(now, false)
 		s.failing += (1 - s.failing) * healthWeight
 	}
 }
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -59,7 +59,8 @@
 	Tokens int64
 	// Ejected tells that the upstream failed lately.
 	Ejected bool
-	// Failing is the moving share of requests that failed.
+	// Failing is the share of requests that failed lately: the larger of this instance's moving share and that of all
+	// instances.
 	Failing float64
 	// Switching tells that the upstream is about to load weights.
 	Switching bool
@@ -73,6 +74,7 @@
 type state struct {
 	entry   Entry
 	own     load
+	answers window
 	failed  int
 	ejected time.Time
 	failing float64
@@ -88,10 +90,23 @@
 	loads map[string]Load
 }
 
-// Load is what one instance has on its way to an upstream.
+// Load is what one instance has on its way to an upstream, and how the upstream answered it lately.
 type Load struct {
 	Running int   `json:"r,omitempty"`
 	Tokens  int64 `json:"t,omitempty"`
+	// Good and Bad count the answers and failures of the last seconds; both are zero where no instance saw a failure.
+	Good int `json:"g,omitempty"`
+	Bad  int `json:"b,omitempty"`
+}
+
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Good: l.Good + o.Good, Bad: l.Bad + o.Bad}
+}
+
+// Minus returns what is left of a sum without one of its parts.
+func (l Load) Minus(o Load) Load {
+	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Good: l.Good - o.Good, Bad: l.Bad - o.Bad}
 }
 
 // Fleet is safe for concurrent use.
@@ -262,24 +277,37 @@
 			v.Weights[model] = max(v.Weights[model], version)
 		}
 	}
+	others := f.others(now, s.entry.ID)
+	good, bad := s.answers.count(now)
+	v.Running += others.Running
+	v.Tokens += others.Tokens
+	v.Failing = max(v.Failing, failingShare(good+others.Good, bad+others.Bad))
+	return v
+}
+
+// others returns what all other instances told of an upstream lately.
+func (f *Fleet) others(now time.Time, id string) Load {
+	var sum Load
 	for _, p := range f.peers {
 		if now.Sub(p.at) < peerCountsMost {
-			l := p.loads[s.entry.ID]
-			v.Running += l.Running
-			v.Tokens += l.Tokens
+			sum = sum.Plus(p.loads[id])
 		}
 	}
-	return v
+	return sum
 }
 
-// Loads returns what this instance has on its way, by upstream.
-func (f *Fleet) Loads() map[string]Load {
+// Loads returns what this instance has on its way, by upstream, and how those answered that failed for any instance.
+func (f *Fleet) Loads(now time.Time) map[string]Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	loads := make(map[string]Load)
 	for id, s := range f.states {
-		if s.own.running > 0 {
-			loads[id] = Load{Running: s.own.running, Tokens: s.own.tokens}
+		l := Load{Running: s.own.running, Tokens: s.own.tokens}
+		if good, bad := s.answers.count(now); bad > 0 || good > 0 && f.others(now, id).Bad > 0 {
+			l.Good, l.Bad = good, bad
+		}
+		if l != (Load{}) {
+			loads[id] = l
 		}
 	}
 	return loads
--- a/internal/route/fleet/fleet_test.go
+++ b/internal/route/fleet/fleet_test.go
@@ -93,7 +93,7 @@
 		must.False(t, one(t, f, now, "u").Ejected)
 	}
 	f.Failed(now, "u")
-	f.Succeeded("u")
+	f.Succeeded(now, "u")
 	must.False(t, one(t, f, now, "u").Ejected)
 }
 
@@ -109,7 +109,7 @@
 	must.Eq(t, 1, v.Running)
 	f.Prefilled("u", 100)
 	f.Ended("u", 0)
-	must.Eq(t, map[string]Load{}, f.Loads())
+	must.Eq(t, map[string]Load{}, f.Loads(start))
 }
 
 func TestLoadedWeightsGoBeforeAnOlderList(t *testing.T) {
