--- /dev/null
+++ b/internal/app/trials/soak.go
@@ -0,0 +1,129 @@
+package trials
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/lines"
+	"github.com/skylarkquay/skylarkquay/internal/trial/soak"
+)
+
+// soakCommand plays random faults against routers that run as separate processes.
+type soakCommand struct {
+	t        *tool
+	Bin      string        `long:"bin" default:"build" description:"folder of the programs"`
+	Out      string        `long:"out" default:"build/soak" description:"folder of the report, the plot and the logs"`
+	Seed     uint64        `long:"seed" description:"first seed; drawn from the time when it is 0"`
+	Runs     int           `long:"runs" description:"number of seeds; 0 goes on until the minutes are over"`
+	Minutes  float64       `long:"minutes" description:"begin no run after so many minutes; 0 for no bound"`
+	Length   time.Duration `long:"length" default:"20s" description:"how long faults begin in a run"`
+	Own      bool          `long:"own" description:"play the product's own interface instead of the platform's"`
+	Fault    string        `long:"fault" description:"play only this kind of fault"`
+	Regress  bool          `long:"regress" description:"play the seeds that ever failed first"`
+	Routers  int           `long:"routers" default:"0" description:"number of routers; 0 draws 5, 13 or 26 by the seed"`
+	Engines  int           `long:"engines" default:"6" description:"number of engines"`
+	Services int           `long:"services" default:"3" description:"number of plain services"`
+	Callers  int           `long:"callers" default:"24" description:"number of callers"`
+	Commit   string        `long:"commit" description:"commit to name in the report"`
+}
+
+// sizes are the numbers of routers that seeds draw: with and without heads of availability zones.
+var sizes = []int{5, 13, 26}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	if c.Runs <= 0 && c.Minutes <= 0 {
+		return oops.Errorf("give --runs, --minutes or both")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64() >> 32
+	}
+	var results []soak.Result
+	if c.Regress && !c.Own {
+		for _, r := range soak.Regressions {
+			result, err := c.play(ctx, r.Seed, r.Routers, r.Length)
+			if err != nil {
+				return err
+			}
+			results = append(results, result)
+		}
+	}
+	begin := time.Now()
+	for n := 0; ctx.Err() == nil && (c.Runs <= 0 || n < c.Runs); n++ {
+		if c.Minutes > 0 && time.Since(begin).Minutes() > c.Minutes {
+			break
+		}
+		routers := c.Routers
+		if routers <= 0 {
+			routers = sizes[(seed+uint64(n))%uint64(len(sizes))]
+		}
+		result, err := c.play(ctx, seed+uint64(n), routers, c.Length)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+	}
+	return c.report(soak.NewReport(results))
+}
+
+// play plays one seed.
+func (c *soakCommand) play(ctx context.Context, seed uint64, routers int, length time.Duration) (soak.Result, error) {
+	folder := filepath.Join(c.Out, fmt.Sprint("seed-", seed))
+	if err := os.RemoveAll(folder); err != nil {
+		return soak.Result{}, err
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return soak.Result{}, err
+	}
+	file, err := os.Create(filepath.Join(folder, "soak.log"))
+	if err != nil {
+		return soak.Result{}, err
+	}
+	defer func() { _ = file.Close() }()
+	run := soak.Run
+	if c.Own {
+		run = soak.RunOwn
+	}
+	result, err := run(ctx, soak.Settings{
+		Programs: c.Bin, Folder: folder, Seed: seed, Length: length, Only: c.Fault,
+		Size: soak.Size{Routers: routers, Engines: c.Engines, Services: c.Services, Callers: c.Callers}, Log: lines.NewLogger("info", file),
+	})
+	if err != nil {
+		return result, err
+	}
+	c.t.printf("seed %d: %d routers, %d faults, %d calls, %d served, %d broken promises\n", seed, routers, len(result.Plays), result.Calls, result.Served, len(result.Broken))
+	for _, b := range result.Broken {
+		c.t.printf("  %s: %s %s\n", b.Promise, b.ID, b.Text)
+	}
+	return result, nil
+}
+
+// report writes the report and fails when a promise was broken.
+func (c *soakCommand) report(r soak.Report) error {
+	r.Commit = strings.TrimSpace(c.Commit)
+	if err := save(filepath.Join(c.Out, "report.json"), r); err != nil {
+		return err
+	}
+	if len(r.Latency) > 0 {
+		if err := r.Plot(filepath.Join(c.Out, "report.png")); err != nil {
+			return err
+		}
+	}
+	r.Print(c.t.out)
+	if r.Broken > 0 {
+		return oops.Errorf("%d promises broken", r.Broken)
+	}
+	return nil
+}
--- a/internal/app/trials/trials.go
+++ b/internal/app/trials/trials.go
@@ -35,6 +35,7 @@
 		{"load", "drive running routers with a recorded trace", &loadCommand{t: t}},
 		{"record", "generate the recorded traces anew", &recordCommand{t: t}},
 		{"capacity", "work the capacity table out of benchmark output", &capacityCommand{t: t}},
+		{"soak", "play random faults against routers in separate processes", &soakCommand{t: t}},
 		{"replay", "replay traces under every policy", &replayCommand{t: t}},
 	}
 	for _, c := range commands {
