Rollouts at scale: a quarter loads at a time, placements spread what others cannot know yet, unread prompts count to the first event

Change: a quarter loads at a time while as many drain, failing engines last; the choice is drawn within twice what placements not yet heard of add to the few engines; old weights are free for a second and cost 100 ms then; prompts count as unread until the first event.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -117,6 +117,7 @@
 		Dialect: platform.Dialect{}, Feed: e.feed, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, Crashers: e.deaths, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.Boot,
 	}
+	e.handler.Others = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.Delay() / 2 }
 	e.roll = newRollout(e)
 	if err := e.open(); err != nil {
 		return nil, err
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -21,6 +21,8 @@
 	rolloutTick = 50 * time.Millisecond
 	// loadMost is how long one engine may take to finish its requests and load.
 	loadMost = 9 * time.Second
+	// drainTold is how long an engine that drains is avoided when its load does not begin.
+	drainTold = 2 * time.Second
 	// askPause is the pause between questions to a loading engine; its reports are some 100 ms old.
 	askPause = 150 * time.Millisecond
 	// reorder is the pause before an order without an answer is given again; its effect shows in reports by then.
@@ -83,7 +85,7 @@
 		m.Duty = r.edge.settings.Peer
 	}
 	for id, p := range r.progress {
-		if !p.Started.IsZero() {
+		if !p.Started.IsZero() || now.Sub(p.Draining) < drainTold {
 			m.Switching = append(m.Switching, id)
 		}
 	}
@@ -295,16 +297,22 @@
 	views := r.edge.fleet.Views(now, doc.Serves(t.Model))
 	r.mu.Lock()
 	next := plan.Next(now, t, views, r.progress)
-	for _, m := range next {
+	for _, e := range next.Drain {
+		r.progress[e.ID] = plan.Progress{Draining: now, Version: t.Version}
+		r.edge.fleet.Switch(e.ID, now.Add(drainTold))
+	}
+	for _, m := range next.Load {
 		r.progress[m.Engine.ID] = plan.Progress{Started: now, Version: t.Version}
 		r.edge.fleet.Switch(m.Engine.ID, now.Add(loadMost))
 	}
 	r.mu.Unlock()
-	if len(next) == 0 {
+	if len(next.Drain)+len(next.Load) == 0 {
 		return
 	}
+	r.edge.log.Info("weights: planned", "model", t.Model, "version", t.Version, "age_ms", t.Age.Milliseconds(), "drain", len(next.Drain),
+		"load", len(next.Load))
 	r.edge.exchange.Now()
-	for _, m := range next {
+	for _, m := range next.Load {
 		r.loads.Go(func() { r.load(ctx, m, t.Model, t.Version) })
 	}
 }
--- a/internal/conf/policy/feed.go
+++ b/internal/conf/policy/feed.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,11 +27,13 @@
 	known     bool
 	// weights are the announcements of each model in order of version.
 	weights map[string][]Weights
+	// passed is the version of each model that was due by a time which an instance saw; earlier ones matter no more.
+	passed map[string]int64
 }
 
 // NewFeed returns a feed without a document.
 func NewFeed() *Feed {
-	return &Feed{weights: make(map[string][]Weights)}
+	return &Feed{weights: make(map[string][]Weights), passed: make(map[string]int64)}
 }
 
 // Offer puts a document in force unless it is older than the one in force, and tells whether it did.
@@ -44,7 +48,8 @@
 }
 
 // Announce records a version of a model's weights and tells whether it is new. A time that an instance saw goes before an
-// assumed one, and of two that were seen the earlier one holds.
+// assumed one, and of two that were seen the earlier one holds. Older versions count too: an instance that has started
+// reads only the newest from the store, whose time it has yet to hear.
 func (f *Feed) Announce(w Weights) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,10 +63,11 @@
 		}
 		return false
 	}
-	if newest(all).Version > w.Version {
+	if w.Version < f.passed[w.Model] {
 		return false
 	}
-	f.weights[w.Model] = append(all, w)
+	at, _ := slices.BinarySearchFunc(all, w.Version, func(o Weights, version int64) int { return cmp.Compare(o.Version, version) })
+	f.weights[w.Model] = slices.Insert(all, at, w)
 	return true
 }
 
@@ -79,11 +85,15 @@
 	defer f.mu.Unlock()
 	all := f.weights[model]
 	for i := len(all) - 1; i >= 0; i-- {
-		if all[i].Learnt <= before {
-			// Earlier ones are never asked for again.
+		if all[i].Learnt > before {
+			continue
+		}
+		if all[i].Seen {
+			// Earlier ones are never asked for again. An assumed time may still be put right.
 			f.weights[model] = all[i:]
-			return all[i].Version
+			f.passed[model] = all[i].Version
 		}
+		return all[i].Version
 	}
 	return 0
 }
--- a/internal/conf/policy/policy_test.go
+++ b/internal/conf/policy/policy_test.go
@@ -104,3 +104,18 @@
 	must.False(t, f.Announce(Weights{Model: "m", Version: 1, Learnt: 9 * time.Second, Seen: true}))
 	must.Eq(t, 2, f.Weights("m").Version)
 }
+
+// A restarted instance reads the newest version from the store without its time and counts it as due; the others then tell
+// its time, and that an earlier version is due by its own.
+func TestAnEarlierVersionIsDueWhenANewerOneWasOnlyAssumedToBe(t *testing.T) {
+	f := NewFeed()
+	must.True(t, f.Announce(Weights{Model: "m", Version: 4, Learnt: 0}))
+	must.Eq(t, 4, f.Floor("m", 5*time.Second))
+	must.True(t, f.Announce(Weights{Model: "m", Version: 3, Learnt: 4 * time.Second, Seen: true}))
+	must.False(t, f.Announce(Weights{Model: "m", Version: 4, Learnt: 8 * time.Second, Seen: true}))
+	must.Eq(t, 4, f.Weights("m").Version)
+	must.Eq(t, 3, f.Floor("m", 5*time.Second))
+	must.Eq(t, 4, f.Floor("m", 9*time.Second))
+	must.False(t, f.Announce(Weights{Model: "m", Version: 3, Learnt: 4 * time.Second, Seen: true}), must.Sprint("told again"))
+	must.Eq(t, 4, f.Floor("m", 9*time.Second))
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +27,12 @@
 	// silenceLeast is the shortest silence after which a stream that may go on elsewhere is given up. Callers leave
 	// after two seconds of silence.
 	silenceLeast = 1200 * time.Millisecond
+	// staleFree is how long after their announcement superseded weights cost nothing; the users' bound is 1.5 s, and the
+	// word of an announcement takes some tenths.
+	staleFree = time.Second
+	// staleDelay is the wait that a request on the newest weights is worth: a fifth of a request's worth is lost on
+	// superseded ones, and more than half when it is late; engines on older weights also hold its prefix.
+	staleDelay = 100 * time.Millisecond
 	// priorityMost is the least urgent priority of engines.
 	priorityMost = 9
 	// routePriorities is the number of route priorities within one workspace priority.
@@ -134,7 +141,11 @@
 func (x *exchange) place(now time.Time) (place.Choice, bool) {
 	q := place.Question{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.ask.ID), Own: x.ask.Prompt}
 	if x.route.Language && x.ask.Model != "" {
-		q.Model, q.Version = x.ask.Model, x.Feed.Weights(x.ask.Model).Version
+		newest := x.Feed.Weights(x.ask.Model)
+		q.Model, q.Version = x.ask.Model, newest.Version
+		if x.Boot()-newest.Learnt > staleFree {
+			q.Stale = staleDelay
+		}
 		q.Floor = x.Feed.Floor(x.ask.Model, x.Boot()-x.Settings.WeightsAge)
 		q.Own = x.ask.Prompt
 		for _, part := range x.ask.Shared() {
@@ -147,12 +158,19 @@
 			q.Affinity = xxhash.Sum64String(x.wall() + shared[len(shared)-1].ID)
 		}
 	}
-	choice, ok := place.Choose(q, x.Fleet.Views(now, x.service), x.Costs)
+	views := x.Fleet.Views(now, x.service)
+	if q.Model != "" {
+		newest, all := place.Serving(views, q.Model, q.Version)
+		others, delay := x.Others()
+		q.Unseen = place.Unseen(x.Flow.Rate(now), others, delay, newest, all, x.Costs)
+	}
+	choice, ok := place.Choose(q, views, x.Costs)
 	x.last = choice
 	if ok {
+		x.Flow.Add(now, choice.Reads)
 		x.Log.Info("route: placed", "id", x.ask.ID, "upstream", choice.ID, "weights", choice.Version, "newest", q.Version,
 			"floor", q.Floor, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
-			"depth", choice.Depth, "source", choice.Source, "reads", choice.Reads, "running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected,
+			"depth", choice.Depth, "unseen_ms", q.Unseen.Milliseconds(), "source", choice.Source, "reads", choice.Reads, "running", choice.Running, "tokens", choice.Tokens, "ejected", choice.Ejected,
 			"switching", choice.Switching)
 	}
 	return choice, ok
@@ -295,13 +313,15 @@
 		return r, err
 	}
 	x.tally.Ran++
-	x.Fleet.Prefilled(choice.ID, tokens)
-	tokens = 0
 	if choice.Version > 0 && verdict.Version > choice.Version {
 		x.Fleet.Loaded(choice.ID, x.ask.Model, verdict.Version)
 	}
 	if r == answered && x.route.Kind == policy.Streaming && reply.Status < http.StatusMultipleChoices {
-		return x.stream(ctx, choice, reply)
+		// Engines answer the head at once; the prompt is read when the first event comes.
+		return x.stream(ctx, choice, reply, func() {
+			x.Fleet.Prefilled(choice.ID, tokens)
+			tokens = 0
+		})
 	}
 	return x.whole(ctx, choice, reply, r)
 }
@@ -341,11 +361,15 @@
 	now := time.Now()
 	if ctx.Err() != nil {
 		if !x.streaming && now.Sub(x.sent) >= silenceLeast {
-			x.Fleet.Erred(now, choice.ID)
+			x.Fleet.TimedOut(now, choice.ID)
 		}
 		return
 	}
-	x.Fleet.Failed(now, choice.ID)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.Fleet.FellSilent(now, choice.ID)
+	} else {
+		x.Fleet.Failed(now, choice.ID)
+	}
 	x.Crashers.Died(now, x.fingerprint)
 	x.Pool.Forget(choice.Address)
 }
@@ -373,7 +397,8 @@
 		x.failure = failure{status: reply.Status, header: reply.Header, body: body}
 		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, reply.Status)
 	}
-	x.Fleet.Succeeded(time.Now(), choice.ID)
+	x.Fleet.Answered(time.Now(), choice.ID)
+	x.Fleet.Succeeded(choice.ID)
 	x.answer(reply.Status, reply.Header, body, answered)
 	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -66,8 +66,12 @@
 	Holders  *holder.Book
 	Crashers Crashers
 	Costs    place.Costs
-	Log      logr.Logger
-	Metrics  tallies.Scope
+	// Flow is what this instance gives engines to read; Others returns how many other instances place prompts, and how long
+	// word of a placement takes between them.
+	Flow    place.Flow
+	Others  func() (instances int, delay time.Duration)
+	Log     logr.Logger
+	Metrics tallies.Scope
 	// Boot is the clock that counts suspensions.
 	Boot func() time.Duration
 	// Draining tells that the instance is about to stop.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -17,7 +17,7 @@
 
 // stream passes whole events on as they come. When the upstream breaks off, the result is broken and the stream may go
 // on elsewhere behind the last event that was passed on.
-func (x *exchange) stream(ctx context.Context, choice place.Choice, reply *link.Reply) (result, error) {
+func (x *exchange) stream(ctx context.Context, choice place.Choice, reply *link.Reply, prefilled func()) (result, error) {
 	events := newEventReader(reply.Body)
 	silence := x.silence()
 	first := true
@@ -40,6 +40,8 @@
 		}
 		if first {
 			first = false
+			prefilled()
+			x.Fleet.Answered(time.Now(), choice.ID)
 			x.begin(reply)
 			x.read(time.Now(), choice)
 		}
@@ -91,7 +93,7 @@
 func (x *exchange) finish(choice place.Choice, reply *link.Reply) (result, error) {
 	x.begin(reply)
 	reply.Done(time.Now())
-	x.Fleet.Succeeded(time.Now(), choice.ID)
+	x.Fleet.Succeeded(choice.ID)
 	x.log("route: answered", reply.Status, "answered", "first_ms", x.first.Milliseconds(), "last_event", x.resumed)
 	return answered, nil
 }
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -63,6 +63,8 @@
 
 // Progress is what this instance has done about one engine.
 type Progress struct {
+	// Draining is since when the engine gets no new requests, so that it can load soon; zero when it does.
+	Draining time.Time
 	// Started is when loading was begun; zero when it is not in progress.
 	Started time.Time
 	// Version is what it was begun for.
@@ -72,15 +74,14 @@
 }
 
 const (
-	// firstWave is the divisor of the fleet that loads first. New requests go to it, so that the others drain by
-	// themselves.
-	firstWave = 3
+	// atOnce is the divisor of the fleet that loads at a time. The store of weights serves a fifth or a sixth at full speed,
+	// and an engine's report of a finished load is some hundred milliseconds old.
+	atOnce = 4
+	// drainMost is how long an engine gets no new requests before its load begins all the same. Most answers are shorter.
+	drainMost = 1200 * time.Millisecond
 	// drained is the number of requests with which an engine counts as drained: ending them on the new weights costs less
 	// than the load itself.
 	drained = 2
-	// patience is how long after the announcement engines may drain by themselves. Long answers take some seconds, and
-	// the users' bound for the whole rollout is 8 s.
-	patience = 3 * time.Second
 	// urgent is how long after the announcement engines no longer wait for their requests; the users' bound for all
 	// engines is 11 s, and no request begins on superseded weights by then.
 	urgent = 6 * time.Second
@@ -100,13 +101,21 @@
 	Age time.Duration
 }
 
-// Next returns the engines that should begin to load now, those with the least work first. The first wave goes on with
-// its few requests on the new weights, which costs a part of their worth and gives new requests a place seconds earlier.
-// The others follow when they have drained, or when patience is over by finishing first, never more of them at once than
-// already serve the new weights.
-func Next(now time.Time, t Target, engines []fleet.View, progress map[string]Progress) []Move {
+// Plan is what to do now.
+type Plan struct {
+	// Drain are engines that should get no new requests.
+	Drain []fleet.View
+	// Load are engines that should begin to load.
+	Load []Move
+}
+
+// Next returns the engines that should drain and those that should begin to load, those with the least work first. A part
+// of the fleet loads at a time and as many drain, so that more than half of it serves at every moment: new weights find no
+// prefix in any engine, and a fleet that serves on its first few engines with them queues for seconds. Engines that fail
+// come last, because they would hold places without loading.
+func Next(now time.Time, t Target, engines []fleet.View, progress map[string]Progress) Plan {
 	var open []fleet.View
-	busy, size, done := 0, 0, 0
+	loading, draining, size := 0, 0, 0
 	for i := range engines {
 		e := &engines[i]
 		if e.State != fleet.Ready || e.Weights[t.Model] == 0 {
@@ -116,35 +125,44 @@
 		p := progress[e.ID]
 		switch {
 		case !p.Started.IsZero():
-			if p.Version == t.Version {
-				busy++
-			}
-		case e.Weights[t.Model] >= t.Version:
-			done++
-		case !now.Before(p.Retry):
+			loading++
+		case e.Weights[t.Model] < t.Version && !now.Before(p.Retry):
 			open = append(open, *e)
+			if !p.Draining.IsZero() {
+				draining++
+			}
 		}
 	}
 	slices.SortFunc(open, func(a, b fleet.View) int {
-		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(failing(&a)-failing(&b), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
-	first := max(1, size/firstWave)
-	var moves []Move
-	for _, e := range open {
+	most := max(1, size/atOnce)
+	if t.Age > urgent {
+		most = max(1, size/2)
+	}
+	var plan Plan
+	for i := range open {
+		e := &open[i]
+		since := progress[e.ID].Draining
+		waited := !since.IsZero() && now.Sub(since) >= drainMost
 		switch {
-		case done+busy+len(moves) < first:
-			moves = append(moves, Move{Engine: e, Mode: Continue})
-		case busy+len(moves) >= max(first, done):
-			return moves
-		case done < first:
-			return moves
-		case e.Running <= drained || t.Age > urgent:
-			moves = append(moves, Move{Engine: e, Mode: Continue})
-		case t.Age > patience:
-			moves = append(moves, Move{Engine: e, Mode: Finish})
+		case loading+len(plan.Load) < most && (e.Running <= drained || t.Age > urgent):
+			plan.Load = append(plan.Load, Move{Engine: *e, Mode: Continue})
+		case loading+len(plan.Load) < most && waited:
+			plan.Load = append(plan.Load, Move{Engine: *e, Mode: Finish})
+		case since.IsZero() && draining+len(plan.Drain) < most:
+			plan.Drain = append(plan.Drain, *e)
 		}
 	}
-	return moves
+	return plan
+}
+
+// failing returns 1 for an engine that fails.
+func failing(v *fleet.View) int {
+	if v.Ejected || !v.Healthy() {
+		return 1
+	}
+	return 0
 }
 
 // Pending returns the number of engines that run an older version than announced.
--- a/internal/route/fleet/answers.go
+++ b/internal/route/fleet/answers.go
@@ -33,12 +33,20 @@
 	}
 }
 
-// Succeeded records a good answer.
-func (f *Fleet) Succeeded(now time.Time, id string) {
+// Answered records the first of an answer.
+func (f *Fleet) Answered(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.states[id]; ok {
+		s.answers.good(now)
+	}
+}
+
+// Succeeded records the end of a good answer.
+func (f *Fleet) Succeeded(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.states[id]; ok {
-		s.answers.add(now, true)
 		s.failed = 0
 		s.ejected = time.Time{}
 		s.failing *= 1 - healthWeight
@@ -49,12 +57,33 @@
 func (f *Fleet) Failed(now time.Time, id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.states[id]
-	if !ok {
-		return
+	if s, ok := f.states[id]; ok {
+		s.answers.bad(now)
+		s.eject(now)
 	}
+}
+
+// FellSilent records that a stream was given up because nothing came, and passes the upstream over for a while.
+func (f *Fleet) FellSilent(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.states[id]; ok {
+		s.answers.silent(now)
+		s.eject(now)
+	}
+}
+
+// TimedOut records that nothing came until the caller left or the time was up.
+func (f *Fleet) TimedOut(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s, ok := f.states[id]; ok {
+		s.answers.silent(now)
+	}
+}
+
+func (s *state) eject(now time.Time) {
 	s.failing += (1 - s.failing) * healthWeight
-	s.answers.add(now, false)
 	if now.Before(s.ejected) {
 		return
 	}
@@ -67,7 +96,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s, ok := f.states[id]; ok {
-		s.answers.add(now, false)
+		s.answers.bad(now)
 		s.failing += (1 - s.failing) * healthWeight
 	}
 }
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -94,19 +94,23 @@
 type Load struct {
 	Running int   `json:"r,omitempty"`
 	Tokens  int64 `json:"t,omitempty"`
-	// Good and Bad count the answers and failures of the last seconds; both are zero where no instance saw a failure.
-	Good int `json:"g,omitempty"`
-	Bad  int `json:"b,omitempty"`
+	// Good, Bad and Silent count the answers, the failures and the requests that got nothing in the last seconds; all are
+	// zero where no instance saw a failure.
+	Good   int `json:"g,omitempty"`
+	Bad    int `json:"b,omitempty"`
+	Silent int `json:"s,omitempty"`
 }
 
+func (l Load) answers() answers { return answers{l.Good, l.Bad, l.Silent} }
+
 // Plus returns the sum of two loads.
 func (l Load) Plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Good: l.Good + o.Good, Bad: l.Bad + o.Bad}
+	return Load{l.Running + o.Running, l.Tokens + o.Tokens, l.Good + o.Good, l.Bad + o.Bad, l.Silent + o.Silent}
 }
 
 // Minus returns what is left of a sum without one of its parts.
 func (l Load) Minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Good: l.Good - o.Good, Bad: l.Bad - o.Bad}
+	return Load{l.Running - o.Running, l.Tokens - o.Tokens, l.Good - o.Good, l.Bad - o.Bad, l.Silent - o.Silent}
 }
 
 // Fleet is safe for concurrent use.
@@ -278,10 +282,9 @@
 		}
 	}
 	others := f.others(now, s.entry.ID)
-	good, bad := s.answers.count(now)
 	v.Running += others.Running
 	v.Tokens += others.Tokens
-	v.Failing = max(v.Failing, failingShare(good+others.Good, bad+others.Bad))
+	v.Failing = max(v.Failing, s.answers.count(now).plus(others.answers()).failing())
 	return v
 }
 
@@ -303,8 +306,9 @@
 	loads := make(map[string]Load)
 	for id, s := range f.states {
 		l := Load{Running: s.own.running, Tokens: s.own.tokens}
-		if good, bad := s.answers.count(now); bad > 0 || good > 0 && f.others(now, id).Bad > 0 {
-			l.Good, l.Bad = good, bad
+		a, others := s.answers.count(now), f.others(now, id)
+		if a.bad+a.silent+others.Bad+others.Silent > 0 {
+			l.Good, l.Bad, l.Silent = a.good, a.bad, a.silent
 		}
 		if l != (Load{}) {
 			loads[id] = l
--- a/internal/route/fleet/window.go
+++ b/internal/route/fleet/window.go
@@ -16,7 +16,17 @@
 	// failed is the time of the newest failure.
 	failed time.Time
 	// now and last are the counts of the current and the former span.
-	now, last struct{ good, bad int }
+	now, last answers
+}
+
+// answers are counts of what an upstream did for requests.
+type answers struct {
+	// good and bad are answers and failures, silent are requests to which nothing came for long.
+	good, bad, silent int
+}
+
+func (a answers) plus(b answers) answers {
+	return answers{a.good + b.good, a.bad + b.bad, a.silent + b.silent}
 }
 
 // turn begins a new span when the current one is over and something was counted in it, or the failures are too old.
@@ -25,37 +35,49 @@
 	if since < span {
 		return
 	}
-	unasked := w.now.good == 0 && w.now.bad == 0
-	if unasked && now.Sub(w.failed) < remembered {
+	if w.now == (answers{}) && now.Sub(w.failed) < remembered {
 		return
 	}
 	w.last = w.now
 	if since >= 2*span && now.Sub(w.failed) >= remembered {
-		w.last.good, w.last.bad = 0, 0
+		w.last = answers{}
 	}
-	w.now.good, w.now.bad = 0, 0
+	w.now = answers{}
 	w.began = now
 }
 
-func (w *window) add(now time.Time, good bool) {
+func (w *window) good(now time.Time) {
 	w.turn(now)
-	if good {
-		w.now.good++
-	} else {
-		w.now.bad++
-		w.failed = now
-	}
+	w.now.good++
+}
+
+func (w *window) bad(now time.Time) {
+	w.turn(now)
+	w.now.bad++
+	w.failed = now
+}
+
+func (w *window) silent(now time.Time) {
+	w.turn(now)
+	w.now.silent++
+	w.failed = now
 }
 
-func (w *window) count(now time.Time) (good, bad int) {
+func (w *window) count(now time.Time) answers {
 	w.turn(now)
-	return w.now.good + w.last.good, w.now.bad + w.last.bad
+	return w.now.plus(w.last)
 }
 
-// failingShare returns the share of failures, with one good answer assumed so that a single failure does not count in full.
-func failingShare(good, bad int) float64 {
+// failing returns the share of failures, with one good answer assumed so that a single failure does not count in full.
+// Silence counts only where no instance got an answer: an engine that others get answers from has a long queue, and if all
+// passed it over the next ones would queue as well.
+func (a answers) failing() float64 {
+	bad := a.bad
+	if a.good <= 0 {
+		bad += a.silent
+	}
 	if bad <= 0 {
 		return 0
 	}
-	return float64(bad) / float64(max(0, good)+bad+1)
+	return float64(bad) / float64(max(0, a.good)+bad+1)
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -43,9 +43,8 @@
 	coldDelay = 100 * time.Millisecond
 	// failingDelay is weighed by the share of failures, so that a failing upstream is used when the others are full.
 	failingDelay = 2 * time.Second
-	// staleDelay is the wait that a request on the newest weights is worth: a fifth of a request's worth is lost on
-	// superseded ones, and more than half when it is late.
-	staleDelay = 250 * time.Millisecond
+	// drawLeast is the least range of the draw, below the resolution of the estimate.
+	drawLeast = time.Millisecond / 2
 	// fullDelay is added per request beyond the upstream's slots; the answers before it take that long each.
 	fullDelay = 40 * time.Millisecond
 )
@@ -65,6 +64,10 @@
 	// Model and Version are the weights that the request should run on; Model is empty for plain services.
 	Model   string
 	Version int64
+	// Unseen is the wait at an engine, on the mean, from placements of other instances that are not known yet.
+	Unseen time.Duration
+	// Stale is the wait that is accepted for the newest weights.
+	Stale time.Duration
 	// Floor is the oldest version that may begin the request.
 	Floor int64
 	// Avoid are upstreams that had this request already.
@@ -135,7 +138,7 @@
 		reads, missing := holds.reads(&q, v.ID, costs)
 		c := cost(&q, v, reads, missing, ranks[v.ID], costs)
 		if stale {
-			c += staleDelay
+			c += q.Stale
 		}
 		if bestTier >= 0 && (t > bestTier || t == bestTier && c >= best.Cost) {
 			continue
@@ -246,8 +249,8 @@
 	// An engine away from the home displaces other prefixes for what it does not hold yet.
 	away := float64(min(rank, farRank)) / farRank
 	c += time.Duration(float64(missing) * float64(costs.PerToken) * costs.Fetch * away * displaceWeight)
-	// A draw below the resolution of the estimate spreads equals.
-	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(time.Millisecond/2))
+	// A draw within what is not known yet spreads instances that choose at the same moment.
+	return c + time.Duration(mix(q.Seed^xxhash.Sum64String(v.ID))%uint64(max(drawLeast, 2*q.Unseen)))
 }
 
 // scored is an engine with its hashes for a prompt.
