Announcements that nobody saw are told and bounded by the last confirmation

Change: versions with an assumed time are told, and each instance bounds them by the last time at which the store had nothing newer; the first answer after a pause in following is no news of the moment; the newest version is always told.

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -72,7 +72,7 @@
 		}
 		row, err := e.askDocument(ctx, from)
 		if err == nil {
-			e.operatorRow(row, 0, false)
+			e.operatorRow(row, false)
 			continue
 		}
 		e.log.Info("config: newer document not copied, asking the store", "from", from, "error", err.Error())
@@ -83,9 +83,8 @@
 			_ = pause.For(ctx, retryLeast)
 			continue
 		}
-		before := e.lastConfirmed()
 		for _, row := range rows.Rows {
-			e.operatorRow(row, before, false)
+			e.operatorRow(row, false)
 		}
 	}
 }
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -68,14 +68,16 @@
 func (e *Edge) followOperators(ctx context.Context) {
 	dep := dependency{edge: e, name: "operators"}
 	version := int64(-1)
+	// live tells that the last question was asked a moment ago, so that what comes now was written just now.
+	live := false
 	for ctx.Err() == nil {
 		if version >= 0 && !e.circle.Follow(time.Now()) {
 			e.following.Store(false)
+			live = false
 			// The condition of the loop sees the end of the context.
 			_ = pause.For(ctx, followPause)
 			continue
 		}
-		before := e.lastConfirmed()
 		rows, confirmed, err := e.askOperators(ctx, version)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			e.log.Info("store: history lost, reading all", "for", dep.name, "after", version)
@@ -84,6 +86,7 @@
 		}
 		if err != nil {
 			e.following.Store(false)
+			live = false
 			dep.failed(err)
 			// What was missed is read whole, because a new connection may meet a store without its history.
 			version = -1
@@ -94,12 +97,9 @@
 		}
 		dep.worked()
 		for _, row := range rows.Rows {
-			if version < 0 {
-				e.operatorRow(row, before, false)
-			} else {
-				e.operatorRow(row, clock.Boot(), true)
-			}
+			e.operatorRow(row, live)
 		}
+		live = true
 		version = max(version, rows.Version)
 		e.following.Store(true)
 		if e.feed.Document() != nil {
@@ -108,16 +108,6 @@
 	}
 }
 
-// lastConfirmed returns when the store last had nothing newer. Before the first time it is so early that announced
-// weights count as due.
-func (e *Edge) lastConfirmed() time.Duration {
-	now := clock.Boot()
-	if age, known := e.feed.Age(now); known {
-		return now - age
-	}
-	return now - e.handler.Settings.WeightsAge
-}
-
 // askOperators reads the operators' rows whole, or what changed after a version. It returns the time at which the store
 // had nothing newer.
 func (e *Edge) askOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
@@ -139,9 +129,8 @@
 	return e.store.Get(call, table, "")
 }
 
-// operatorRow takes one of the operators' rows. Seen is when it was written at the earliest; live tells that it was
-// written just now.
-func (e *Edge) operatorRow(row platform.Row, seen time.Duration, live bool) {
+// operatorRow takes one of the operators' rows. Live tells that it was written just now.
+func (e *Edge) operatorRow(row platform.Row, live bool) {
 	if row.Deleted {
 		return
 	}
@@ -165,12 +154,23 @@
 	if !ok {
 		return
 	}
-	e.announced(policy.Weights{Model: model, Version: number, Learnt: seen, Seen: live}, "store")
+	// A version whose announcement was not seen counts as due, unless something bounds its age.
+	learnt := clock.Boot()
+	if !live {
+		learnt -= e.handler.Settings.WeightsAge
+	}
+	e.announced(policy.Weights{Model: model, Version: number, Learnt: learnt, Seen: live}, "store")
 }
 
 // announced takes an announcement of weights.
 func (e *Edge) announced(w policy.Weights, from string) {
-	if !e.feed.Announce(w) {
+	isNew := false
+	if w.Seen {
+		isNew = e.feed.Announce(w)
+	} else {
+		isNew = e.feed.AnnounceLate(w)
+	}
+	if !isNew {
 		return
 	}
 	e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", w.Seen,
--- a/internal/app/edge/words.go
+++ b/internal/app/edge/words.go
@@ -8,7 +8,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/share"
 )
 
-// announcedTold is how long after its announcement a version of weights is told; a version that is older is in force.
+// announcedTold is how long after its announcement a version of weights is told that is not the newest.
 const announcedTold = 15 * time.Second
 
 // Tell implements pulse.Source.
@@ -25,7 +25,7 @@
 		m.Kept = e.handler.Kept.All()
 	}
 	for _, w := range e.feed.Recent(boot - announcedTold) {
-		m.Announced = append(m.Announced, pulse.Announced{Model: w.Model, Version: w.Version, Age: int64(boot - w.Learnt)})
+		m.Announced = append(m.Announced, pulse.Announced{Model: w.Model, Version: w.Version, Age: int64(boot - w.Learnt), Assumed: !w.Seen})
 	}
 	e.roll.tell(now, m)
 	if doc := e.feed.Document(); doc != nil {
@@ -51,7 +51,7 @@
 	e.budget.Resize(e.exchange.Count())
 	for _, a := range m.Announced {
 		e.announced(policy.Weights{
-			Model: a.Model, Version: a.Version, Learnt: boot - time.Duration(a.Age), Seen: true,
+			Model: a.Model, Version: a.Version, Learnt: boot - time.Duration(a.Age), Seen: !a.Assumed,
 		}, m.Name)
 	}
 	e.roll.hear(now, m)
--- a/internal/conf/policy/feed.go
+++ b/internal/conf/policy/feed.go
@@ -71,6 +71,18 @@
 	return true
 }
 
+// AnnounceLate records a version that another instance has read without seeing its announcement, and tells whether it is
+// new. What was not known when the store had nothing newer was announced after that.
+func (f *Feed) AnnounceLate(w Weights) bool {
+	f.mu.Lock()
+	known := f.known && !slices.ContainsFunc(f.weights[w.Model], func(o Weights) bool { return o.Version == w.Version })
+	if known && f.confirmed > w.Learnt {
+		w.Learnt, w.Seen = f.confirmed, true
+	}
+	f.mu.Unlock()
+	return f.Announce(w)
+}
+
 func newest(all []Weights) Weights {
 	if len(all) == 0 {
 		return Weights{}
@@ -140,14 +152,14 @@
 	return all
 }
 
-// Recent returns the announcements that were seen after a time, of all models.
+// Recent returns the announcements that were learnt of after a time, and the newest of each model.
 func (f *Feed) Recent(after time.Duration) []Weights {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var recent []Weights
 	for _, all := range f.weights {
-		for _, w := range all {
-			if w.Seen && w.Learnt > after {
+		for i, w := range all {
+			if w.Learnt > after || i == len(all)-1 {
 				recent = append(recent, w)
 			}
 		}
--- a/internal/peer/pulse/pulse.go
+++ b/internal/peer/pulse/pulse.go
@@ -57,7 +57,7 @@
 	// Following says that the sender, or an instance before it in order, has a question for changes of the operators' rows
 	// with the store.
 	Following bool `json:"f,omitempty"`
-	// Announced are versions of weights that the sender or another instance saw announced.
+	// Announced are versions of weights that were announced lately, and the newest ones.
 	Announced []Announced `json:"a,omitempty"`
 	// List is set by instances that read the list of upstreams from the store.
 	List *ListNews `json:"y,omitempty"`
@@ -75,6 +75,8 @@
 	Version int64  `json:"v"`
 	// Age is in nanoseconds since it was learnt of.
 	Age int64 `json:"g"`
+	// Assumed tells that nobody saw the announcement and the age is assumed, too long rather than too short.
+	Assumed bool `json:"z,omitempty"`
 }
 
 // ListNews are changes of the list of upstreams.
