Large sites start without each instance reading the whole list; refused callers return spread

A head sent 12.9 MB/s. Change: each page has its own bound; members of sites with heads copy their first list from their head for 2.5 s before they read the store; messages are sent less often above 150 instances. Retry-After is spread over half as long again by the request's id (100 callers refused at once came back at once). Ruled out: the store's rates (6,000 reads a second).

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -20,6 +20,8 @@
 const (
 	// copyTimeout bounds a question to another instance, which answers from memory.
 	copyTimeout = 500 * time.Millisecond
+	// listTimeout is the same for the list; 3,000 upstreams take half a second over the thinnest link.
+	listTimeout = 2 * time.Second
 	// copyMost bounds an answer; the largest row of the store is 64 KiB, a list of hundreds of upstreams longer.
 	copyMost = 4 << 20
 	// versionHeader carries the store's version of what is copied.
@@ -90,17 +92,18 @@
 }
 
 func (e *Edge) askDocument(ctx context.Context, from string) (platform.Row, error) {
-	body, version, err := e.askPeer(ctx, from, "/document")
+	body, version, err := e.askPeer(ctx, from, "/document", copyTimeout)
 	return platform.DocumentRow(body, version), err
 }
 
-// copyList takes the whole list of upstreams from another instance, for one that the store turns away from its start.
+// copyList takes the whole list of upstreams from another instance, for one that the store turns away from its start or that
+// leaves the reading to its head.
 func (e *Edge) copyList(ctx context.Context) error {
 	from, ok := e.exchange.Awake()
 	if !ok {
 		return fmt.Errorf("no other instance is heard")
 	}
-	body, _, err := e.askPeer(ctx, from, "/list")
+	body, _, err := e.askPeer(ctx, from, "/list", listTimeout)
 	if err != nil {
 		return err
 	}
@@ -115,8 +118,8 @@
 	return nil
 }
 
-func (e *Edge) askPeer(ctx context.Context, from, path string) ([]byte, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+func (e *Edge) askPeer(ctx context.Context, from, path string, most time.Duration) ([]byte, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+path, nil)
 	if err != nil {
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -124,9 +124,7 @@
 }
 
 func (e *Edge) get(ctx context.Context, table string) (platform.Rows, error) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return e.store.Get(call, table, "")
+	return e.store.Get(ctx, table, "", storeTimeout)
 }
 
 // operatorRow takes one of the operators' rows. Live tells that it was written just now.
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -15,6 +15,9 @@
 // followList keeps the list of upstreams up to date, from the store or by the word of an instance that read it.
 func (e *Edge) followList(ctx context.Context) {
 	dep := dependency{edge: e, name: "list"}
+	if e.copyFirst(ctx) != nil {
+		return
+	}
 	for ctx.Err() == nil {
 		now := time.Now()
 		age, version := e.list.age(now)
@@ -45,6 +48,32 @@
 	}
 }
 
+const (
+	// copyFirstMost is how long a member of a large site waits for its head's list before it reads the store itself.
+	copyFirstMost = 2500 * time.Millisecond
+	// copyFirstPause is the pause between tries, joinPause that between looks whether the others are known.
+	copyFirstPause = 150 * time.Millisecond
+	joinPause      = 10 * time.Millisecond
+)
+
+// copyFirst lets the members of a large site take their first list from their heads: hundreds of instances that start at
+// once would read megabytes each. It returns an error when the context has ended.
+func (e *Edge) copyFirst(ctx context.Context) error {
+	for began := time.Now(); time.Since(began) < copyFirstMost; {
+		wait := joinPause
+		if e.joined.Load() != 0 {
+			if !e.exchange.Member() || e.copyList(ctx) == nil {
+				return nil
+			}
+			wait = copyFirstPause
+		}
+		if err := pause.For(ctx, wait); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // readList reads the list whole, or what changed after a version.
 func (e *Edge) readList(ctx context.Context, version int64) error {
 	asked := time.Now()
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -261,7 +261,7 @@
 }
 
 func (r *rollout) read(ctx context.Context) (lease.Row, int64, time.Duration, error) {
-	rows, err := r.edge.store.Get(ctx, leaseTable, "")
+	rows, err := r.edge.store.Get(ctx, leaseTable, "", storeTimeout)
 	if err != nil {
 		return lease.Row{}, 0, 0, err
 	}
--- a/internal/front/serve/decide.go
+++ b/internal/front/serve/decide.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // result is what came of one send.
@@ -104,3 +106,10 @@
 	}
 	return true
 }
+
+// comeBack spreads the return of callers over half as long again as the wait until there should be room. It answers a burst
+// of refusals, whose callers would all be back, and refused again, at the same moment.
+func comeBack(wait time.Duration, id string) time.Duration {
+	const parts = 1 << 10
+	return wait + wait/2*time.Duration(xxhash.Sum64String(id)%parts)/parts
+}
--- a/internal/front/serve/decide_test.go
+++ b/internal/front/serve/decide_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -86,3 +87,19 @@
 		}
 	})
 }
+
+// A hundred callers are refused at the same moment: no tenth of the time in which they return gets a quarter of them.
+func TestRefusedCallersDoNotReturnAtOnce(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	tenths := make(map[int]int)
+	for i := range 100 {
+		back := comeBack(wait, fmt.Sprintf("%016x", i))
+		must.Between(t, wait, back, wait+wait/2)
+		tenths[int(10*(back-wait)/(wait/2+1))]++
+	}
+	must.MapLen(t, 10, tenths)
+	for _, n := range tenths {
+		must.Less(t, 25, n)
+	}
+	must.Eq(t, 0, comeBack(0, "a"))
+}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -286,7 +286,7 @@
 		retry = a.Retry
 	}
 	head := x.w.Header()
-	x.Dialect.Refusal(head, x.ask.ID, retry)
+	x.Dialect.Refusal(head, x.ask.ID, comeBack(retry, x.ask.ID))
 	head.Set("Content-Type", "text/plain; charset=utf-8")
 	x.w.WriteHeader(a.Status)
 	// The caller may have left; there is nobody else to tell.
--- a/internal/peer/pulse/exchange.go
+++ b/internal/peer/pulse/exchange.go
@@ -19,6 +19,9 @@
 	// hubInterval is the same in larger sites, where word goes through three instances and a placement is over in half a
 	// second.
 	hubInterval = 100 * time.Millisecond
+	// hubSize is the size of a site above which the interval grows with it, so that what a head sends does not grow with the
+	// square of the site.
+	hubSize = 150
 	// gap is the shortest pause between messages that do not wait for the interval.
 	gap = 30 * time.Millisecond
 	// silence is how long an instance may be unheard before its messages are sent less often; its address may be gone.
@@ -125,6 +128,13 @@
 	return len(e.contacts) + 1
 }
 
+// Member tells whether the instance leaves exchanges with the rest of a large site to the head of its zone.
+func (e *Exchange) Member() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.contacts) >= meshMost && e.headOf(e.Zone) != nil
+}
+
 // Awake returns the first instance in order that was heard lately.
 func (e *Exchange) Awake() (string, bool) {
 	now := e.Clock()
@@ -148,15 +158,16 @@
 	if e.Count() <= meshMost {
 		return 2 * interval
 	}
-	return 5 * hubInterval
+	return 5 * e.Interval()
 }
 
 // Interval returns the pause between messages.
 func (e *Exchange) Interval() time.Duration {
-	if e.Count() <= meshMost {
+	n := e.Count()
+	if n <= meshMost {
 		return interval
 	}
-	return hubInterval
+	return hubInterval * time.Duration(max(n, hubSize)) / hubSize
 }
 
 // Now sends a message without waiting for the interval.
