--- a/internal/trial/soak/quay.go
+++ b/internal/trial/soak/quay.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/samber/oops"
 
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
@@ -346,7 +347,7 @@
 }
 
 // play brings the faults about at their times and waits until all have ended.
-func (q *quaySite) play(ctx context.Context, began time.Time, plays []quayPlay, log interface{ Info(string, ...any) }) {
+func (q *quaySite) play(ctx context.Context, began time.Time, plays []quayPlay, log logr.Logger) {
 	var all sync.WaitGroup
 	for _, p := range plays {
 		all.Go(func() {
