--- a/internal/trial/soak/seeds.go
+++ b/internal/trial/soak/seeds.go
@@ -16,4 +16,5 @@
 var Regressions = []Regression{
 	{102, 5, 20 * time.Second, "the judge counted calls that crossed the close of an idle connection; the users' rule leaves them out"},
 	{106, 13, 20 * time.Second, "as seed 102"},
+	{2023, 13, 20 * time.Second, "each router starts with its level of a rate before it knows the others; open, see KNOWN-RED.txt"},
 }
