--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -249,3 +249,28 @@
 	ok, _ := k.Admit(0, "w", 500)
 	must.False(t, ok)
 }
+
+// All instances start at once without the store, so that none knows another, and each admits its first level; then they
+// hear of each other while the workspace goes on sending several times its rate.
+func TestInstancesThatStartAlonePayWhatTheyAdmitted(t *testing.T) {
+	narrow := Limit{Rate: 2000, Burst: 4000}
+	const instances, calls = 13, 420.0
+	s := newSite(instances, narrow)
+	for i := range s.keepers {
+		s.keepers[i] = NewKeeper()
+		s.keepers[i].Set(s.now, map[string]Limit{"w": narrow})
+	}
+	first := 0.0
+	for _, k := range s.keepers {
+		for ok := true; ok; {
+			if ok, _ = k.Admit(s.now, "w", calls); ok {
+				first += calls
+			}
+		}
+	}
+	s.admitted = append(s.admitted, first)
+	next := 0
+	s.run(window, 8000, calls, func() int { next++; return next % instances })
+	// The soak's bound: a tenth and one burst beyond rate and burst.
+	must.LessEq(t, (narrow.Rate*window.Seconds()+narrow.Burst)*(1+overshoot)+narrow.Burst, s.most())
+}
