--- a/internal/trial/soak/crooked_test.go
+++ b/internal/trial/soak/crooked_test.go
@@ -108,9 +108,9 @@
 	}
 	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Token ")
 	out.Header.Set(stand.HeaderID, r.Header.Get(stand.HeaderID))
-	out.Header.Set("X-Tenant", workspaces[key])
+	out.Header.Set(stand.HeaderWorkspace, workspaces[key])
 	if c.flaw == misplaces {
-		out.Header.Set("X-Tenant", "another")
+		out.Header.Set(stand.HeaderWorkspace, "another")
 	}
 	if c.flaw == leaks {
 		out.Header.Set("Authorization", r.Header.Get("Authorization"))
@@ -137,7 +137,7 @@
 		}
 	}
 	if c.flaw != unsigned {
-		w.Header().Set("X-Server-Signature", resp.Header.Get("X-Server-Signature"))
+		w.Header().Set(stand.HeaderSignature, resp.Header.Get(stand.HeaderSignature))
 	}
 	w.Header().Set(stand.HeaderID, id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
