--- a/internal/app/trials/soak.go
+++ b/internal/app/trials/soak.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 
@@ -50,30 +49,32 @@
 	if seed == 0 {
 		seed = rand.Uint64() >> 32
 	}
+	first := seed
 	var results []soak.Result
+	play := func(seed uint64, routers int, length time.Duration) error {
+		result, err := c.play(ctx, seed, routers, length)
+		results = append(results, result)
+		return err
+	}
 	if c.Regress && !c.Own {
 		for _, r := range soak.Regressions {
-			result, err := c.play(ctx, r.Seed, r.Routers, r.Length)
-			if err != nil {
+			if err := play(r.Seed, r.Routers, r.Length); err != nil {
 				return err
 			}
-			results = append(results, result)
 		}
 	}
 	begin := time.Now()
-	for n := 0; ctx.Err() == nil && (c.Runs <= 0 || n < c.Runs); n++ {
+	for ; ctx.Err() == nil && (c.Runs <= 0 || seed < first+uint64(c.Runs)); seed++ {
 		if c.Minutes > 0 && time.Since(begin).Minutes() > c.Minutes {
 			break
 		}
 		routers := c.Routers
 		if routers <= 0 {
-			routers = sizes[(seed+uint64(n))%uint64(len(sizes))]
+			routers = sizes[seed%uint64(len(sizes))]
 		}
-		result, err := c.play(ctx, seed+uint64(n), routers, c.Length)
-		if err != nil {
+		if err := play(seed, routers, c.Length); err != nil {
 			return err
 		}
-		results = append(results, result)
 	}
 	return c.report(soak.NewReport(results))
 }
@@ -112,7 +113,7 @@
 
 // report writes the report and fails when a promise was broken.
 func (c *soakCommand) report(r soak.Report) error {
-	r.Commit = strings.TrimSpace(c.Commit)
+	r.Commit = c.Commit
 	if err := save(filepath.Join(c.Out, "report.json"), r); err != nil {
 		return err
 	}
--- a/internal/trial/soak/bounds.go
+++ b/internal/trial/soak/bounds.go
@@ -1,83 +1,56 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
 )
 
-func judgeRevoked(l *Ledger) []Breach {
-	var out []Breach
-	runs := l.runs()
+func revoked(l *Ledger, s *Sent, runs []Ran) string {
 	for _, e := range l.Events {
-		for _, s := range l.Sent {
-			if e.Key == "" || s.Key != e.Key || len(runs[s.ID]) == 0 {
-				continue
-			}
-			if late := s.At.Sub(e.At); late > l.Bounds.Revocation {
-				out = append(out, breach(s.ID, "ran with a key withdrawn %s before", late))
-			}
+		if late := s.At.Sub(e.At); e.Key != "" && e.Key == s.Key && len(runs) > 0 && late > l.Bounds.Revocation {
+			return fmt.Sprintf("ran with a key withdrawn %s before", late)
 		}
 	}
-	return out
+	return ""
 }
 
-// calm tells whether a router was without any fault, the store's included, for the contact time before a moment.
-func (l *Ledger) calm(router int, at time.Time) bool {
-	for _, s := range l.Spells {
-		if (s.Router == Everywhere || s.Router == router) && s.From.Before(at) && (s.To.IsZero() || s.To.Add(l.Bounds.Contact).After(at)) {
-			return false
-		}
+func applied(l *Ledger, s *Sent, _ []Ran) string {
+	if s.Kind != Later || !s.Answered || s.Reply.Status != http.StatusNotFound || !l.calm(s.Router, s.At, s.At) {
+		return ""
 	}
-	return true
-}
-
-func judgeApplied(l *Ledger) []Breach {
-	var out []Breach
 	for _, e := range l.Events {
-		if !e.Route {
-			continue
-		}
-		for _, s := range l.Sent {
-			late := s.At.Sub(e.At)
-			if s.Kind == Later && s.Answered && s.Reply.Status == http.StatusNotFound && late > l.Bounds.Apply+l.Bounds.Stretch && l.calm(s.Router, s.At) {
-				out = append(out, breach(s.ID, "router %d knows no route that was added %s before", s.Router, late))
-			}
+		if late := s.At.Sub(e.At); e.Route && late > l.Bounds.Apply+l.Bounds.Stretch {
+			return fmt.Sprintf("router %d knows no route that was added %s before", s.Router, late)
 		}
 	}
-	return out
+	return ""
 }
 
-// judgeKnown counts only calls that every document of the run allows; none of them is owed a refusal as unknown.
-func judgeKnown(l *Ledger) []Breach {
-	var out []Breach
-	for _, s := range l.Sent {
-		unknown := s.Reply.Status == http.StatusUnauthorized || s.Reply.Status == http.StatusForbidden || s.Reply.Status == http.StatusNotFound
-		if s.Kind != Later && s.Kind != Withdrawn && s.Answered && unknown {
-			out = append(out, breach(s.ID, "%s was refused with %d", s.Kind, s.Reply.Status))
-		}
+// known counts only calls that every document of the run allows; none of them is owed a refusal as unknown.
+func known(_ *Ledger, s *Sent, _ []Ran) string {
+	unknown := s.Reply.Status == http.StatusUnauthorized || s.Reply.Status == http.StatusForbidden || s.Reply.Status == http.StatusNotFound
+	if s.Kind != Later && s.Kind != Withdrawn && s.Answered && unknown {
+		return fmt.Sprintf("%s was refused with %d", s.Kind, s.Reply.Status)
 	}
-	return out
+	return ""
 }
 
-// judgeKept looks at calls whose router was stopped as planned while nothing else was wrong anywhere.
-func judgeKept(l *Ledger) []Breach {
-	var out []Breach
-	runs := l.runs()
-	for _, s := range l.Sent {
-		// A call that crosses the close of its connection and is not passed on is no loss.
-		crossed := len(runs[s.ID]) == 0 && s.Done.Sub(s.At) <= l.Bounds.Loss
-		if s.Written && !s.Reply.Whole && !crossed && l.onlyPlanned(s) {
-			out = append(out, breach(s.ID, "%s lost at a planned stop of router %d after %s", s.Kind, s.Router, s.Done.Sub(s.At)))
-		}
+// kept looks at calls whose router was stopped as planned while nothing else was wrong anywhere.
+func kept(l *Ledger, s *Sent, runs []Ran) string {
+	// A call that crosses the close of its connection and is not passed on is no loss.
+	crossed := len(runs) == 0 && s.Done.Sub(s.At) <= l.Bounds.Loss
+	if s.Written && !s.Reply.Whole && !crossed && l.onlyPlanned(s) {
+		return fmt.Sprintf("%s lost at a planned stop of router %d after %s", s.Kind, s.Router, s.Done.Sub(s.At))
 	}
-	return out
+	return ""
 }
 
 func (l *Ledger) onlyPlanned(s *Sent) bool {
 	planned := false
 	for _, f := range l.Spells {
-		if !f.From.Before(s.Done) || !f.To.IsZero() && f.To.Add(l.Bounds.Contact).Before(s.At) {
+		if !f.touches(s.At, s.Done, l.Bounds.Contact) {
 			continue
 		}
 		if !f.Planned {
@@ -152,49 +125,37 @@
 	return false
 }
 
-func judgeFresh(l *Ledger) []Breach {
-	calls := l.calls()
-	var out []Breach
+func fresh(l *Ledger, r Ran, s *Sent) string {
+	if s == nil || !s.Kind.streams() {
+		return ""
+	}
 	for _, e := range l.Events {
-		for _, r := range l.Ran {
-			s := calls[r.ID]
-			if e.Weights == 0 || s == nil || !s.Kind.streams() || r.Version >= e.Weights {
-				continue
-			}
-			if late := r.At.Sub(e.At); late > l.Bounds.Weights && l.calmSince(s.Router, e.At, r.At) {
-				out = append(out, breach(r.ID, "began on weights %d, %s after %d were announced", r.Version, late, e.Weights))
-			}
+		late := r.At.Sub(e.At)
+		if r.Version < e.Weights && late > l.Bounds.Weights && l.calm(s.Router, e.At, r.At) {
+			return fmt.Sprintf("began on weights %d, %s after %d were announced", r.Version, late, e.Weights)
 		}
 	}
-	return out
+	return ""
 }
 
-// calmSince tells whether a router was calm for a whole time.
-func (l *Ledger) calmSince(router int, from, to time.Time) bool {
+// calm tells whether a router was without any fault, the store's included, for a time and the contact time before it.
+func (l *Ledger) calm(router int, from, to time.Time) bool {
 	for _, s := range l.Spells {
-		if (s.Router == Everywhere || s.Router == router) && s.From.Before(to) && (s.To.IsZero() || s.To.Add(l.Bounds.Contact).After(from)) {
+		if (s.Router == Everywhere || s.Router == router) && s.touches(from, to, l.Bounds.Contact) {
 			return false
 		}
 	}
 	return true
 }
 
-func judgeDrained(l *Ledger) []Breach {
-	calls := l.calls()
-	var out []Breach
-	for _, r := range l.Ran {
-		s := calls[r.ID]
-		if s == nil {
-			continue
-		}
-		for _, e := range l.Leaves {
-			late := r.At.Sub(e.From)
-			if e.Upstream == r.Upstream && late > l.Bounds.Drain+l.Bounds.Stretch && r.At.Before(e.To) && l.calmSince(s.Router, e.From, r.At) {
-				out = append(out, breach(r.ID, "ran at %s, %s after the notice that it leaves", r.Upstream, late))
-			}
+func drained(l *Ledger, r Ran, s *Sent) string {
+	for _, e := range l.Leaves {
+		late := r.At.Sub(e.From)
+		if s != nil && e.Upstream == r.Upstream && late > l.Bounds.Drain+l.Bounds.Stretch && r.At.Before(e.To) && l.calm(s.Router, e.From, r.At) {
+			return fmt.Sprintf("ran at %s, %s after the notice that it leaves", r.Upstream, late)
 		}
 	}
-	return out
+	return ""
 }
 
 // leastServed is the part of calls that must be served after the last fault, as in the users' rule.
--- a/internal/trial/soak/callers.go
+++ b/internal/trial/soak/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/platform/stand"
 )
 
@@ -55,12 +56,8 @@
 			c.site.sent(sent)
 			wait += min(comeBackMost, sent.Reply.ComeBack)
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		// The loop sees the end of the context.
+		_ = pause.For(ctx, wait)
 	}
 }
 
--- a/internal/trial/soak/crooked_test.go
+++ b/internal/trial/soak/crooked_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/platform/stand"
 )
 
@@ -153,7 +154,7 @@
 	s := &edgeSite{Site: standing, proxies: map[string]*proxy{}, leaving: map[string]bool{}, weights: 1, seed: 1}
 	s.Keys = append([]string(nil), keys...)
 	s.Ledger.Bounds = bounds
-	for _, u := range s.upstreams() {
+	for _, u := range s.Upstreams() {
 		u.Events = events
 	}
 	server := httptest.NewServer(&crooked{site: s, flaw: f})
@@ -179,13 +180,13 @@
 		all.Go(func() { newCaller(s, n).run(ctx) })
 	}
 	all.Go(func() {
-		sleep(ctx, 100*ms)
+		must.NoError(t, pause.For(ctx, 100*ms))
 		for range 3 {
-			withdraw(s, 0)
+			operators(withdraw)(s, 0)
 		}
-		addRoute(s, 0)
+		operators(addRoute)(s, 0)
 		if f == outdated {
-			announce(s, 0)
+			operators(announce)(s, 0)
 		}
 		if f == ignoresBye {
 			leave(s, 1)
@@ -193,13 +194,13 @@
 		if f == hangsUp {
 			ended := s.begin(Spell{Fault: "router stopped", Planned: true, From: time.Now()})
 			leave(s, 1)
-			sleep(ctx, time.Second)
+			must.NoError(t, pause.For(ctx, time.Second))
 			ended(time.Now())
 		}
 	})
 	all.Wait()
 	s.Quiet = s.Began
-	s.finish()
+	s.Over = time.Now()
 	return s.collect()
 }
 
@@ -260,7 +261,7 @@
 	first, second := schedule(faults, 7, 20*time.Second, size), schedule(faults, 7, 20*time.Second, size)
 	must.Eq(t, len(first), len(second))
 	for i := range first {
-		must.Eq(t, first[i].spell(time.Time{}), second[i].spell(time.Time{}))
+		must.Eq(t, spell(first[i], time.Time{}), spell(second[i], time.Time{}))
 		must.LessEq(t, 20*time.Second, first[i].At)
 	}
 	_, err := named(faults, func(f trouble) string { return f.name }, "no such")
--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"math/rand/v2"
-	"strings"
 	"syscall"
 	"time"
 
-	"github.com/samber/oops"
-
 	"github.com/skylarkquay/skylarkquay/platform/stand"
 )
 
@@ -29,38 +27,39 @@
 	// least and most bound how long it lasts.
 	least, most time.Duration
 	// begin brings it about on a target and returns what ends it.
-	begin func(s *edgeSite, target int) (end func())
+	begin func(s *edgeSite, target int) (end func() error)
 }
 
 // faults are all kinds.
 var faults = []trouble{
-	{"router killed", onRouter, false, 50 * ms, 4 * sec, func(s *edgeSite, n int) func() {
+	{"router killed", onRouter, false, 50 * ms, 4 * sec, func(s *edgeSite, n int) func() error {
 		s.nodes[n].kill()
-		return s.restart(n)
+		return s.nodes[n].start
 	}},
-	{"router paused", onRouter, false, 100 * ms, 7 * sec, func(s *edgeSite, n int) func() {
-		s.nodes[n].signal(syscall.SIGSTOP)
-		return func() { s.nodes[n].signal(syscall.SIGCONT) }
+	{"router paused", onRouter, false, 100 * ms, 7 * sec, func(s *edgeSite, n int) func() error {
+		return stall(s.nodes[n].process)
 	}},
-	{"router stopped", onRouter, true, grace, grace + 2*sec, func(s *edgeSite, n int) func() {
+	{"router stopped", onRouter, true, grace, grace + 2*sec, func(s *edgeSite, n int) func() error {
 		s.nodes[n].signal(syscall.SIGTERM)
-		return func() {
+		return func() error {
 			s.nodes[n].kill()
-			s.restart(n)()
+			return s.nodes[n].start()
 		}
 	}},
-	{"settings read again", onRouter, true, 10 * ms, 100 * ms, func(s *edgeSite, n int) func() {
+	{"settings read again", onRouter, true, 10 * ms, 100 * ms, func(s *edgeSite, n int) func() error {
 		s.nodes[n].signal(syscall.SIGHUP)
 		return nothing
 	}},
-	{"all routers killed", onAll, false, 10 * ms, sec, func(s *edgeSite, _ int) func() {
+	{"all routers killed", onAll, false, 10 * ms, sec, func(s *edgeSite, _ int) func() error {
 		for _, n := range s.nodes {
 			n.kill()
 		}
-		return func() {
-			for n := range s.nodes {
-				s.restart(n)()
+		return func() error {
+			var failed error
+			for _, n := range s.nodes {
+				failed = errors.Join(failed, n.start())
 			}
+			return failed
 		}
 	}},
 	{"store slow for a router", onRouter, false, sec, 6 * sec, storeProxy(slow)},
@@ -71,7 +70,7 @@
 	{"store busy", onAll, false, 200 * ms, 7 * sec, storeFault(stand.Busy)},
 	{"store silent", onAll, false, 200 * ms, 7 * sec, storeFault(stand.Silent)},
 	{"store loses answers", onAll, false, 200 * ms, 5 * sec, storeFault(stand.LoseAnswers)},
-	{"store drops its history", onAll, false, 10 * ms, 100 * ms, func(s *edgeSite, _ int) func() {
+	{"store drops its history", onAll, false, 10 * ms, 100 * ms, func(s *edgeSite, _ int) func() error {
 		s.Store.Compact()
 		return nothing
 	}},
@@ -87,9 +86,9 @@
 	{"upstream crashes at calls", onUpstream, false, 200 * ms, 4 * sec, upstreamFault(stand.Faults{Crash: true})},
 	{"upstream hangs", onUpstream, false, 500 * ms, 5 * sec, upstreamFault(stand.Faults{Hang: true})},
 	{"upstream leaves", onUpstream, false, 3 * sec, 9 * sec, leave},
-	{"key withdrawn", onAll, true, 10 * ms, 100 * ms, withdraw},
-	{"route added", onAll, true, 10 * ms, 100 * ms, addRoute},
-	{"weights announced", onAll, true, 10 * ms, 100 * ms, announce},
+	{"key withdrawn", onAll, true, 10 * ms, 100 * ms, operators(withdraw)},
+	{"route added", onAll, true, 10 * ms, 100 * ms, operators(addRoute)},
+	{"weights announced", onAll, true, 10 * ms, 100 * ms, operators(announce)},
 }
 
 const (
@@ -97,43 +96,42 @@
 	sec = time.Second
 )
 
-func nothing() {}
+func nothing() error { return nil }
 
-func (s *edgeSite) restart(n int) func() {
-	return func() {
-		if err := s.nodes[n].start(); err != nil {
-			s.failed(err)
-		}
+// ending makes a fault's end of what cannot fail.
+func ending(do func()) func() error {
+	return func() error {
+		do()
+		return nil
 	}
 }
 
-func storeProxy(m mode) func(*edgeSite, int) func() {
-	return func(s *edgeSite, n int) func() {
-		s.nodes[n].store.set(m)
-		return func() { s.nodes[n].store.set(sound) }
-	}
+// stall lets a program stand still.
+func stall(p *process) func() error {
+	p.signal(syscall.SIGSTOP)
+	return ending(func() { p.signal(syscall.SIGCONT) })
 }
 
-func storeFault(f stand.Fault) func(*edgeSite, int) func() {
-	return func(s *edgeSite, _ int) func() {
+func storeProxy(m mode) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, n int) func() error { return s.nodes[n].store.play(m) }
+}
+
+func storeFault(f stand.Fault) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, _ int) func() error {
 		s.Store.Set(f)
-		return func() { s.Store.Set(stand.Sound) }
+		return ending(func() { s.Store.Set(stand.Sound) })
 	}
 }
 
-func upstreamProxy(m mode) func(*edgeSite, int) func() {
-	return func(s *edgeSite, n int) func() {
-		p := s.proxies[s.upstreams()[n].ID]
-		p.set(m)
-		return func() { p.set(sound) }
-	}
+func upstreamProxy(m mode) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, n int) func() error { return s.proxies[s.Upstreams()[n].ID].play(m) }
 }
 
-func upstreamFault(f stand.Faults) func(*edgeSite, int) func() {
-	return func(s *edgeSite, n int) func() {
-		u := s.upstreams()[n]
+func upstreamFault(f stand.Faults) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, n int) func() error {
+		u := s.Upstreams()[n]
 		u.Set(f)
-		return func() { u.Set(stand.Faults{}) }
+		return ending(func() { u.Set(stand.Faults{}) })
 	}
 }
 
@@ -141,8 +139,8 @@
 const goneAfter = 1500 * ms
 
 // leave lets an upstream give notice, go and come back as a new incarnation.
-func leave(s *edgeSite, n int) func() {
-	u := s.upstreams()[n]
+func leave(s *edgeSite, n int) func() error {
+	u := s.Upstreams()[n]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving[u.ID] {
@@ -150,61 +148,56 @@
 	}
 	s.leaving[u.ID] = true
 	s.List(u, "draining")
-	s.left(u.ID, time.Now())
+	back := s.Ledger.leave(u.ID, time.Now())
 	gone := time.AfterFunc(goneAfter, func() { s.Unlist(u) })
-	return func() {
+	return ending(func() {
 		gone.Stop()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.leaving, u.ID)
 		u.Born++
-		s.back(u.ID, time.Now())
+		back(time.Now())
 		s.List(u, "ready")
+	})
+}
+
+// operators plays what the operators do, which is nothing when the event is empty, and records its acknowledgement.
+func operators(do func(s *edgeSite) Event) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, _ int) func() error {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if e := do(s); e != (Event{}) {
+			e.At = time.Now()
+			s.event(e)
+		}
+		return nothing
 	}
 }
 
 // withdraw takes the next spare key away.
-func withdraw(s *edgeSite, _ int) func() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func withdraw(s *edgeSite) Event {
 	if len(s.Keys) <= 2 {
-		return nothing
+		return Event{}
 	}
 	key := s.Keys[len(s.Keys)-1]
 	s.Keys = s.Keys[:len(s.Keys)-1]
 	s.Publish()
-	s.event(Event{At: time.Now(), Key: key})
-	return nothing
+	return Event{Key: key}
 }
 
-func addRoute(s *edgeSite, _ int) func() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func addRoute(s *edgeSite) Event {
 	if s.HasExtra {
-		return nothing
+		return Event{}
 	}
 	s.HasExtra = true
 	s.Publish()
-	s.event(Event{At: time.Now(), Route: true})
-	return nothing
+	return Event{Route: true}
 }
 
-func announce(s *edgeSite, _ int) func() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func announce(s *edgeSite) Event {
 	s.weights++
 	s.Announce(s.weights)
-	s.event(Event{At: time.Now(), Weights: s.weights})
-	return nothing
-}
-
-// Play is one fault of a run.
-type Play struct {
-	Fault  string        `json:"fault"`
-	At     time.Duration `json:"at"`
-	For    time.Duration `json:"for"`
-	Target int           `json:"target"`
-	fault  trouble
+	return Event{Weights: s.weights}
 }
 
 const (
@@ -216,33 +209,16 @@
 	seriesGap  = 400 * ms
 )
 
-// named returns the faults of one name, all when it is empty.
-func named[F any](all []F, name func(F) string, only string) ([]F, error) {
-	if only == "" {
-		return all, nil
-	}
-	names := make([]string, 0, len(all))
-	for _, f := range all {
-		if name(f) == only {
-			return []F{f}, nil
-		}
-		names = append(names, name(f))
-	}
-	return nil, oops.Errorf("unknown fault %q; there are: %s", only, strings.Join(names, ", "))
-}
-
 // schedule draws the faults of a run from its seed.
-func schedule(faults []trouble, seed uint64, length time.Duration, size Size) []Play {
+func schedule(faults []trouble, seed uint64, length time.Duration, size Size) []staged[trouble] {
 	draw := rand.New(rand.NewPCG(seed, 0))
-	var plays []Play
+	targets := map[place]int{onRouter: size.Routers, onUpstream: size.Engines + size.Services}
+	var plays []staged[trouble]
 	for at := 500 * ms; at < length; at += time.Duration(draw.ExpFloat64() * float64(pauseMean)) {
 		f := faults[draw.IntN(len(faults))]
-		p := Play{Fault: f.name, fault: f, Target: Everywhere}
-		switch f.where {
-		case onRouter:
-			p.Target = draw.IntN(size.Routers)
-		case onUpstream:
-			p.Target = draw.IntN(size.Engines + size.Services)
+		p := staged[trouble]{Play{Fault: f.name, Target: Everywhere}, f}
+		if n := targets[f.where]; n > 0 {
+			p.Target = draw.IntN(n)
 		}
 		times := 1
 		if draw.Float64() < seriesPart {
@@ -263,7 +239,7 @@
 }
 
 // spell is how a play appears in the ledger.
-func (p Play) spell(now time.Time) Spell {
+func spell(p staged[trouble], now time.Time) Spell {
 	s := Spell{Fault: p.Fault, Router: p.Target, Planned: p.fault.planned, From: now}
 	if p.fault.where == onUpstream {
 		s.Router = Nowhere
--- a/internal/trial/soak/judge.go
+++ b/internal/trial/soak/judge.go
@@ -84,9 +84,43 @@
 
 // judges are all judges. Each sees only what callers and upstreams have seen, and when faults played.
 var judges = map[Promise]func(*Ledger) []Breach{
-	Once: judgeOnce, Untouched: judgeUntouched, Own: judgeOwn, Asked: judgeAsked, Order: judgeOrder, Revoked: judgeRevoked,
-	Applied: judgeApplied, Known: judgeKnown, Kept: judgeKept, Rated: judgeRated, One: judgeOne, Fresh: judgeFresh,
-	Drained: judgeDrained, Recovered: judgeRecovered, Upright: judgeUpright,
+	Once: ofCalls(once), Untouched: ofCalls(untouched), Own: ofCalls(own), Order: ofCalls(order), Revoked: ofCalls(revoked),
+	Applied: ofCalls(applied), Known: ofCalls(known), Kept: ofCalls(kept), Asked: ofRuns(asked), Fresh: ofRuns(fresh),
+	Drained: ofRuns(drained), Rated: judgeRated, One: judgeOne, Recovered: judgeRecovered, Upright: judgeUpright,
+}
+
+// ofCalls makes a judge of what is wrong with one call and its runs; the text is empty where nothing is.
+func ofCalls(wrong func(l *Ledger, s *Sent, runs []Ran) string) func(*Ledger) []Breach {
+	return func(l *Ledger) []Breach {
+		runs := make(map[string][]Ran)
+		for _, r := range l.Ran {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+		var out []Breach
+		for _, s := range l.Sent {
+			if text := wrong(l, s, runs[s.ID]); text != "" {
+				out = append(out, Breach{ID: s.ID, Text: text})
+			}
+		}
+		return out
+	}
+}
+
+// ofRuns is the same for one run and its call, which is nil when none was recorded.
+func ofRuns(wrong func(l *Ledger, r Ran, s *Sent) string) func(*Ledger) []Breach {
+	return func(l *Ledger) []Breach {
+		calls := make(map[string]*Sent, len(l.Sent))
+		for _, s := range l.Sent {
+			calls[s.ID] = s
+		}
+		var out []Breach
+		for _, r := range l.Ran {
+			if text := wrong(l, r, calls[r.ID]); text != "" {
+				out = append(out, Breach{ID: r.ID, Text: text})
+			}
+		}
+		return out
+	}
 }
 
 // Judge returns all broken promises, by promise and call.
@@ -98,6 +132,11 @@
 			all = append(all, b)
 		}
 	}
+	return sorted(all)
+}
+
+// sorted orders breaches by promise and call.
+func sorted(all []Breach) []Breach {
 	slices.SortFunc(all, func(a, b Breach) int {
 		return cmp.Or(cmp.Compare(a.Promise, b.Promise), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Text, b.Text))
 	})
@@ -108,48 +147,25 @@
 	return Breach{ID: id, Text: fmt.Sprintf(format, args...)}
 }
 
-func (l *Ledger) runs() map[string][]Ran {
-	runs := make(map[string][]Ran)
-	for _, r := range l.Ran {
-		runs[r.ID] = append(runs[r.ID], r)
-	}
-	return runs
-}
-
-func (l *Ledger) calls() map[string]*Sent {
-	calls := make(map[string]*Sent, len(l.Sent))
-	for _, s := range l.Sent {
-		calls[s.ID] = s
-	}
-	return calls
-}
-
 // repeatable tells whether a kind of call may run more than once.
 func (k Kind) repeatable() bool { return k != Booking && k != Brief }
 
-func judgeOnce(l *Ledger) []Breach {
-	var out []Breach
-	runs := l.runs()
-	for _, s := range l.Sent {
-		if n := len(runs[s.ID]); !s.Kind.repeatable() && n > 1 {
-			out = append(out, breach(s.ID, "%s ran %d times", s.Kind, n))
-		}
+func once(_ *Ledger, s *Sent, runs []Ran) string {
+	if len(runs) > 1 && !s.Kind.repeatable() {
+		return fmt.Sprintf("%s ran %d times", s.Kind, len(runs))
 	}
-	return out
+	return ""
 }
 
-func judgeUntouched(l *Ledger) []Breach {
-	var out []Breach
-	runs := l.runs()
-	for _, s := range l.Sent {
-		if s.Answered && !s.Kind.repeatable() && promisesNotRun(s.Reply.Status) && len(runs[s.ID]) > 0 {
-			out = append(out, breach(s.ID, "%s was answered %d and ran", s.Kind, s.Reply.Status))
-		}
+func untouched(_ *Ledger, s *Sent, runs []Ran) string {
+	if s.Answered && !s.Kind.repeatable() && promisesNotRun(s.Reply.Status) && len(runs) > 0 {
+		return fmt.Sprintf("%s was answered %d and ran", s.Kind, s.Reply.Status)
 	}
-	return out
+	return ""
 }
 
-// promisesNotRun tells whether a status says that the call has not run and never will.
+// promisesNotRun tells whether a status says that the call has not run and never will. A judge does not ask the code that it
+// judges.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -158,60 +174,48 @@
 	return false
 }
 
-func judgeOwn(l *Ledger) []Breach {
-	var out []Breach
-	for _, s := range l.Sent {
-		if !s.served() {
-			continue
-		}
-		switch {
-		case !s.Reply.Signed:
-			out = append(out, breach(s.ID, "success without an upstream's signature"))
-		case s.Reply.ID != s.ID:
-			out = append(out, breach(s.ID, "answer of %s", s.Reply.ID))
-		case !s.Kind.streams() && s.Reply.Body != s.Method+" "+s.Body:
-			out = append(out, breach(s.ID, "body %.60q", s.Reply.Body))
-		}
+func own(_ *Ledger, s *Sent, _ []Ran) string {
+	switch {
+	case !s.served():
+		return ""
+	case !s.Reply.Signed:
+		return "success without an upstream's signature"
+	case s.Reply.ID != s.ID:
+		return "answer of " + s.Reply.ID
+	case !s.Kind.streams() && s.Reply.Body != s.Method+" "+s.Body:
+		return fmt.Sprintf("body %.60q", s.Reply.Body)
 	}
-	return out
+	return ""
 }
 
 func (k Kind) streams() bool { return k == Quote || k == Brief || k == Narrow }
 
-func judgeAsked(l *Ledger) []Breach {
-	calls := l.calls()
-	var out []Breach
-	for _, r := range l.Ran {
-		s := calls[r.ID]
-		switch {
-		case s == nil && l.Over.IsZero():
-			// Calls are recorded when they end.
-		case s == nil:
-			out = append(out, breach(r.ID, "ran and was never sent"))
-		case s.Path != r.Path || s.Body != r.Body:
-			out = append(out, breach(r.ID, "ran as %.60q with %.60q", r.Path, r.Body))
-		case workspaces[s.Key] != r.Workspace:
-			out = append(out, breach(r.ID, "ran for %q", r.Workspace))
-		case s.Key != "" && strings.Contains(fmt.Sprint(r.Header), s.Key):
-			out = append(out, breach(r.ID, "its key was passed on"))
-		}
+func asked(l *Ledger, r Ran, s *Sent) string {
+	switch {
+	case s == nil && l.Over.IsZero():
+		// Calls are recorded when they end.
+		return ""
+	case s == nil:
+		return "ran and was never sent"
+	case s.Path != r.Path || s.Body != r.Body:
+		return fmt.Sprintf("ran as %.60q with %.60q", r.Path, r.Body)
+	case workspaces[s.Key] != r.Workspace:
+		return fmt.Sprintf("ran for %q", r.Workspace)
+	case s.Key != "" && strings.Contains(fmt.Sprint(r.Header), s.Key):
+		return "its key was passed on"
 	}
-	return out
+	return ""
 }
 
-func judgeOrder(l *Ledger) []Breach {
-	var out []Breach
-	for _, s := range l.Sent {
-		if !s.Kind.streams() || !s.Answered || s.Reply.Status != http.StatusOK {
-			continue
-		}
-		whole := stand.Stream(events)
-		switch {
-		case s.Reply.Whole && s.Reply.Body != whole:
-			out = append(out, breach(s.ID, "ended as whole with %d bytes of %d", len(s.Reply.Body), len(whole)))
-		case !strings.HasPrefix(whole, s.Reply.Body):
-			out = append(out, breach(s.ID, "wrong events: %.80q", s.Reply.Body))
-		}
+func order(_ *Ledger, s *Sent, _ []Ran) string {
+	whole := stand.Stream(events)
+	switch {
+	case !s.Kind.streams() || !s.Answered || s.Reply.Status != http.StatusOK:
+		return ""
+	case s.Reply.Whole && s.Reply.Body != whole:
+		return fmt.Sprintf("ended as whole with %d bytes of %d", len(s.Reply.Body), len(whole))
+	case !strings.HasPrefix(whole, s.Reply.Body):
+		return fmt.Sprintf("wrong events: %.80q", s.Reply.Body)
 	}
-	return out
+	return ""
 }
--- a/internal/trial/soak/ledger.go
+++ b/internal/trial/soak/ledger.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,11 @@
 // served tells whether the caller got a whole success.
 func (s *Sent) served() bool { return s.Answered && s.Reply.Whole && s.Reply.Status == 200 }
 
+// touches tells whether a spell, or what it leaves behind for a while, falls into a time.
+func (s *Spell) touches(from, to time.Time, after time.Duration) bool {
+	return s.From.Before(to) && (s.To.IsZero() || s.To.Add(after).After(from))
+}
+
 // Ran is one call that an upstream began to run.
 type Ran struct {
 	stand.Run
@@ -102,58 +108,38 @@
 	Bounds             Bounds
 }
 
-func (l *Ledger) sent(s *Sent) {
+// record changes the ledger.
+func (l *Ledger) record(do func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Sent = append(l.Sent, s)
+	do()
 }
 
-func (l *Ledger) event(e Event) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Events = append(l.Events, e)
-}
+func (l *Ledger) sent(s *Sent)  { l.record(func() { l.Sent = append(l.Sent, s) }) }
+func (l *Ledger) event(e Event) { l.record(func() { l.Events = append(l.Events, e) }) }
 
 // begin records the beginning of a spell and returns what ends it.
 func (l *Ledger) begin(s Spell) func(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := len(l.Spells)
-	l.Spells = append(l.Spells, s)
-	return func(now time.Time) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.Spells[n].To = now
-	}
+	n := 0
+	l.record(func() { n, l.Spells = len(l.Spells), append(l.Spells, s) })
+	return func(now time.Time) { l.record(func() { l.Spells[n].To = now }) }
 }
 
-// Copy returns a ledger that does not change any more.
-func (l *Ledger) Copy() *Ledger {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c := &Ledger{Crashed: l.Crashed, Began: l.Began, Quiet: l.Quiet, Over: l.Over, Bounds: l.Bounds}
-	c.Sent = append(c.Sent, l.Sent...)
-	c.Spells = append(c.Spells, l.Spells...)
-	c.Events = append(c.Events, l.Events...)
-	c.Leaves = append(c.Leaves, l.Leaves...)
-	c.Ran = append(c.Ran, l.Ran...)
-	c.Turns = append(c.Turns, l.Turns...)
-	return c
-}
-
-// left records that an upstream gave notice, back that it returned.
-func (l *Ledger) left(id string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.Leaves = append(l.Leaves, Leave{Upstream: id, From: now, To: now.Add(time.Hour)})
+// leave records that an upstream gave notice and returns what records its return.
+func (l *Ledger) leave(id string, now time.Time) func(now time.Time) {
+	n := 0
+	l.record(func() {
+		n, l.Leaves = len(l.Leaves), append(l.Leaves, Leave{Upstream: id, From: now, To: now.Add(time.Hour)})
+	})
+	return func(now time.Time) { l.record(func() { l.Leaves[n].To = now }) }
 }
 
-func (l *Ledger) back(id string, now time.Time) {
+// Copy returns what callers and the soak have recorded, in a ledger that does not change any more.
+func (l *Ledger) Copy() *Ledger {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for i := range l.Leaves {
-		if e := &l.Leaves[i]; e.Upstream == id && e.To.After(now) {
-			e.To = now
-		}
+	return &Ledger{
+		Began: l.Began, Quiet: l.Quiet, Over: l.Over, Bounds: l.Bounds, Sent: slices.Clone(l.Sent), Spells: slices.Clone(l.Spells),
+		Events: slices.Clone(l.Events), Leaves: slices.Clone(l.Leaves),
 	}
 }
--- a/internal/trial/soak/process.go
+++ b/internal/trial/soak/process.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,7 +21,6 @@
 	command *exec.Cmd
 	// ended is closed when the running command has ended.
 	ended chan struct{}
-	err   error
 	// expected tells that the end was brought about by the soak.
 	expected bool
 	// surprises counts the ends that nobody brought about.
@@ -53,9 +51,9 @@
 	}
 	p.command, p.ended, p.expected = c, make(chan struct{}), false
 	go func(ended chan struct{}) {
-		err := c.Wait()
+		// How a program ended is in its log; whether it should have is counted.
+		_ = c.Wait()
 		p.mu.Lock()
-		p.err = err
 		if !p.expected {
 			p.surprises++
 		}
@@ -102,22 +100,16 @@
 // killMost bounds the wait for the end of a killed program.
 const killMost = 5 * time.Second
 
-// errAlive says that a program did not end in time.
-var errAlive = errors.New("still running")
-
 // wait waits for the program's end.
 func (p *process) wait(most time.Duration) error {
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
-	if ended == nil {
-		return nil
-	}
 	select {
 	case <-ended:
 		return nil
 	case <-time.After(most):
-		return oops.Wrapf(errAlive, "%s", p.name)
+		return oops.Errorf("%s still runs after %s", p.name, most)
 	}
 }
 
@@ -128,13 +120,6 @@
 	_ = p.log.Close()
 }
 
-// killed tells whether the soak has ended the program at least once.
-func (p *process) killed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.expected
-}
-
 // crashes returns how often the program ended by itself.
 func (p *process) crashes() int {
 	p.mu.Lock()
--- a/internal/trial/soak/proxy.go
+++ b/internal/trial/soak/proxy.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// play puts a mode in force and returns what ends it.
+func (p *proxy) play(m mode) (end func() error) {
+	p.set(m)
+	return ending(func() { p.set(sound) })
+}
+
 // abort closes a connection so that the other end gets a reset.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/internal/trial/soak/quay.go
+++ b/internal/trial/soak/quay.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -48,8 +49,8 @@
 var quayRates = map[string][2]int{"ample": {10_000_000, 50_000_000}, "narrow": {2000, 8000}}
 
 const (
-	// secretPrefix begins all keys, so that leaks are found.
-	secretPrefix = "sq-secret-of-"
+	// secret begins all keys, so that leaks are found.
+	secret = "sq-secret"
 	// sections is the number of sections that the first document is applied in.
 	sections = 7
 )
@@ -112,7 +113,7 @@
 			return err
 		}
 		q.ports = append(q.ports, p)
-		list.Instances = append(list.Instances, roster.Entry{Address: p.peer, Zone: quayZone(i), State: roster.Live})
+		list.Instances = append(list.Instances, roster.Entry{Address: p.peer, Zone: zoneOf(i), State: roster.Live})
 	}
 	if err := q.put("http://"+q.store+"/instances", list); err != nil {
 		return err
@@ -125,19 +126,14 @@
 	return q.configure()
 }
 
-func quayZone(i int) string { return string("abc"[i%3]) }
-
 func (q *quaySite) router(i int) (*port, error) {
-	var at [3]string
-	for j := range at {
-		var err error
-		if at[j], err = site.FreeAddress(); err != nil {
-			return nil, err
-		}
+	at, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
 	}
 	url := "http://" + q.store
 	p, err := q.run(fmt.Sprint("router-", i), "skylarkquay", "run", "--listen", at[0], "--peer", at[1], "--admin", at[2],
-		"--zone", quayZone(i), "--table-url", url, "--object-url", url, "--roster-url", url, "--drain-notice", "500ms", "--first-token", "3s")
+		"--zone", zoneOf(i), "--table-url", url, "--object-url", url, "--roster-url", url, "--drain-notice", "500ms", "--first-token", "3s")
 	return &port{process: p, listen: at[0], peer: at[1], admin: at[2]}, err
 }
 
@@ -148,17 +144,14 @@
 }
 
 func (q *quaySite) await(url string) error {
-	for begin := time.Now(); time.Since(begin) < startMost; time.Sleep(50 * time.Millisecond) {
+	return until("answer of "+url, func() bool {
 		res, err := q.http.Get(url)
 		if err != nil {
-			continue
+			return false
 		}
 		_ = res.Body.Close()
-		if res.StatusCode == http.StatusOK {
-			return nil
-		}
-	}
-	return oops.Errorf("%s does not answer within %s", url, startMost)
+		return res.StatusCode == http.StatusOK
+	})
 }
 
 func (q *quaySite) put(url string, value any) error {
@@ -194,7 +187,7 @@
 func (q *quaySite) configure() error {
 	var workspaces, keys, limits, upstreams strings.Builder
 	for name, r := range quayRates {
-		q.keys[name] = secretPrefix + name
+		q.keys[name] = secret + "-of-" + name
 		fmt.Fprintf(&workspaces, "%s: {title: %s, weight: 1}\n", name, name)
 		fmt.Fprintf(&keys, "%s: {workspace: %s, hash: %s}\n", name, name, gate.HashKey(q.keys[name]))
 		fmt.Fprintf(&limits, "%s: {tokens_per_second: %d, burst_tokens: %d}\n", name, r[0], r[1])
@@ -221,14 +214,14 @@
 			return oops.Wrapf(err, "apply %s", e[0])
 		}
 	}
-	for i := range q.ports {
-		for begin := time.Now(); q.revision(i) < sections; time.Sleep(50 * time.Millisecond) {
-			if time.Since(begin) > startMost {
-				return oops.Errorf("router %d has not got the document", i)
+	return until("the document at all routers", func() bool {
+		for i := range q.ports {
+			if q.revision(i) < sections {
+				return false
 			}
 		}
-	}
-	return nil
+		return true
+	})
 }
 
 func (q *quaySite) revision(i int) int64 {
@@ -279,14 +272,11 @@
 	for _, p := range q.ports {
 		o.Crashed += p.crashes()
 	}
-	r := Result{
+	return Result{
 		Seed: set.Seed, Interface: "own", Routers: len(q.ports), Calls: report.Total.Sent + len(o.Answers), Served: report.Total.Completed,
 		Lost: report.Total.Broken, Runs: len(o.Runs), Broken: JudgeOwn(o), Folder: set.Folder,
-	}
-	for _, p := range plays {
-		r.Plays = append(r.Plays, p.Play)
-	}
-	return r, nil
+		Plays: playsOf(plays),
+	}, nil
 }
 
 func (q *quaySite) target() load.Target {
@@ -301,7 +291,7 @@
 func (q *quaySite) watchRevisions(ctx context.Context) int {
 	reverted := 0
 	highest := make([]int64, len(q.ports))
-	for ctx.Err() == nil {
+	every(ctx, 100*time.Millisecond, func() {
 		for i := range q.ports {
 			reply, err := q.operator(i).Status(ctx, &wire.StatusRequest{})
 			// A router that has just started and is not yet current serves nothing.
@@ -313,17 +303,16 @@
 			}
 			highest[i] = max(highest[i], reply.Revision)
 		}
-		sleep(ctx, 100*time.Millisecond)
-	}
+	})
 	return reverted
 }
 
 // leaks counts the values with a key that upstreams have received.
 func (q *quaySite) leaks() int {
 	n := 0
-	for _, at := range append(append([]string(nil), q.engineAt...), q.serviceAt...) {
+	for _, at := range slices.Concat(q.engineAt, q.serviceAt) {
 		var seen plain.Seen
-		if q.get("http://"+at+"/seen?text="+url.QueryEscape(strings.TrimSuffix(secretPrefix, "-of-")), &seen) == nil {
+		if q.get("http://"+at+"/seen?text="+url.QueryEscape(secret), &seen) == nil {
 			n += seen.Count
 		}
 	}
@@ -333,9 +322,9 @@
 // runs returns how often the services ran each booking; forgotten tells that one of them was killed and does not know.
 func (q *quaySite) runs() (runs map[string]int, forgotten bool) {
 	runs = make(map[string]int)
-	for i, at := range q.serviceAt {
+	for _, at := range q.serviceAt {
 		var part map[string]int
-		if err := q.get("http://"+at+"/runs", &part); err != nil || q.services[i].killed() {
+		if err := q.get("http://"+at+"/runs", &part); err != nil {
 			// What a killed service ran is not known; bookings that ran twice on another one still show.
 			forgotten = true
 		}
@@ -347,34 +336,25 @@
 }
 
 // play brings the faults about at their times and waits until all have ended.
-func (q *quaySite) play(ctx context.Context, began time.Time, plays []quayPlay, log logr.Logger) {
+func (q *quaySite) play(ctx context.Context, began time.Time, plays []staged[quayFault], log logr.Logger) {
 	var all sync.WaitGroup
 	for _, p := range plays {
 		all.Go(func() {
-			sleep(ctx, time.Until(began.Add(p.At)))
-			if ctx.Err() != nil {
-				return
-			}
-			log.Info("soak: fault began", "fault", p.Fault, "target", p.Target, "for", p.For.String())
-			end := p.fault.begin(q, p.Target)
-			sleep(ctx, p.For)
-			if err := end(); err != nil {
-				log.Info("soak: fault could not be ended", "fault", p.Fault, "error", err.Error())
-			}
+			p.run(ctx, began, log, func() func() error { return p.fault.begin(q, p.Target) })
 		})
 	}
 	all.Wait()
 }
 
 // quaySchedule draws faults one after another and overlapping.
-func quaySchedule(faults []quayFault, seed uint64, length time.Duration, size Size) []quayPlay {
+func quaySchedule(faults []quayFault, seed uint64, length time.Duration, size Size) []staged[quayFault] {
 	draw := rand.New(rand.NewPCG(seed, 1))
-	var plays []quayPlay
+	targets := map[place]int{onRouter: size.Routers, onUpstream: size.Engines, onAll: 1}
+	var plays []staged[quayFault]
 	for at := 2 * sec; at < length; at += time.Duration(draw.ExpFloat64() * float64(2*sec)) {
 		f := faults[draw.IntN(len(faults))]
-		target := draw.IntN(max(1, f.targets(size)))
-		p := Play{Fault: f.name, Target: target, At: at, For: sec + time.Duration(draw.Float64()*float64(6*sec))}
-		plays = append(plays, quayPlay{p, f})
+		p := Play{Fault: f.name, Target: draw.IntN(targets[f.where]), At: at, For: sec + time.Duration(draw.Float64()*float64(6*sec))}
+		plays = append(plays, staged[quayFault]{p, f})
 	}
 	return plays
 }
--- a/internal/trial/soak/quayfault.go
+++ b/internal/trial/soak/quayfault.go
@@ -15,33 +15,22 @@
 
 // quayFault is one kind of trouble on the product's own interface.
 type quayFault struct {
-	name    string
-	targets func(Size) int
+	name string
+	// where onUpstream stands for engines.
+	where place
 	// breakable tells that streams may break because their router dies or stands still.
 	breakable bool
 	begin     func(q *quaySite, target int) (end func() error)
 }
 
-// quayPlay is one fault of a run.
-type quayPlay struct {
-	Play
-	fault quayFault
-}
-
-func routersOf(s Size) int { return s.Routers }
-func enginesOf(s Size) int { return s.Engines }
-func one(Size) int         { return 1 }
-
-func done() error { return nil }
-
 // quayFaults are all kinds. Only the first service is ever killed.
 var quayFaults = []quayFault{
-	{"router killed", routersOf, true, func(q *quaySite, n int) func() error {
+	{"router killed", onRouter, true, func(q *quaySite, n int) func() error {
 		q.ports[n].kill()
 		return q.ports[n].start
 	}},
-	{"router paused", routersOf, true, func(q *quaySite, n int) func() error { return pause(q.ports[n].process) }},
-	{"router stopped", routersOf, false, func(q *quaySite, n int) func() error {
+	{"router paused", onRouter, true, func(q *quaySite, n int) func() error { return stall(q.ports[n].process) }},
+	{"router stopped", onRouter, false, func(q *quaySite, n int) func() error {
 		q.ports[n].signal(syscall.SIGTERM)
 		return func() error {
 			if err := q.ports[n].wait(stopMost); err != nil {
@@ -50,7 +39,7 @@
 			return q.ports[n].start()
 		}
 	}},
-	{"all routers restarted", one, true, func(q *quaySite, _ int) func() error {
+	{"all routers restarted", onAll, true, func(q *quaySite, _ int) func() error {
 		for _, p := range q.ports {
 			p.kill()
 		}
@@ -59,77 +48,52 @@
 				return func() error { return err }
 			}
 		}
-		return done
+		return nothing
 	}},
-	{"store down", one, false, quayStore(store.Faults{Down: true})},
-	{"store slow", one, false, quayStore(store.Faults{SlowMillis: 400})},
-	{"store loses answers", one, false, quayStore(store.Faults{LoseEvery: 3})},
-	{"engine killed", enginesOf, false, func(q *quaySite, n int) func() error {
+	{"store down", onAll, false, told(store.Faults{Down: true}, storeAt)},
+	{"store slow", onAll, false, told(store.Faults{SlowMillis: 400}, storeAt)},
+	{"store loses answers", onAll, false, told(store.Faults{LoseEvery: 3}, storeAt)},
+	{"engine killed", onUpstream, false, func(q *quaySite, n int) func() error {
 		q.engines[n].kill()
 		return q.engines[n].start
 	}},
-	{"engine paused", enginesOf, false, func(q *quaySite, n int) func() error { return pause(q.engines[n]) }},
-	{"engine cuts answers", enginesOf, false, quayEngine(engine.Faults{CutAfter: 3})},
-	{"engine empty", enginesOf, false, quayEngine(engine.Faults{Empty: true})},
-	{"engine crosses answers", enginesOf, false, quayEngine(engine.Faults{Cross: true})},
-	{"service loses answers", one, false, func(q *quaySite, _ int) func() error {
-		at := "http://" + q.serviceAt[0] + "/faults"
-		begun := q.put(at, plain.Faults{LoseAnswer: true})
-		return func() error {
-			if begun != nil {
-				return begun
-			}
-			return q.put(at, plain.Faults{})
-		}
-	}},
-	{"service killed", one, false, func(q *quaySite, _ int) func() error {
+	{"engine paused", onUpstream, false, func(q *quaySite, n int) func() error { return stall(q.engines[n]) }},
+	{"engine cuts answers", onUpstream, false, told(engine.Faults{CutAfter: 3}, engineAt)},
+	{"engine empty", onUpstream, false, told(engine.Faults{Empty: true}, engineAt)},
+	{"engine crosses answers", onUpstream, false, told(engine.Faults{Cross: true}, engineAt)},
+	{"service loses answers", onAll, false, told(plain.Faults{LoseAnswer: true}, serviceAt)},
+	{"service killed", onAll, false, func(q *quaySite, _ int) func() error {
 		q.services[0].kill()
-		return done
+		return nothing
 	}},
-	{"operators race", one, false, func(q *quaySite, _ int) func() error {
+	{"operators race", onAll, false, func(q *quaySite, _ int) func() error {
 		q.race()
-		return done
+		return nothing
 	}},
 }
 
 // stopMost bounds a planned stop.
 const stopMost = 40 * time.Second
 
-func pause(p *process) func() error {
-	p.signal(syscall.SIGSTOP)
-	return func() error {
-		p.signal(syscall.SIGCONT)
-		return nil
-	}
-}
-
-func quayStore(f store.Faults) func(*quaySite, int) func() error {
-	return func(q *quaySite, _ int) func() error {
-		at := "http://" + q.store + "/faults"
-		begun := q.put(at, f)
-		return func() error {
-			if begun != nil {
-				return begun
-			}
-			return q.put(at, store.Faults{})
-		}
-	}
-}
-
-func quayEngine(f engine.Faults) func(*quaySite, int) func() error {
+// told puts a stand-in's fault in force and returns what ends it. A stand-in that was killed or paused does not hear it.
+func told[F any](f F, at func(q *quaySite, target int) string) func(*quaySite, int) func() error {
 	return func(q *quaySite, n int) func() error {
-		at := "http://" + q.engineAt[n] + "/faults"
-		begun := q.put(at, f)
+		url := "http://" + at(q, n) + "/faults"
+		begun := q.put(url, f)
 		return func() error {
 			if begun != nil {
-				// The engine was killed or paused meanwhile.
 				return begun
 			}
-			return q.put(at, engine.Faults{})
+			var none F
+			return q.put(url, none)
 		}
 	}
 }
 
+func storeAt(q *quaySite, _ int) string   { return q.store }
+func engineAt(q *quaySite, n int) string  { return q.engineAt[n] }
+func serviceAt(q *quaySite, _ int) string { return q.serviceAt[0] }
+
 // race edits two sections through all routers at once.
 func (q *quaySite) race() {
 	var all sync.WaitGroup
--- a/internal/trial/soak/report.go
+++ b/internal/trial/soak/report.go
@@ -64,7 +64,7 @@
 func (r *Result) record(l *Ledger, s *Sent) {
 	names := make(map[string]bool)
 	for _, f := range l.Spells {
-		if f.From.Before(s.Done) && (f.To.IsZero() || f.To.After(s.At)) {
+		if f.touches(s.At, s.Done, 0) {
 			names[f.Fault] = true
 		}
 	}
--- a/internal/trial/soak/site.go
+++ b/internal/trial/soak/site.go
@@ -73,10 +73,11 @@
 	// weights is the newest announced version.
 	weights int64
 	// leaving are the upstreams that gave notice.
-	leaving  map[string]bool
-	failures []error
-	ids      atomic.Int64
-	seed     uint64
+	leaving map[string]bool
+	// failure is what the soak itself could not do.
+	failure error
+	ids     atomic.Int64
+	seed    uint64
 }
 
 // Size says how large a site is.
@@ -91,33 +92,50 @@
 		return nil, err
 	}
 	s := &edgeSite{Site: standing, folder: folder, proxies: make(map[string]*proxy), leaving: make(map[string]bool), weights: 1, seed: seed}
+	if err := s.start(program, size.Routers); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *edgeSite) start(program string, routers int) error {
 	s.Ledger.Bounds = bounds
 	s.NarrowRate, s.NarrowBurst, s.Rate, s.Burst = bounds.Rate, bounds.Burst, 1e7, 1e7
 	s.Keys = slices.Clone(keys)
-	for _, u := range s.upstreams() {
+	for _, u := range s.Upstreams() {
 		u.Events, u.Pause = events, 8*time.Millisecond
 		p, err := newProxy("127.0.0.1:0", s.Address(u))
 		if err != nil {
-			s.close()
-			return nil, err
+			return err
 		}
 		s.proxies[u.ID] = p
 		s.Through(u, p.address())
 	}
 	s.Publish()
-	for i := range size.Routers {
+	for i := range routers {
 		n, err := s.newNode(program, i)
 		if err != nil {
-			s.close()
-			return nil, err
+			return err
 		}
 		s.nodes = append(s.nodes, n)
 	}
-	return s, nil
+	return nil
 }
 
-func (s *edgeSite) upstreams() []*stand.Upstream {
-	return append(append([]*stand.Upstream(nil), s.Engines...), s.Jobs...)
+// zoneOf is the availability zone of a router.
+func zoneOf(router int) string { return string("abc"[router%3]) }
+
+// freeAddresses returns loopback addresses that nobody listens on.
+func freeAddresses(n int) ([]string, error) {
+	all := make([]string, n)
+	for i := range all {
+		var err error
+		if all[i], err = site.FreeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
 }
 
 func (s *edgeSite) newNode(program string, i int) (*node, error) {
@@ -126,15 +144,13 @@
 		return nil, err
 	}
 	s.before = append(s.before, store)
-	var at [4]string
-	for j := range at {
-		if at[j], err = site.FreeAddress(); err != nil {
-			return nil, err
-		}
+	at, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
 	}
 	name := fmt.Sprintf("router-%d", i)
 	settings := edge.Settings{
-		Name: name, Zone: string("abc"[i%3]), Listen: at[0], Ready: at[1], Peer: at[2], Metrics: at[3], Store: store.address(),
+		Name: name, Zone: zoneOf(i), Listen: at[0], Ready: at[1], Peer: at[2], Metrics: at[3], Store: store.address(),
 		MemoryMB: 256, Cores: 0.5, Link: 100, Grace: grace.Seconds(), Revocation: bounds.Revocation.Milliseconds(),
 		Weights: bounds.Weights.Milliseconds(), Turn: bounds.Turn.Milliseconds(), RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10, Level: "info",
 	}
@@ -156,21 +172,22 @@
 // startMost bounds the start of a site; hundreds of processes share a few processors.
 const startMost = 60 * time.Second
 
-// await waits until all routers are ready.
-func (s *edgeSite) await() error {
+// until waits for what comes with the start of a site.
+func until(what string, ready func() bool) error {
 	for begin := time.Now(); time.Since(begin) < startMost; time.Sleep(askReady / 5) {
-		s.balance()
-		ready := 0
-		for _, n := range s.nodes {
-			if n.up.Load() {
-				ready++
-			}
-		}
-		if ready == len(s.nodes) {
+		if ready() {
 			return nil
 		}
 	}
-	return oops.Errorf("not all of %d routers were ready within %s", len(s.nodes), startMost)
+	return oops.Errorf("%s not within %s", what, startMost)
+}
+
+// await waits until all routers are ready.
+func (s *edgeSite) await() error {
+	return until(fmt.Sprintf("%d routers ready", len(s.nodes)), func() bool {
+		s.balance()
+		return !slices.ContainsFunc(s.nodes, func(n *node) bool { return !n.up.Load() })
+	})
 }
 
 // balance asks each router once whether it is ready.
@@ -212,8 +229,7 @@
 // collect takes into the ledger what upstreams and processes have seen.
 func (s *edgeSite) collect() *Ledger {
 	l := s.Copy()
-	l.Ran, l.Turns, l.Crashed = nil, nil, 0
-	for _, u := range s.upstreams() {
+	for _, u := range s.Upstreams() {
 		for _, r := range u.Runs() {
 			l.Ran = append(l.Ran, Ran{r, u.ID})
 		}
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 )
 
 // Settings of a soak.
@@ -54,7 +56,7 @@
 }
 
 // drive makes calls and plays faults until the end, or until a promise is broken.
-func (s *edgeSite) drive(ctx context.Context, set Settings, plays []Play) (Result, error) {
+func (s *edgeSite) drive(ctx context.Context, set Settings, plays []staged[trouble]) (Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.Began = time.Now()
@@ -62,15 +64,16 @@
 	for n := range set.Size.Callers {
 		callers.Go(func() { newCaller(s, n).run(ctx) })
 	}
-	parts.Go(func() { s.every(ctx, askReady, s.balance) })
-	parts.Go(func() { s.every(ctx, listEvery, s.renew) })
+	parts.Go(func() { every(ctx, askReady, s.balance) })
+	parts.Go(func() { every(ctx, listEvery, s.renew) })
 	broken := make(chan []Breach, 1)
 	parts.Go(func() { s.watch(ctx, broken) })
 	over := make(chan struct{})
 	go func() {
 		defer close(over)
 		s.play(ctx, plays, set.Log)
-		sleep(ctx, bounds.Recovery+tail)
+		// The end of the run is the same when the context ends before.
+		_ = pause.For(ctx, bounds.Recovery+tail)
 	}()
 	var found []Breach
 	select {
@@ -81,29 +84,17 @@
 	<-over
 	callers.Wait()
 	parts.Wait()
-	s.finish()
+	s.Over = time.Now()
 	l := s.collect()
 	if len(found) == 0 {
 		found = Judge(l)
 	}
-	return result(set, plays, l, found), s.failure()
-}
-
-// sleep pauses unless the context ends before.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	return result(set, playsOf(plays), l, found), s.failure
 }
 
 // every does something again and again until the context ends.
-func (s *edgeSite) every(ctx context.Context, pause time.Duration, do func()) {
-	for ctx.Err() == nil {
-		do()
-		sleep(ctx, pause)
+func every(ctx context.Context, gap time.Duration, do func()) {
+	for do(); pause.For(ctx, gap) == nil; do() {
 	}
 }
 
@@ -111,7 +102,7 @@
 func (s *edgeSite) renew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, u := range s.upstreams() {
+	for _, u := range s.Upstreams() {
 		if !s.leaving[u.ID] {
 			s.List(u, "ready")
 		}
@@ -120,11 +111,7 @@
 
 // watch judges while the run goes on.
 func (s *edgeSite) watch(ctx context.Context, broken chan<- []Breach) {
-	for {
-		sleep(ctx, judgeEvery)
-		if ctx.Err() != nil {
-			return
-		}
+	for pause.For(ctx, judgeEvery) == nil {
 		if found := Judge(s.collect()); len(found) > 0 {
 			broken <- found
 			return
@@ -133,48 +120,31 @@
 }
 
 // play brings the faults about at their times and waits until all have ended.
-func (s *edgeSite) play(ctx context.Context, plays []Play, log logr.Logger) {
+func (s *edgeSite) play(ctx context.Context, plays []staged[trouble], log logr.Logger) {
 	var all sync.WaitGroup
 	for _, p := range plays {
 		all.Go(func() {
-			sleep(ctx, time.Until(s.Began.Add(p.At)))
-			if ctx.Err() != nil {
-				return
-			}
-			ended := s.begin(p.spell(time.Now()))
-			log.Info("soak: fault began", "fault", p.Fault, "target", p.Target, "for", p.For.String())
-			end := p.fault.begin(s, p.Target)
-			sleep(ctx, p.For)
-			end()
-			ended(time.Now())
-			log.Info("soak: fault ended", "fault", p.Fault, "target", p.Target)
+			p.run(ctx, s.Began, log, func() func() error {
+				ended := s.begin(spell(p, time.Now()))
+				end := p.fault.begin(s, p.Target)
+				return func() error {
+					err := end()
+					ended(time.Now())
+					if err != nil {
+						s.failed(err)
+					}
+					return err
+				}
+			})
 		})
 	}
 	all.Wait()
-	s.Ledger.mu.Lock()
-	defer s.Ledger.mu.Unlock()
-	s.Quiet = time.Now()
-}
-
-func (s *edgeSite) finish() {
-	s.Ledger.mu.Lock()
-	defer s.Ledger.mu.Unlock()
-	s.Over = time.Now()
+	s.record(func() { s.Quiet = time.Now() })
 }
 
 // failed notes that the soak itself could not do something.
 func (s *edgeSite) failed(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures = append(s.failures, err)
-}
-
-// failure returns what the soak could not do.
-func (s *edgeSite) failure() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.failures) == 0 {
-		return nil
-	}
-	return oops.Wrapf(s.failures[0], "%d failures of the soak itself", len(s.failures))
+	s.failure = errors.Join(s.failure, err)
 }
--- a/internal/trial/soak/visits.go
+++ b/internal/trial/soak/visits.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/base/pause"
 	"github.com/skylarkquay/skylarkquay/internal/trial/trace"
 )
 
@@ -68,27 +69,30 @@
 			add(Untouched, body, "booking ran though every answer said that it had not")
 		}
 	}
-	if o.Crossed > 0 {
-		add(Own, "", "%d answers of other calls", o.Crossed)
+	cut := o.Broken
+	if o.Breakable {
+		cut = 0
 	}
-	if o.Broken > 0 && !o.Breakable {
-		add(Kept, "", "%d streams were cut while their routers lived", o.Broken)
-	}
-	if o.Leaked > 0 {
-		add(Asked, "", "%d values with a key at upstreams", o.Leaked)
-	}
-	if o.Reverted > 0 {
-		add(Applied, "", "revisions went back %d times", o.Reverted)
+	for _, c := range []struct {
+		promise Promise
+		count   int
+		text    string
+	}{
+		{Own, o.Crossed, "%d answers of other calls"},
+		{Asked, o.Leaked, "%d values with a key at upstreams"},
+		{Applied, o.Reverted, "revisions went back %d times"},
+		{Kept, cut, "%d streams were cut while their routers lived"},
+		{Upright, o.Crashed, "routers ended by themselves %d times"},
+	} {
+		if c.count > 0 {
+			add(c.promise, "", c.text, c.count)
+		}
 	}
 	rate := quayRates["narrow"]
 	if allowed := int64(rate[1]) + int64(float64(rate[0])*o.Took.Seconds()); o.NarrowTokens > allowed {
 		add(Rated, "", "%d tokens in %s, %d allowed", o.NarrowTokens, o.Took, allowed)
 	}
-	if o.Crashed > 0 {
-		add(Upright, "", "routers ended by themselves %d times", o.Crashed)
-	}
-	slices.SortFunc(all, func(a, b Breach) int { return cmp.Or(cmp.Compare(a.Promise, b.Promise), cmp.Compare(a.ID, b.ID)) })
-	return all
+	return sorted(all)
 }
 
 // quayTraffic is the language load: the narrow workspace sends several times its rate.
@@ -124,9 +128,8 @@
 func (v *visits) run(ctx context.Context, length time.Duration) {
 	var all sync.WaitGroup
 	begin := time.Now()
-	for i := 0; ctx.Err() == nil && time.Since(begin) < length; i++ {
+	for i := 0; time.Since(begin) < length && pause.For(ctx, bookEvery) == nil; i++ {
 		all.Go(func() { v.book(i) })
-		sleep(ctx, bookEvery)
 	}
 	all.Wait()
 }
