--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -162,13 +162,7 @@
 
 // announced takes an announcement of weights.
 func (e *Edge) announced(w policy.Weights, from string) {
-	isNew := false
-	if w.Seen {
-		isNew = e.feed.Announce(w)
-	} else {
-		isNew = e.feed.AnnounceLate(w)
-	}
-	if !isNew {
+	if !e.feed.Announce(w) {
 		return
 	}
 	e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", w.Seen,
--- a/internal/conf/policy/feed.go
+++ b/internal/conf/policy/feed.go
@@ -49,7 +49,8 @@
 
 // Announce records a version of a model's weights and tells whether it is new. A time that an instance saw goes before an
 // assumed one, and of two that were seen the earlier one holds. Older versions count too: an instance that has started
-// reads only the newest from the store, whose time it has yet to hear.
+// reads only the newest from the store, whose time it has yet to hear. A version that was not known when the store had
+// nothing newer was announced after that.
 func (f *Feed) Announce(w Weights) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -66,23 +67,14 @@
 	if w.Version < f.passed[w.Model] {
 		return false
 	}
+	if !w.Seen && f.known && f.confirmed > w.Learnt {
+		w.Learnt, w.Seen = f.confirmed, true
+	}
 	at, _ := slices.BinarySearchFunc(all, w.Version, func(o Weights, version int64) int { return cmp.Compare(o.Version, version) })
 	f.weights[w.Model] = slices.Insert(all, at, w)
 	return true
 }
 
-// AnnounceLate records a version that another instance has read without seeing its announcement, and tells whether it is
-// new. What was not known when the store had nothing newer was announced after that.
-func (f *Feed) AnnounceLate(w Weights) bool {
-	f.mu.Lock()
-	known := f.known && !slices.ContainsFunc(f.weights[w.Model], func(o Weights) bool { return o.Version == w.Version })
-	if known && f.confirmed > w.Learnt {
-		w.Learnt, w.Seen = f.confirmed, true
-	}
-	f.mu.Unlock()
-	return f.Announce(w)
-}
-
 func newest(all []Weights) Weights {
 	if len(all) == 0 {
 		return Weights{}
--- a/internal/conf/policy/policy_test.go
+++ b/internal/conf/policy/policy_test.go
@@ -126,17 +126,17 @@
 	f := NewFeed()
 	f.Announce(Weights{Model: "m", Version: 3, Learnt: time.Second, Seen: true})
 	f.Confirm(3 * time.Second)
-	must.True(t, f.AnnounceLate(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
+	must.True(t, f.Announce(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
 	must.Eq(t, Weights{Model: "m", Version: 4, Learnt: 3 * time.Second, Seen: true}, f.Weights("m"))
 	// Told again after a later confirmation it is no younger.
 	f.Confirm(6 * time.Second)
-	must.False(t, f.AnnounceLate(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
+	must.False(t, f.Announce(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
 	must.Eq(t, 3*time.Second, f.Weights("m").Learnt)
 	// An instance that knows nothing assumes what the other assumes, also when it is told again.
 	g := NewFeed()
-	must.True(t, g.AnnounceLate(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
+	must.True(t, g.Announce(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
 	g.Confirm(6 * time.Second)
-	must.False(t, g.AnnounceLate(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
+	must.False(t, g.Announce(Weights{Model: "m", Version: 4, Learnt: -2 * time.Second}))
 	must.Eq(t, 4, g.Floor("m", 0))
 }
 
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -33,7 +33,6 @@
 			q.Stale = staleDelay
 		}
 		q.Floor = x.Feed.Floor(x.ask.Model, x.Boot()-x.Settings.WeightsAge)
-		q.Own = x.ask.Prompt
 		for _, part := range x.ask.Shared() {
 			q.Shared = append(q.Shared, part.Tokens)
 			q.Own = max(0, q.Own-part.Tokens)
@@ -61,8 +60,12 @@
 	return choice, ok
 }
 
-// chain identifies the shared parts of the prompt under the salt of a version, each with all before it.
+// chain identifies the shared parts of the prompt under the salt of a version, each with all before it. Each version's chain
+// is worked out once a request.
 func (x *exchange) chain(version int64) []uint64 {
+	if chain, ok := x.chains[version]; ok {
+		return chain
+	}
 	d := xxhash.New()
 	// Writing to a digest does not fail.
 	_, _ = d.WriteString(x.salt(version))
@@ -71,6 +74,7 @@
 		_, _ = d.WriteString("/" + part.ID)
 		chain = append(chain, d.Sum64())
 	}
+	x.chains[version] = chain
 	return chain
 }
 
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -101,6 +101,8 @@
 	units       float64
 	tally       tally
 	avoid       map[string]bool
+	// chains are those of the prompt's prefixes, by version of the weights.
+	chains map[int64][]uint64
 	// last is the last placement, for the log.
 	last place.Choice
 	// sent is when the last send began.
@@ -128,7 +130,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.Open.Add(1)
 	defer h.Open.Add(-1)
-	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool)}
+	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool), chains: make(map[int64][]uint64)}
 	if h.Draining.Load() || len(r.TransferEncoding) > 0 {
 		// What follows a chunked body that also had a length could be taken for a request of another caller.
 		w.Header().Set("Connection", "close")
--- a/internal/peer/pulse/exchange.go
+++ b/internal/peer/pulse/exchange.go
@@ -132,7 +132,7 @@
 func (e *Exchange) Member() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.contacts) >= meshMost && e.headOf(e.Zone) != nil
+	return e.large() && e.headOf(e.Zone) != nil
 }
 
 // Awake returns the first instance in order that was heard lately.
@@ -152,22 +152,33 @@
 	return first.Name, true
 }
 
+// large tells whether the site is so large that messages go through the heads of availability zones. The lock is held.
+func (e *Exchange) large() bool { return len(e.contacts) >= meshMost }
+
 // Delay returns how long a message takes to all instances when one of them is lost: one interval, and in a large site one
 // for each of the two heads between.
 func (e *Exchange) Delay() time.Duration {
-	if e.Count() <= meshMost {
-		return 2 * interval
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.large() {
+		return 5 * e.pause()
 	}
-	return 5 * e.Interval()
+	return 2 * e.pause()
 }
 
 // Interval returns the pause between messages.
 func (e *Exchange) Interval() time.Duration {
-	n := e.Count()
-	if n <= meshMost {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pause()
+}
+
+// pause is the pause between messages. The lock is held.
+func (e *Exchange) pause() time.Duration {
+	if !e.large() {
 		return interval
 	}
-	return hubInterval * time.Duration(max(n, hubSize)) / hubSize
+	return hubInterval * time.Duration(max(len(e.contacts)+1, hubSize)) / hubSize
 }
 
 // Now sends a message without waiting for the interval.
@@ -230,7 +241,7 @@
 }
 
 func (e *Exchange) letters(now time.Duration, m *Message) []letter {
-	if len(e.contacts) < meshMost {
+	if !e.large() {
 		return []letter{{m, e.reachable(now)}}
 	}
 	return e.hub(now, m)
@@ -321,7 +332,7 @@
 	}
 	c.add(m)
 	c.stamp, c.at, c.awaited, c.suspect, c.last = m.Stamp, now, 0, false, m
-	return m.Urgent && m.Kind != All && len(e.contacts) >= meshMost && e.headOf(e.Zone) == nil
+	return m.Urgent && m.Kind != All && e.large() && e.headOf(e.Zone) == nil
 }
 
 // add counts what the sender admitted since it was first heard in this role.
--- a/internal/peer/pulse/hub.go
+++ b/internal/peer/pulse/hub.go
@@ -191,7 +191,7 @@
 	now := e.Clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.contacts) < meshMost {
+	if !e.large() {
 		return 0, 0
 	}
 	heard = 1
