Bound what is read from upstreams, the store and other instances

Cause: net/http reads a response head of any length, each buffered body could take 16 MiB and each event 1 MiB, and the rest of a long late response to another request was parsed as the next response. Change: package bound limits heads (64 KiB), bodies, and the memory that all buffered responses take together (an eighth of the machine's); a response that is too long is a failure of its upstream, may have run, and is no crash of the request.

--- a/internal/app/daemon/peers.go
+++ b/internal/app/daemon/peers.go
@@ -12,6 +12,7 @@
 	"github.com/samber/oops"
 	"github.com/twitchtv/twirp"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/limit/share"
 	"github.com/skylarkquay/skylarkquay/internal/once/crash"
@@ -29,6 +30,8 @@
 	peerDialTimeout  = 200 * time.Millisecond
 	peerIdleTimeout  = 30 * time.Second
 	peerMaxIdleConns = 4
+	// maxPeerResponseBytes bounds the response of another instance; the longest holds a routing document.
+	maxPeerResponseBytes = 16 << 20
 )
 
 // peers calls the other instances and serves their heartbeats and configuration pulls.
@@ -39,11 +42,12 @@
 
 func newPeers(r *Router) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &peers{router: r, client: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: peerMaxIdleConns,
-		IdleConnTimeout:     peerIdleTimeout,
-	}}}
+	return &peers{router: r, client: &http.Client{Transport: bound.Transport(&http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    peerMaxIdleConns,
+		IdleConnTimeout:        peerIdleTimeout,
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
+	}, maxPeerResponseBytes)}}
 }
 
 func (p *peers) clientFor(address string) wire.Peer {
--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/samber/oops"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
@@ -118,6 +119,11 @@
 	return nil
 }
 
+// peerClient requests copies from other instances. Copies are rare, so no connection is kept.
+var peerClient = &http.Client{Transport: bound.Transport(&http.Transport{
+	DisableKeepAlives: true, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
+}, maxCopyBytes)}
+
 func (e *Edge) fetchFromPeer(ctx context.Context, from, path string, timeout time.Duration) ([]byte, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -125,14 +131,12 @@
 	if err != nil {
 		return nil, 0, oops.Wrapf(err, "instance %s", from)
 	}
-	// Copies are rare, so the connection is not reused.
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := peerClient.Do(req)
 	if err != nil {
 		return nil, 0, oops.Wrapf(err, "instance %s", from)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCopyBytes))
+	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return nil, 0, oops.Wrapf(err, "instance %s", from)
 	}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/samber/oops"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/meter"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
@@ -38,12 +39,16 @@
 const (
 	// memoryLimitFraction is the fraction of the instance's memory that is set as the garbage collector's soft limit.
 	memoryLimitFraction = 0.6
+	// bufferMemoryDivisor is the divisor of the instance's memory that gives the memory for buffered responses.
+	bufferMemoryDivisor = 8
 	// gcPercent is the heap growth in percent that starts a garbage collection. It is low because memory is scarce on small
 	// instances and the heap is a few megabytes.
 	gcPercent = 50
 	// idleTimeout is longer than the time for which callers at the site may reuse idle connections, so that callers close
 	// them first.
 	idleTimeout = 2 * time.Minute
+	// readHeaderTimeout bounds the time in which a request's header arrives.
+	readHeaderTimeout = 15 * time.Second
 	// maxHeaderBytes bounds a request's header before the limit of the routing document is applied.
 	maxHeaderBytes = 64 << 10
 	// revocationMargin is subtracted from the revocation limit; it covers the network delay to the upstream.
@@ -121,6 +126,7 @@
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, CrashCounter: e.crashes, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
+		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor),
 	}
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
 	e.rollout = newRollout(e)
@@ -188,12 +194,12 @@
 	}
 	loops.Go(e.exchange.Listen)
 	serveErrs := make(chan error, len(e.listeners))
-	front := &http.Server{Handler: e.handler, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	ready := &http.Server{Handler: http.HandlerFunc(e.handleReady), IdleTimeout: idleTimeout}
-	metrics := &http.Server{Handler: e.metricsHandler(), IdleTimeout: idleTimeout}
-	peers := &http.Server{Handler: e.peerHandler(), IdleTimeout: idleTimeout}
-	servers := []*http.Server{front, ready, metrics, peers}
+	servers := []*http.Server{
+		{Handler: e.handler}, {Handler: http.HandlerFunc(e.handleReady)}, {Handler: e.metricsHandler()}, {Handler: e.peerHandler()},
+	}
+	front := servers[0]
 	for i, s := range servers {
+		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
 		go func() { serveErrs <- s.Serve(e.listeners[i]) }()
 	}
 	var err error
--- a/internal/app/opctl/opctl.go
+++ b/internal/app/opctl/opctl.go
@@ -15,6 +15,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/twitchtv/twirp"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 )
 
@@ -26,7 +27,11 @@
 	exitConflict = 3
 )
 
-const callTimeout = 15 * time.Second
+const (
+	callTimeout = 15 * time.Second
+	// maxResponseBytes bounds a router's response; the longest holds a routing document.
+	maxResponseBytes = 16 << 20
+)
 
 // client is one run of the command line.
 type client struct {
@@ -48,7 +53,7 @@
 		panic(err)
 	}
 	p.CommandHandler = func(command flags.Commander, rest []string) error {
-		c.api = wire.NewOperatorProtobufClient(c.Router, &http.Client{Timeout: callTimeout})
+		c.api = wire.NewOperatorProtobufClient(c.Router, &http.Client{Timeout: callTimeout, Transport: bound.Transport(http.DefaultTransport, maxResponseBytes)})
 		if c.Operator == "" {
 			c.Operator = loginName()
 		}
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 )
@@ -130,7 +131,7 @@
 		a, err := h.send(ctx, j, 0)
 		if err == nil {
 			var body []byte
-			body, err = io.ReadAll(io.LimitReader(a.res.Body, maxResponseBytes))
+			body, err = io.ReadAll(bound.Reader(a.res.Body, maxResponseBytes))
 			if err == nil && !json.Valid(body) {
 				err = relay.ErrTruncated
 			}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 )
 
@@ -80,6 +81,7 @@
 
 type conn struct {
 	net.Conn
+	head     *headLimiter
 	address  string
 	reader   *bufio.Reader
 	lastUsed time.Time
@@ -169,7 +171,9 @@
 // read returns the first response that belongs to the request and skips late responses to earlier ones.
 func (p *Pool) read(c *conn, r Request) (*Response, error) {
 	for range maxResponses {
+		c.head.remaining = bound.MaxHeaderBytes
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.head.remaining = unlimited
 		if err != nil {
 			return nil, err
 		}
@@ -182,7 +186,7 @@
 		if raw.Close {
 			return nil, ErrStray
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxStrayBytes)); err != nil {
+		if _, err := io.Copy(io.Discard, bound.Reader(raw.Body, maxStrayBytes)); err != nil {
 			return nil, err
 		}
 	}
@@ -269,7 +273,8 @@
 		return nil, false, err
 	}
 	p.onOpen()
-	return &conn{Conn: raw, address: r.Address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, false, nil
+	head := &headLimiter{Conn: raw, remaining: unlimited}
+	return &conn{Conn: raw, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
 }
 
 // popIdle returns the most recently used connection, or nil.
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 // upstream is a test server that counts its connections and requests.
@@ -357,3 +359,27 @@
 	cause := errors.New("cause")
 	must.ErrorIs(t, &UnsentError{cause}, cause)
 }
+
+// The body of a late response to another request may look like a response to this one.
+func TestBodyOfAStrayResponseIsNotTakenForAResponse(t *testing.T) {
+	u := respondWith(t, response("other", strings.Repeat("x", maxStrayBytes)+response("1", "forged")))
+	_, err := roundTrip(t, newTestPool(0), request(u, "1"))
+	must.ErrorIs(t, err, bound.ErrTooLong)
+	must.False(t, NotSent(err))
+}
+
+// The limit on the head does not apply to the body, and is renewed for each response of a connection.
+func TestHeadIsLimitedAndBodyIsNot(t *testing.T) {
+	long := strings.Repeat("b", 2*bound.MaxHeaderBytes)
+	u := respondWith(t, response("1", long))
+	p := newTestPool(0)
+	for range 3 {
+		got, err := roundTrip(t, p, request(u, "1"))
+		must.NoError(t, err)
+		must.Eq(t, long, got)
+	}
+	must.Eq(t, 1, u.conns.Load())
+	u = respondWith(t, "HTTP/1.1 200 OK\r\nId: 1\r\nX: "+strings.Repeat("h", bound.MaxHeaderBytes)+"\r\n\r\n")
+	_, err := roundTrip(t, p, request(u, "1"))
+	must.ErrorIs(t, err, bound.ErrTooLong)
+}
--- a/internal/front/plain/once.go
+++ b/internal/front/plain/once.go
@@ -5,11 +5,11 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/once/claim"
@@ -143,13 +143,10 @@
 
 func readResponse(res *http.Response) (*claim.Response, error) {
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	body, err := io.ReadAll(bound.Reader(res.Body, maxResponseBytes))
 	if err != nil {
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.New("the upstream's response exceeds the size limit")
-	}
 	return &claim.Response{Status: res.StatusCode, Header: relay.FilterResponseHeader(res.Header), Body: body}, nil
 }
 
--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"strconv"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
-// maxLineBytes bounds one line of a stream.
+// maxLineBytes bounds one line of a stream, and the data of one event.
 const maxLineBytes = 1 << 20
 
 // doneMark is the data of the last event of a complete stream.
@@ -64,6 +66,9 @@
 				data = append(data, '\n')
 			}
 			data = append(data, value...)
+			if len(data) > maxLineBytes {
+				return Event{}, errors.Join(ErrTruncated, bound.ErrTooLong)
+			}
 			if data == nil {
 				data = []byte{}
 			}
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 const (
@@ -65,6 +67,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
+		// Bytes that are no answer may come without end.
+		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
 	}
 }
 
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 const key = "sq-secret"
@@ -71,3 +73,10 @@
 		}
 	})
 }
+
+// An event whose data lines do not end is cut off at the limit.
+func TestEventWithoutEndIsTruncated(t *testing.T) {
+	_, err := NewEventReader(strings.NewReader(strings.Repeat("data: xxxxxxxxxxxxxxxx\n", maxLineBytes/8))).Next()
+	must.ErrorIs(t, err, ErrTruncated)
+	must.ErrorIs(t, err, bound.ErrTooLong)
+}
--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -5,16 +5,16 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 1 << 20
 
-// errEventTooLong is returned for an event longer than maxEventBytes.
-var errEventTooLong = errors.New("an event exceeds the size limit")
-
-// event is one event of a stream; raw is its bytes on the wire, including the terminating blank line.
+// event is one event of a stream.
 type event struct {
+	// raw is the event's bytes on the wire, including the terminating blank line. It is valid until the next event is read.
 	raw []byte
 	// id is the event's id, or "".
 	id string
@@ -23,33 +23,36 @@
 // eventReader reads complete events, so that a partial one is never forwarded.
 type eventReader struct {
 	reader *bufio.Reader
+	raw    *bound.Buffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+// newEventReader returns a reader of the events in r. It must be released after its last use.
+func newEventReader(r io.Reader, memory *bound.Budget) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), raw: memory.Buffer(maxEventBytes)}
 }
 
+func (e *eventReader) release() { e.raw.Release() }
+
 // next returns the next event. At EOF it returns io.EOF, with the bytes after the last event in rest.
 func (e *eventReader) next() (ev event, rest []byte, err error) {
-	var raw []byte
+	e.raw.Reset()
+	lineStart := 0
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		raw = append(raw, line...)
+		piece, err := e.reader.ReadSlice('\n')
+		if appendErr := e.raw.Append(piece); appendErr != nil {
+			return event{}, nil, appendErr
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(raw) > maxEventBytes {
-				return event{}, nil, errEventTooLong
-			}
 			continue
 		}
+		raw := e.raw.Bytes()
 		if err != nil {
 			return event{}, raw, err
 		}
-		if len(raw) > maxEventBytes {
-			return event{}, nil, errEventTooLong
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(bytes.TrimSpace(raw)) > 0 {
+		if len(bytes.TrimRight(raw[lineStart:], "\r\n")) == 0 && len(bytes.TrimSpace(raw)) > 0 {
 			return event{raw: raw, id: eventID(raw)}, nil, nil
 		}
+		lineStart = len(raw)
 	}
 }
 
--- a/internal/front/serve/events_test.go
+++ b/internal/front/serve/events_test.go
@@ -8,11 +8,15 @@
 	"testing/iotest"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
+func memory() *bound.Budget { return bound.NewBudget(4 << 20) }
+
 func TestEventsPreserveBytes(t *testing.T) {
 	text := "id: 1\ndata: a\n\n" + "x-version: 2\nid:2\r\ndata: b\r\ndata: c\r\n\r\n" + ": comment\n\n"
-	reader := newEventReader(iotest.OneByteReader(strings.NewReader(text)))
+	reader := newEventReader(iotest.OneByteReader(strings.NewReader(text)), memory())
 	var got string
 	var ids []string
 	for {
@@ -30,7 +34,7 @@
 }
 
 func TestPartialEventIsNotReturned(t *testing.T) {
-	reader := newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"))
+	reader := newEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"), memory())
 	_, _, err := reader.next()
 	must.NoError(t, err)
 	ev, rest, err := reader.next()
@@ -39,15 +43,33 @@
 	must.Eq(t, "id: 2\ndata: b\n", string(rest))
 }
 
+// A line that fills the read buffer exactly is not taken for the blank line at the end of an event.
+func TestLineAsLongAsTheBuffer(t *testing.T) {
+	for size := 2040; size < 2060; size++ {
+		text := "id: 7\n" + strings.Repeat("x", size) + "\ndata: b\n\n"
+		for _, prefix := range []string{"", "id: 6\n\n"} {
+			reader := newEventReader(strings.NewReader(prefix+text), memory())
+			if prefix != "" {
+				_, _, err := reader.next()
+				must.NoError(t, err)
+			}
+			ev, _, err := reader.next()
+			must.NoError(t, err)
+			must.Eq(t, text, string(ev.raw), must.Sprint(size))
+			must.Eq(t, "7", ev.id)
+		}
+	}
+}
+
 func TestOversizedEventIsRejected(t *testing.T) {
-	_, _, err := newEventReader(strings.NewReader(strings.Repeat("data: x", maxEventBytes/4))).next()
-	must.ErrorIs(t, err, errEventTooLong)
+	_, _, err := newEventReader(strings.NewReader(strings.Repeat("data: x", maxEventBytes/4)), memory()).next()
+	must.ErrorIs(t, err, bound.ErrTooLong)
 }
 
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		reader := newEventReader(strings.NewReader(text))
+		reader := newEventReader(strings.NewReader(text), memory())
 		got := ""
 		for {
 			ev, rest, err := reader.next()
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
@@ -162,7 +164,7 @@
 	switch r {
 	case notRun:
 		x.recordDeclined(choice, resp, verdict)
-		drain(resp)
+		drain(ctx, resp)
 		err := fmt.Errorf("upstream %s declined with status %d", choice.ID, resp.Status)
 		x.logSend(r, choice, err)
 		return r, err
@@ -188,8 +190,10 @@
 	return x.relayBuffered(ctx, choice, resp, r)
 }
 
-// drain discards a response so that its connection can be reused. Responses longer than maxDrainBytes are aborted.
-func drain(resp *link.Response) {
+// drain discards a response so that its connection can be reused. Responses that are longer than maxDrainBytes or do not end
+// within drainTimeout are aborted.
+func drain(ctx context.Context, resp *link.Response) {
+	resp.SetReadTimeout(ctx, drainTimeout)
 	if _, err := io.CopyN(io.Discard, resp.Body, maxDrainBytes); errors.Is(err, io.EOF) {
 		resp.Done(time.Now())
 		return
@@ -197,8 +201,12 @@
 	resp.Abort()
 }
 
-// maxDrainBytes limits how much of a discarded response is read.
-const maxDrainBytes = 64 << 10
+const (
+	// maxDrainBytes limits how much of a discarded response is read.
+	maxDrainBytes = 64 << 10
+	// drainTimeout limits the time for it. The request waits meanwhile.
+	drainTimeout = 50 * time.Millisecond
+)
 
 // recordDeclined updates the fleet state after an upstream declined the request without running it.
 func (x *exchange) recordDeclined(choice place.Choice, resp *link.Response, v ResponseInfo) {
@@ -232,7 +240,9 @@
 	} else {
 		x.Fleet.Failed(now, choice.ID)
 	}
-	x.CrashCounter.Crashed(now, x.fingerprint)
+	if !errors.Is(err, bound.ErrTooLong) {
+		x.CrashCounter.Crashed(now, x.fingerprint)
+	}
 	x.Pool.CloseIdle(choice.Address)
 }
 
@@ -244,19 +254,18 @@
 
 // relayBuffered reads the whole response before forwarding it, so that a broken one can be retried on another upstream.
 func (x *exchange) relayBuffered(ctx context.Context, choice place.Choice, resp *link.Response, r result) (result, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
-	if err != nil || len(body) == maxBufferedBytes {
+	buffer := x.Memory.Buffer(maxBufferedBytes)
+	defer buffer.Release()
+	if _, err := buffer.ReadFrom(resp.Body); err != nil {
 		resp.Abort()
-		if err == nil {
-			err = errors.New("the answer is too long")
-		}
 		x.recordBroken(ctx, choice, err)
 		return broken, err
 	}
+	body := buffer.Bytes()
 	resp.Done(time.Now())
 	if r == failed {
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
-		x.failure = failure{status: resp.Status, header: resp.Header, body: body}
+		x.failure = failure{status: resp.Status, header: resp.Header, body: bytes.Clone(body)}
 		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, resp.Status)
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	tallies "github.com/uber-go/tally/v4"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
@@ -78,6 +79,8 @@
 	Boot func() time.Duration
 	// Draining reports whether the instance is about to stop.
 	Draining atomic.Bool
+	// Memory is the memory for responses that are buffered.
+	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
 	KVStores KVStores
 	// OpenRequests counts requests in progress.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -18,7 +18,8 @@
 // relayStream forwards complete events as they arrive. If the stream ends early, the result is broken and another upstream
 // may resume it after the last forwarded event.
 func (x *exchange) relayStream(ctx context.Context, choice place.Choice, resp *link.Response, prefilled func()) (result, error) {
-	events := newEventReader(resp.Body)
+	events := newEventReader(resp.Body, x.Memory)
+	defer events.release()
 	timeout := x.idleTimeout()
 	first := true
 	for {
--- a/internal/plat/bucket/bucket.go
+++ b/internal/plat/bucket/bucket.go
@@ -14,6 +14,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 // maxObjectBytes bounds the size that Get reads into memory.
@@ -50,7 +52,9 @@
 		Retryer:                    aws.NopRetryer{},
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
-		HTTPClient:                 &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}},
+		HTTPClient: &http.Client{Transport: bound.Transport(&http.Transport{
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
+		}, maxObjectBytes)},
 	})
 	return &S3{client: client, name: s.Name, timeout: s.Timeout}
 }
@@ -68,7 +72,7 @@
 		return nil, false, oops.Wrapf(err, "object %s", key)
 	}
 	defer func() { _ = out.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(out.Body, maxObjectBytes))
+	data, err := io.ReadAll(out.Body)
 	return data, err == nil, err
 }
 
--- a/internal/plat/roster/roster.go
+++ b/internal/plat/roster/roster.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 // State is the state of an entry.
@@ -37,6 +39,7 @@
 
 const (
 	callTimeout     = 2 * time.Second
+	idleConnTimeout = 90 * time.Second
 	maxListingBytes = 4 << 20
 )
 
@@ -48,7 +51,9 @@
 
 // NewClient returns a client of the service at the base URL.
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: baseURL, client: &http.Client{Timeout: callTimeout}}
+	return &Client{baseURL: baseURL, client: &http.Client{Timeout: callTimeout, Transport: bound.Transport(&http.Transport{
+		IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
+	}, maxListingBytes)}}
 }
 
 // Fetch reads the list.
@@ -66,6 +71,6 @@
 	if res.StatusCode != http.StatusOK {
 		return l, oops.Errorf("instance list: HTTP status %d", res.StatusCode)
 	}
-	err = json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxListingBytes)).Decode(&l)
+	err = json.NewDecoder(res.Body).Decode(&l)
 	return l, oops.Wrapf(err, "instance list")
 }
--- a/internal/plat/table/dynamo.go
+++ b/internal/plat/table/dynamo.go
@@ -12,6 +12,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/samber/oops"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 // Attribute names of a row.
@@ -46,6 +48,9 @@
 	Observe func(operation string)
 }
 
+// maxResponseBytes bounds a response; the service sends at most 1 MB of items, which are longer in JSON.
+const maxResponseBytes = 8 << 20
+
 // NewDynamo returns a client.
 func NewDynamo(s Settings) *Dynamo {
 	client := dynamodb.New(dynamodb.Options{
@@ -53,7 +58,9 @@
 		Region:       s.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(s.AccessKey, s.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}},
+		HTTPClient: &http.Client{Transport: bound.Transport(&http.Transport{
+			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
+		}, maxResponseBytes)},
 	})
 	return &Dynamo{client: client, name: s.Name, timeout: s.Timeout, Observe: func(string) {}}
 }
