Heed upstreams that announce their stop or refuse for a time

Cause: nothing read the header with which an upstream announces in its responses that it stops, nor the Retry-After of its refusals; a refused upstream was tried again after 60 ms. Change: a departure is final for the incarnation, kept while it is off the list, and reported to the other instances; an upstream that refuses with Retry-After gets nothing from this instance until then. If all do, callers are refused at once with the first time at which one accepts requests, spread.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -278,6 +278,9 @@
 		for _, id := range e.fleet.Expire(now) {
 			e.log.Info("list: upstream not listed again after a store outage, dropped", "upstream", id)
 		}
+		for _, id := range e.fleet.EndPauses(now) {
+			e.log.Info("route: upstream accepts requests again", "upstream", id)
+		}
 		e.metrics.Gauge("open").Update(float64(e.handler.OpenRequests.Load()))
 		e.metrics.Gauge("dropped_lines").Update(float64(e.droppedLines()))
 	}
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -6,6 +6,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
 // supersededReportTTL is how long after its announcement a superseded version of weights is still reported.
@@ -27,6 +28,7 @@
 	for _, w := range e.replica.RecentAnnouncements(boot - supersededReportTTL) {
 		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
 	}
+	m.Departures = e.fleet.Departures(now)
 	e.rollout.report(now, m)
 	if doc := e.replica.Document(); doc != nil {
 		m.Revision = doc.Revision
@@ -55,6 +57,9 @@
 			Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed,
 		}, m.Address)
 	}
+	for _, d := range m.Departures {
+		e.markLeaving(now, d, false, m.Address)
+	}
 	e.rollout.merge(now, m)
 	if m.List != nil {
 		e.mergeList(now, m.List)
@@ -74,6 +79,13 @@
 	}
 }
 
+// markLeaving records that an upstream has announced that it stops, to this instance (own) or to another one.
+func (e *Edge) markLeaving(now time.Time, d fleet.Departure, own bool, from string) {
+	if e.fleet.MarkLeaving(now, d, own) {
+		e.log.Info("route: upstream announced that it stops", "upstream", d.ID, "from", from)
+	}
+}
+
 // mergeList applies what another instance read of the list of upstreams.
 func (e *Edge) mergeList(now time.Time, u *gossip.ListUpdate) {
 	if u.UnreachableAge >= 0 {
--- a/internal/app/edge/orders.go
+++ b/internal/app/edge/orders.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
 // loadEngine makes one engine load a version and waits until it is loaded.
@@ -42,6 +43,9 @@
 // errLeaseLost means that this instance may no longer send orders.
 var errLeaseLost = errors.New("the rollout lease is no longer held")
 
+// errEngineLeaves means that the engine has announced that it stops.
+var errEngineLeaves = errors.New("the engine stops")
+
 // ensureLoaded polls the engine until the version is loaded and sends orders when needed. Each order is conditional on the
 // number of earlier orders, so that one that arrives late has no effect.
 func (r *rollout) ensureLoaded(ctx context.Context, load plan.Load, model string, version int64) error {
@@ -53,6 +57,10 @@
 		if err != nil {
 			return err
 		}
+		if report.Leaving {
+			r.edge.markLeaving(time.Now(), fleet.Departure{ID: engine.ID, Born: engine.Born}, true, "report")
+			return errEngineLeaves
+		}
 		if report.Weights[model] >= version && !report.Busy {
 			return nil
 		}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -15,9 +15,13 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
+// errNoUpstream is the reason of a request that could not be placed.
+var errNoUpstream = errors.New("no upstream may take the request")
+
 const (
 	// fullBackoff is how long an upstream without capacity is skipped.
 	fullBackoff = 60 * time.Millisecond
@@ -36,7 +40,7 @@
 	for {
 		choice, ok := x.place(time.Now())
 		if !ok {
-			x.failNotRun(ctx, errors.New("no upstream may take the request"))
+			x.failNotRun(ctx, errNoUpstream)
 			return
 		}
 		r, err := x.attempt(ctx, choice)
@@ -85,7 +89,16 @@
 		x.abortDisconnected()
 		return
 	}
-	x.respondError(fault.NewRetryAfter(fault.NoUpstream, retryAfterUnplaced, "%s", err))
+	x.respondError(fault.NewRetryAfter(fault.NoUpstream, x.retryAfterUnplaced(time.Now()), "%s", err))
+}
+
+// retryAfterUnplaced returns when to retry a request that could not be placed: when the first upstream accepts requests again, if
+// upstreams have said that they do not accept any for a time.
+func (x *exchange) retryAfterUnplaced(now time.Time) time.Duration {
+	if at, ok := x.Fleet.NextRetry(now, x.service); ok {
+		return max(minRetryAfter, at.Sub(now))
+	}
+	return minRetryAfter
 }
 
 // failUnknown sends the error response of a request whose outcome is unknown, or aborts its stream.
@@ -103,7 +116,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if ctx.Err() != nil && x.counts.Ran == 0 {
-		x.respondError(fault.NewRetryAfter(fault.NoUpstream, retryAfterUnplaced, "the time was up before an upstream took the request"))
+		x.respondError(fault.NewRetryAfter(fault.NoUpstream, minRetryAfter, "the time was up before an upstream took the request"))
 		return
 	}
 	if ctx.Err() != nil {
@@ -160,6 +173,7 @@
 		return broken, err
 	}
 	verdict := x.Dialect.ParseResponse(resp.Header)
+	x.recordNotices(choice, resp.Status, verdict)
 	r := classify(resp.Status, verdict)
 	switch r {
 	case notRun:
@@ -208,6 +222,23 @@
 	drainTimeout = 50 * time.Millisecond
 )
 
+// recordNotices records what an upstream said about itself in the head of a response.
+func (x *exchange) recordNotices(choice place.Choice, status int, v ResponseInfo) {
+	now := time.Now()
+	if status == http.StatusMisdirectedRequest && v.Version == 0 {
+		// Another upstream has taken over the address.
+		return
+	}
+	if v.Leaving && x.Fleet.MarkLeaving(now, fleet.Departure{ID: choice.ID, Born: choice.Born}, true) {
+		x.Log.Info("route: upstream announced that it stops", "id", x.info.ID, "upstream", choice.ID, "status", status)
+		x.Pool.CloseIdle(choice.Address)
+	}
+	if status == http.StatusServiceUnavailable && v.RetryAfter > 0 {
+		x.Fleet.PauseUntil(now, choice.ID, choice.Born, now.Add(v.RetryAfter))
+		x.Log.Info("route: upstream accepts no requests for a time", "id", x.info.ID, "upstream", choice.ID, "wait_ms", v.RetryAfter.Milliseconds())
+	}
+}
+
 // recordDeclined updates the fleet state after an upstream declined the request without running it.
 func (x *exchange) recordDeclined(choice place.Choice, resp *link.Response, v ResponseInfo) {
 	now := time.Now()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -28,9 +28,9 @@
 const (
 	// defaultTimeout applies to requests without a deadline on routes without a timeout.
 	defaultTimeout = 30 * time.Second
-	// retryAfterUnplaced is the Retry-After of requests that could not be placed. The list of upstreams is refreshed in
+	// minRetryAfter is the shortest Retry-After of requests that could not be placed. The list of upstreams is refreshed in
 	// that time.
-	retryAfterUnplaced = 300 * time.Millisecond
+	minRetryAfter = 300 * time.Millisecond
 	// retryAfterNotCurrent is the Retry-After while this instance's document is missing or outdated. Other instances may
 	// serve the request.
 	retryAfterNotCurrent = 500 * time.Millisecond
@@ -223,7 +223,7 @@
 	ok, wait := x.Quota.Admit(boot, x.workspace.Name, x.units)
 	if !ok {
 		x.units = 0
-		return fault.NewRetryAfter(fault.OverRate, max(wait, retryAfterUnplaced), "the workspace is over its rate")
+		return fault.NewRetryAfter(fault.OverRate, max(wait, minRetryAfter), "the workspace is over its rate")
 	}
 	return nil
 }
--- a/internal/front/serve/types.go
+++ b/internal/front/serve/types.go
@@ -71,6 +71,10 @@
 	NotRun bool
 	// Version is the weights version that served the request, or zero.
 	Version int64
+	// Leaving reports whether the upstream has announced that it stops.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this instance; zero if it did not say.
+	RetryAfter time.Duration
 }
 
 // Dialect reads and writes the platform's headers.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -52,6 +52,8 @@
 	Loads map[string]fleet.Load `json:"l,omitempty"`
 	// Switching are upstreams that are being drained for, or are loading, other weights.
 	Switching []string `json:"w,omitempty"`
+	// Departures are upstreams that have recently announced that they stop.
+	Departures []fleet.Departure `json:"e,omitempty"`
 	// Loaded are upstreams that have recently loaded a version of a model's weights.
 	Loaded []Loaded `json:"d,omitempty"`
 	// Following reports whether the sender, or an instance that precedes it, has a request open at the store for changes of
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -151,6 +152,11 @@
 	}
 	m.Switching = append(m.Switching, p.last.Switching...)
 	m.Loaded = append(m.Loaded, p.last.Loaded...)
+	for _, d := range p.last.Departures {
+		if !slices.Contains(m.Departures, d) {
+			m.Departures = append(m.Departures, d)
+		}
+	}
 	if p.receivedAt > e.lastSent {
 		m.Uses = append(m.Uses, p.last.Uses...)
 	}
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -46,6 +46,8 @@
 	Weights map[string]int64
 	// Busy reports whether an order is in progress.
 	Busy bool
+	// Leaving reports whether the engine has announced that it stops.
+	Leaving bool
 	// Orders is the number of orders accepted since the engine's start.
 	Orders  int64
 	Waiting int
@@ -131,6 +133,8 @@
 		switch {
 		case !p.LoadingSince.IsZero():
 			loading += 1 - failing(e)
+		case !e.RetryAt.IsZero() && t.Age <= urgentAge:
+			// The engine wants nothing from this instance yet.
 		case e.Weights[t.Model] < t.Version && !now.Before(p.RetryAt):
 			candidates = append(candidates, *e)
 			if !p.DrainingSince.IsZero() {
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -63,6 +63,9 @@
 	FailureRate float64
 	// Switching reports whether the upstream is about to load weights.
 	Switching bool
+	// RetryAt is when the upstream, which has refused this instance's requests for a time, accepts them again; zero if it
+	// accepts them now.
+	RetryAt time.Time
 }
 
 type localLoad struct {
@@ -118,21 +121,26 @@
 type Fleet struct {
 	mu        sync.Mutex
 	upstreams map[string]*upstream
-	peers     map[string]peerLoads
-	listed    bool
+	// notices maps the ID of an upstream to what its latest incarnation said of itself.
+	notices map[string]*notice
+	peers   map[string]peerLoads
+	listed  bool
 	// storeUnreachableAt is when the store was last found unreachable.
 	storeUnreachableAt time.Time
 }
 
 // New returns an empty fleet.
 func New() *Fleet {
-	return &Fleet{upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads)}
+	return &Fleet{upstreams: make(map[string]*upstream), notices: make(map[string]*notice), peers: make(map[string]peerLoads)}
 }
 
 // Put stores an entry of the list and reports whether it changed the state.
 func (f *Fleet) Put(e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if n, ok := f.notices[e.ID]; ok && n.born == e.Born && n.leaving {
+		e.State = Draining
+	}
 	u, ok := f.upstreams[e.ID]
 	if !ok || u.entry.Born != e.Born || u.entry.Address != e.Address {
 		f.upstreams[e.ID] = &upstream{entry: e, confirmed: make(map[string]int64)}
@@ -272,6 +280,7 @@
 		Ejected:       now.Before(u.ejectedUntil),
 		FailureRate:   u.failureRate,
 		Switching:     now.Before(u.switchingUntil),
+		RetryAt:       f.retryAt(now, &u.entry),
 	}
 	if len(u.confirmed) > 0 {
 		v.Weights = make(map[string]int64, len(u.entry.Weights))
