Handle a store that is restored from a copy

Cause: positions in feeds, the list's version, the lease's row version and its token were compared across a restore, which gives versions out again: followers stood still, a renewal could meet another row of the same version, and a token could be given to two holders. Incarnations of instances are random, because the time of day may jump back between two starts.

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -31,6 +31,7 @@
 
 // listCopy is the response to a request for the list of upstreams.
 type listCopy struct {
+	Epoch   int64         `json:"epoch"`
 	Version int64         `json:"version"`
 	Entries []fleet.Entry `json:"entries"`
 }
@@ -61,7 +62,7 @@
 		return
 	}
 	// The requester may have disconnected.
-	_ = json.NewEncoder(w).Encode(listCopy{Version: version, Entries: e.fleet.Entries()})
+	_ = json.NewEncoder(w).Encode(listCopy{Epoch: e.list.currentEpoch(), Version: version, Entries: e.fleet.Entries()})
 }
 
 // copyDocuments fetches newer documents from the instances that have them, or else from the store.
@@ -112,9 +113,13 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		return oops.Wrapf(err, "list of %s", from)
 	}
+	e.observeEpoch(c.Epoch, from)
+	if epoch, _ := e.epochs.get(); c.Epoch < epoch {
+		return errOldEpoch
+	}
 	now := time.Now()
 	e.fleet.Replace(now, c.Entries)
-	e.list.recordCopy(now, c.Version)
+	e.list.recordCopy(now, c.Epoch, c.Version)
 	e.log.Info("list: copied", "from", from, "upstreams", len(c.Entries), "row", c.Version)
 	return nil
 }
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -94,6 +95,9 @@
 	// ranks order the instances for tasks that one does on behalf of all.
 	ranks *rank.Tracker
 	list  *listState
+	// epochs holds the store's epoch. registerAgain makes the instance write its row again after a restore.
+	epochs        epochTracker
+	registerAgain chan struct{}
 	// following reports whether this instance reads changes of the operators' rows from the store.
 	following atomic.Bool
 	// joined is when this instance joined the others, in nanoseconds of clock.SinceBoot; zero before.
@@ -108,14 +112,15 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	e := &Edge{
-		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: time.Now().UnixNano(),
+		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(),
 		holders: holder.NewTracker(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
+		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closeMetrics = scope, closer.Close
-	e.store = platform.NewStore(s.Store, func(call string) { e.countCall("store_calls", call) })
+	e.store = platform.NewStore(s.Store, func(call string) { e.countCall("store_calls", call) }, func(epoch int64) { e.observeEpoch(epoch, "store") })
 	e.engines = platform.NewEngines(func(call string) { e.countCall("engine_calls", call) })
 	e.pool = link.NewPool(e.maxConnections, func() { scope.Counter("connections").Inc(1) })
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
@@ -139,6 +144,9 @@
 	return e, nil
 }
 
+// newIncarnation returns a number that no other start of the instance has. It is random, because the time of day may jump back.
+func newIncarnation() int64 { return 1<<62 | rand.Int64N(1<<62) }
+
 // self returns this instance as its peers address it.
 func (e *Edge) self() gossip.Instance {
 	return gossip.Instance{Address: e.settings.Peer, Zone: e.settings.Zone, Size: e.settings.size()}
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -33,6 +33,8 @@
 	if doc := e.replica.Document(); doc != nil {
 		m.Revision = doc.Revision
 	}
+	m.Epoch, _ = e.epochs.get()
+	m.Epoch = max(0, m.Epoch)
 	age, known := e.replica.ConfirmationAge(boot)
 	return boot - age, known
 }
@@ -61,6 +63,8 @@
 		e.markLeaving(now, d, false, m.Address)
 	}
 	e.rollout.merge(now, m)
+	e.observeEpoch(m.Epoch, m.Address)
+	epoch, _ := e.epochs.get()
 	if m.List != nil {
 		e.mergeList(now, m.List)
 	}
@@ -74,6 +78,8 @@
 	case doc == nil && m.Revision > 0, doc != nil && m.Revision > doc.Revision:
 		e.requestDocument(m.Address)
 	case doc == nil:
+	case m.Epoch < epoch:
+		// The sender does not know of the restore yet.
 	case known && m.Revision == doc.Revision:
 		e.replica.Confirm(confirmed)
 	}
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -23,8 +23,12 @@
 // listState is the version and age of this instance's copy of the list of upstreams, with the changes to report.
 type listState struct {
 	mu sync.Mutex
+	// epoch is the store's epoch of the version.
+	epoch int64
 	// version is negative until the complete list was read.
 	version int64
+	// restored reports whether the next complete list is the first one after a restore of the store.
+	restored bool
 	// asOf is the latest time at which the store is known to have had no newer version. After a copy from another instance
 	// it is the time of the copy.
 	asOf time.Time
@@ -53,6 +57,27 @@
 	l.version = -1
 }
 
+// restore makes the next read fetch the complete list of a restored store. The changes before have no order to later ones.
+func (l *listState) restore() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version, l.changes, l.restored = -1, nil, true
+}
+
+// isRestored reports whether the next complete list is the first one after a restore of the store.
+func (l *listState) isRestored() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.restored
+}
+
+// currentEpoch returns the epoch of the list.
+func (l *listState) currentEpoch() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.epoch
+}
+
 // recordOutage records that the store could not be read. Missed changes come with the next read or from other instances.
 func (l *listState) recordOutage(now time.Time) {
 	l.mu.Lock()
@@ -60,8 +85,8 @@
 	l.unreachableAt = now
 }
 
-// recordRead records that the store was read up to a version.
-func (l *listState) recordRead(requestedAt time.Time, version int64, changes []gossip.ListChange) {
+// recordRead records that the store was read up to a version of an epoch.
+func (l *listState) recordRead(requestedAt time.Time, epoch, version int64, changes []gossip.ListChange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.version < 0 || l.readAt.Before(l.asOf) {
@@ -74,14 +99,15 @@
 	for _, c := range changes {
 		l.changes = append(l.changes, datedChange{c, requestedAt})
 	}
-	l.version, l.asOf, l.readAt = version, requestedAt, requestedAt
+	l.epoch, l.version, l.restored = epoch, version, false
+	l.asOf, l.readAt = requestedAt, requestedAt
 }
 
 // recordCopy records that the complete list was copied from another instance.
-func (l *listState) recordCopy(now time.Time, version int64) {
+func (l *listState) recordCopy(now time.Time, epoch, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.version, l.asOf = version, now
+	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, now
 }
 
 // report returns the update for other instances, or nil unless this instance read the store in the last maxReportAge.
@@ -95,7 +121,7 @@
 		l.since = l.changes[0].Version
 		l.changes = l.changes[1:]
 	}
-	update := &gossip.ListUpdate{Since: l.since, Version: l.version, Age: int64(now.Sub(l.asOf)), UnreachableAge: -1}
+	update := &gossip.ListUpdate{Epoch: l.epoch, Since: l.since, Version: l.version, Age: int64(now.Sub(l.asOf)), UnreachableAge: -1}
 	if !l.unreachableAt.IsZero() {
 		update.UnreachableAge = int64(now.Sub(l.unreachableAt))
 	}
@@ -111,7 +137,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	asOf := now.Add(-time.Duration(u.Age))
-	if l.version < 0 || l.version < u.Since || asOf.Before(l.asOf) {
+	if u.Epoch != l.epoch || l.version < 0 || l.version < u.Since || asOf.Before(l.asOf) {
 		return nil
 	}
 	var newChanges []gossip.ListChange
--- a/internal/app/edge/member.go
+++ b/internal/app/edge/member.go
@@ -3,15 +3,36 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
 
-// join registers the instance and reads the rows of the others. Every other instance either reads this one's row or first
-// receives a message from it, because each reads the rows after it has written its own.
+// maxRegisterJitter spreads the writes of all instances after a restore of the store.
+const maxRegisterJitter = time.Second
+
+// join registers the instance, and again after each restore of the store, whose copy may lack the row.
 func (e *Edge) join(ctx context.Context) {
+	for {
+		e.registerAndMeet(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.registerAgain:
+		}
+		if sleep.For(ctx, rand.N(maxRegisterJitter)) != nil {
+			return
+		}
+	}
+}
+
+// registerAndMeet writes the instance's row and reads the rows of the others. Every other instance either reads this one's row or
+// first receives a message from it, because each reads the rows after it has written its own.
+func (e *Edge) registerAndMeet(ctx context.Context) {
 	outage := storeOutage{edge: e, purpose: "instances"}
 	for ctx.Err() == nil {
 		err := e.register(ctx)
@@ -34,7 +55,7 @@
 			}
 		}
 		e.exchange.TriggerSend()
-		e.joined.Store(int64(clock.SinceBoot()))
+		e.joined.CompareAndSwap(0, int64(clock.SinceBoot()))
 		e.log.Info("member: joined", "instances", e.exchange.Count())
 		return
 	}
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -69,10 +69,14 @@
 // instance that follows the operators' rows.
 func (e *Edge) followOperators(ctx context.Context) {
 	outage := storeOutage{edge: e, purpose: "operators"}
-	version := int64(-1)
+	epoch, version := int64(unknownEpoch), int64(-1)
 	// live reports whether the previous read has just returned, so that rows of the next one are newly written.
 	live := false
 	for ctx.Err() == nil {
+		if current, _ := e.epochs.get(); current != epoch {
+			version = -1
+			live = false
+		}
 		if version >= 0 && !e.ranks.ShouldFollow(time.Now()) {
 			e.following.Store(false)
 			live = false
@@ -84,8 +88,18 @@
 		if errors.Is(err, platform.ErrHistoryLost) {
 			e.log.Info("store: change history lost, reading all rows", "for", outage.purpose, "after", version)
 			version = -1
+			live = false
 			continue
 		}
+		if err == nil && version >= 0 && rows.Epoch != epoch {
+			// The version belongs to another epoch, so that changes may be missing.
+			version = -1
+			live = false
+			continue
+		}
+		if current, _ := e.epochs.get(); err == nil && rows.Epoch < current {
+			err = errOldEpoch
+		}
 		if err != nil {
 			e.following.Store(false)
 			live = false
@@ -102,7 +116,7 @@
 			e.applyOperatorRow(row, live)
 		}
 		live = true
-		version = max(version, rows.Version)
+		epoch, version = rows.Epoch, max(version, rows.Version)
 		e.following.Store(true)
 		if e.replica.Document() != nil {
 			e.replica.Confirm(confirmed)
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -19,6 +19,9 @@
 		return
 	}
 	for ctx.Err() == nil {
+		if e.list.isRestored() && e.copyInitialList(ctx) != nil {
+			return
+		}
 		now := time.Now()
 		age, version := e.list.age(now)
 		if pollAge := rank.PollAge(e.ranks.Rank(now), listInterval, e.exchange.PropagationDelay()); version >= 0 && age < pollAge {
@@ -58,8 +61,8 @@
 	joinCheckInterval   = 10 * time.Millisecond
 )
 
-// copyInitialList copies the first list from the zone's head in a large site, because hundreds of instances that start at
-// once would each read megabytes from the store. It returns an error if the context ends.
+// copyInitialList copies the first list, or the first one after a restore of the store, from the zone's head in a large site,
+// because hundreds of instances at once would each read megabytes from the store. It returns an error if the context ends.
 func (e *Edge) copyInitialList(ctx context.Context) error {
 	for started := time.Now(); time.Since(started) < initialCopyTimeout; {
 		wait := joinCheckInterval
@@ -84,8 +87,11 @@
 		if err != nil {
 			return err
 		}
+		if epoch, _ := e.epochs.get(); rows.Epoch < epoch {
+			return errOldEpoch
+		}
 		e.applyListRows(time.Now(), rows.Rows, true)
-		e.list.recordRead(requestedAt, rows.Version, nil)
+		e.list.recordRead(requestedAt, rows.Epoch, rows.Version, nil)
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -94,8 +100,12 @@
 	if err != nil {
 		return err
 	}
+	if rows.Epoch != e.list.currentEpoch() {
+		// The version belongs to another epoch. If that is over, the next round reads the complete list.
+		return errOldEpoch
+	}
 	changes := e.applyListRows(time.Now(), rows.Rows, false)
-	e.list.recordRead(requestedAt, max(version, rows.Version), changes)
+	e.list.recordRead(requestedAt, rows.Epoch, max(version, rows.Version), changes)
 	if len(changes) > 0 {
 		e.exchange.TriggerSend()
 	}
@@ -122,10 +132,16 @@
 			changes = append(changes, change)
 		}
 	}
-	if complete {
+	if !complete {
+		return changes
+	}
+	restored := e.list.isRestored()
+	if restored {
+		e.fleet.ReplaceRestored(now, entries)
+	} else {
 		e.fleet.Replace(now, entries)
-		e.log.Info("list: complete list read", "upstreams", len(entries))
 	}
+	e.log.Info("list: complete list read", "upstreams", len(entries), "restored", restored)
 	return changes
 }
 
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -53,6 +53,8 @@
 	wakeup chan struct{}
 	mu     sync.Mutex
 	lease  leader.Lease
+	// lastRenewal is when this instance last sent a renewal that succeeded; zero if none did.
+	lastRenewal time.Duration
 	// storeClockOffset is the store's clock minus this instance's boot clock, as of the last response.
 	storeClockOffset time.Duration
 	// progress maps the ID of an engine that drains, loads or waits for a retry to its progress.
@@ -223,32 +225,33 @@
 	callCtx, cancel := context.WithTimeout(ctx, leader.Validity-leader.RenewInterval)
 	defer cancel()
 	self := r.edge.settings.Peer
-	row, version, clockNow := lease.Row, lease.Version, r.storeClock()
-	renewal := lease.Token > 0 && lease.Row.Holder == self && clockNow > 0
+	state := leaseRow{Row: lease.Row, version: lease.Version, epoch: lease.Epoch, clock: r.storeClock()}
+	renewal := lease.Token > 0 && lease.Row.Holder == self && state.clock > 0
+	next := leader.Renewal(state.clock, state.Row)
 	if !renewal {
 		var err error
-		if row, version, clockNow, err = r.readLease(callCtx); err != nil {
+		if state, err = r.readLease(callCtx); err != nil {
 			return 0, err
 		}
-		decision, wait := leader.Decide(clockNow, row, version > 0, self, millis(r.edge.settings.Turn))
-		if decision == leader.Wait {
+		if wait := r.acquireDelay(state); wait > 0 {
 			r.mu.Lock()
-			r.lease = leader.Lease{Row: row}
+			r.lease = leader.Lease{Row: state.Row}
 			r.mu.Unlock()
 			return wait, nil
 		}
+		next = leader.Acquisition(state.clock, state.Row, self, leader.MinToken(state.epoch, state.latest))
 	}
-	next := leader.NextRow(clockNow, row, self)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return 0, err
 	}
 	sent := clock.SinceBoot()
-	rows, err := r.edge.store.Put(callCtx, platform.Row{Table: leaseTable, Key: leaseKey, Value: value, Version: version})
+	rows, err := r.edge.store.Put(callCtx, platform.Row{Table: leaseTable, Key: leaseKey, Value: value, Version: state.version})
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if errors.Is(err, platform.ErrVersionMismatch) {
-		// Another instance wrote the row, or an earlier write of this one took effect although its response was lost.
+	if errors.Is(err, platform.ErrVersionMismatch) || err == nil && rows.Epoch != state.epoch {
+		// Another instance wrote the row, or an earlier write of this one took effect although its response was lost, or the
+		// store was restored and the version is another one than that which was read.
 		r.lease = leader.Lease{}
 		return rand.N(maxAcquireJitter), nil
 	}
@@ -258,33 +261,68 @@
 		return 0, err
 	}
 	if !renewal {
-		r.edge.log.Info("lease: acquired", "token", next.Token, "from", row.Holder, "row", rows.Version)
+		r.edge.log.Info("lease: acquired", "token", next.Token, "from", state.Holder, "row", rows.Version, "epoch", rows.Epoch)
 	}
-	r.lease = leader.Lease{Token: next.Token, Sent: sent, Version: rows.Version, Row: next}
+	r.lease = leader.Lease{Token: next.Token, Sent: sent, Epoch: rows.Epoch, Version: rows.Version, Row: next}
+	r.lastRenewal = sent
 	r.leaderAddress = ""
 	r.storeClockOffset = rows.Clock - clock.SinceBoot()
 	return 0, nil
 }
 
-func (r *rollout) readLease(ctx context.Context) (leader.Row, int64, time.Duration, error) {
+// acquireDelay returns how long this instance must wait before it may acquire the lease.
+func (r *rollout) acquireDelay(state leaseRow) time.Duration {
+	leaseTerm := millis(r.edge.settings.Turn)
+	_, restoredAt := r.edge.epochs.get()
+	r.mu.Lock()
+	lastRenewal := r.lastRenewal
+	r.mu.Unlock()
+	wait := leader.AfterRestore(clock.SinceBoot(), restoredAt, lastRenewal, leaseTerm)
+	if decision, turn := leader.Decide(state.clock, state.Row, state.version > 0, r.edge.settings.Peer, leaseTerm); decision == leader.Wait {
+		wait = max(wait, turn)
+	}
+	return wait
+}
+
+// dropLease gives up the lease after a restore of the store, whose copy may lack the row or hold an earlier one.
+func (r *rollout) dropLease() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease.Token > 0 {
+		r.edge.log.Info("lease: dropped after a restore of the store", "token", r.lease.Token, "row", r.lease.Version, "epoch", r.lease.Epoch)
+	}
+	r.lease = leader.Lease{}
+}
+
+// leaseRow is the lease's row as read from the store.
+type leaseRow struct {
+	leader.Row
+	// version is the row's version; zero if it does not exist. latest is the store's latest version.
+	version, latest int64
+	epoch           int64
+	clock           time.Duration
+}
+
+func (r *rollout) readLease(ctx context.Context) (leaseRow, error) {
 	rows, err := r.edge.store.Get(ctx, leaseTable, "", storeTimeout)
 	if err != nil {
-		return leader.Row{}, 0, 0, err
+		return leaseRow{}, err
+	}
+	if epoch, _ := r.edge.epochs.get(); rows.Epoch < epoch {
+		return leaseRow{}, errOldEpoch
 	}
 	r.mu.Lock()
 	r.storeClockOffset = rows.Clock - clock.SinceBoot()
 	r.mu.Unlock()
+	state := leaseRow{latest: rows.Version, epoch: rows.Epoch, clock: rows.Clock}
 	for _, row := range rows.Rows {
 		if row.Key != leaseKey {
 			continue
 		}
-		var leaseRow leader.Row
-		if err := json.Unmarshal(row.Value, &leaseRow); err != nil {
-			return leader.Row{}, 0, 0, err
-		}
-		return leaseRow, row.Version, rows.Clock, nil
+		state.version = row.Version
+		return state, json.Unmarshal(row.Value, &state.Row)
 	}
-	return leader.Row{}, 0, rows.Clock, nil
+	return state, nil
 }
 
 // storeClock returns an estimate of the store's clock, or zero before the store's first response.
--- a/internal/conf/policy/replica.go
+++ b/internal/conf/policy/replica.go
@@ -26,6 +26,8 @@
 	// confirmedAt is the latest time at which the store is known to have had nothing newer; valid if everConfirmed is set.
 	confirmedAt   time.Duration
 	everConfirmed bool
+	// unreliableUntil is the time up to which the store may lack documents that it had acknowledged; zero if it was not restored.
+	unreliableUntil time.Duration
 	// weights maps each model to its announcements, sorted by version.
 	weights map[string][]Weights
 	// prunedBelow maps each model to the latest version that MinVersion returned with an observed time; earlier ones are
@@ -104,10 +106,24 @@
 	return 0
 }
 
+// RestoreSettleTime is how long after a restore of the store the operators may take to write again what it has lost.
+const RestoreSettleTime = 2 * time.Second
+
+// Restored records that the store was restored from a copy. Until the given time it may lack documents that it had
+// acknowledged, so that it confirms none.
+func (r *Replica) Restored(until time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unreliableUntil = until
+}
+
 // Confirm records that the store had nothing newer at a time.
 func (r *Replica) Confirm(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at < r.unreliableUntil {
+		return
+	}
 	if !r.everConfirmed || at > r.confirmedAt {
 		r.confirmedAt = at
 		r.everConfirmed = true
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -78,7 +78,8 @@
 
 // peer is another instance.
 type peer struct {
-	incarnation int64
+	// incarnation is that of the last report; earlier is the one before, whose delayed reports are ignored.
+	incarnation, earlier int64
 	lastSeen    time.Duration
 	// used holds the totals of its last report; nil until its levels have been adopted.
 	used map[string]float64
@@ -261,7 +262,8 @@
 	delete(l.peers, name)
 }
 
-// Merge applies the report of another instance. A report of an earlier incarnation is ignored.
+// Merge applies the report of another instance. A report of its previous incarnation is ignored. Incarnations have no order,
+// because the time of day may jump back between two starts.
 func (l *Limiter) Merge(now time.Duration, name string, incarnation int64, r Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -270,16 +272,18 @@
 		p = &peer{}
 		l.peers[name] = p
 	}
-	if incarnation < p.incarnation {
+	if p.earlier != 0 && incarnation == p.earlier {
 		return
 	}
 	if p.used == nil && r.Ready {
 		l.meet(now, p, r)
 	}
-	if incarnation > p.incarnation && p.incarnation != 0 && p.used != nil {
-		p.used = make(map[string]float64)
+	if incarnation != p.incarnation {
+		if p.incarnation != 0 && p.used != nil {
+			p.used = make(map[string]float64)
+		}
+		p.earlier, p.incarnation = p.incarnation, incarnation
 	}
-	p.incarnation = incarnation
 	for workspace, total := range r.Used {
 		if b, ok := l.buckets[workspace]; ok && p.used != nil {
 			l.refill(now, b)
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -211,12 +211,26 @@
 func TestReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
 	l := NewLimiter()
 	l.SetLimits(0, map[string]Limit{"w": {Rate: 1, Burst: 100}})
-	l.Merge(0, "p", 2, Report{Ready: true, Used: map[string]float64{"w": 5}})
-	l.Merge(0, "p", 1, Report{Ready: true, Used: map[string]float64{"w": 5000}})
+	for _, incarnations := range [][2]int64{{1, 2}, {2, 1}} {
+		before, after := incarnations[0], incarnations[1]
+		l.Merge(0, "p", before, Report{Ready: true, Used: map[string]float64{"w": 4000}})
+		l.Merge(0, "p", after, Report{Ready: true, Used: map[string]float64{"w": 5}})
+		l.Merge(0, "p", before, Report{Ready: true, Used: map[string]float64{"w": 5000}})
+	}
 	ok, _ := l.Admit(0, "w", 50)
 	must.True(t, ok)
 }
 
+// The time of day may jump back between two starts of an instance, so that no number derived from it orders them.
+func TestAdmissionsOfANewIncarnationCountWhateverItsNumber(t *testing.T) {
+	l := NewLimiter()
+	l.SetLimits(0, map[string]Limit{"w": {Rate: 1, Burst: 100}})
+	l.Merge(0, "p", 9, Report{Ready: true, Used: map[string]float64{"w": 5}})
+	l.Merge(0, "p", 3, Report{Ready: true, Used: map[string]float64{"w": 80}})
+	ok, _ := l.Admit(0, "w", 50)
+	must.False(t, ok)
+}
+
 // All instances are killed while a workspace sends five times its rate. The record of earlier admissions is lost with them,
 // so the excess admitted between reports must be small. The site has 19 instances.
 // Found by kill-quota --seed 214461736646.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -36,10 +36,12 @@
 	Covered int `json:"h,omitempty"`
 	// Urgent requests that a head forward the message at once.
 	Urgent bool `json:"j,omitempty"`
-	// Incarnation increases with each start of the sender.
+	// Incarnation differs between starts of the sender; it has no order.
 	Incarnation int64 `json:"i"`
 	// Stamp is the sender's clock at sending, which receivers echo.
 	Stamp int64 `json:"s"`
+	// Epoch is how often the store was restored from a copy, as far as the sender knows.
+	Epoch int64 `json:"g,omitempty"`
 	// Revision is that of the routing document in force at the sender.
 	Revision int64 `json:"v,omitempty"`
 	// Leaving reports whether the sender has stopped admitting requests.
@@ -84,6 +86,8 @@
 
 // ListUpdate is an update of the list of upstreams.
 type ListUpdate struct {
+	// Epoch is the store's epoch, in which the versions are ordered.
+	Epoch int64 `json:"o,omitempty"`
 	// Since and Version are the store's versions between which the changes happened.
 	Since   int64 `json:"s"`
 	Version int64 `json:"v"`
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -133,6 +133,7 @@
 		return
 	}
 	m.Covered += max(1, p.last.Covered)
+	m.Epoch = max(m.Epoch, p.last.Epoch)
 	for id, l := range p.last.Loads {
 		m.Loads[id] = m.Loads[id].Plus(l)
 	}
@@ -145,7 +146,7 @@
 	if m.KVStores == nil {
 		m.KVStores = p.last.KVStores
 	}
-	if n := p.last.List; n != nil && (m.List == nil || n.Version > m.List.Version) {
+	if n := p.last.List; n != nil && (m.List == nil || n.newerThan(m.List)) {
 		aged := *n
 		aged.Age += int64(now - p.receivedAt)
 		m.List = &aged
@@ -162,6 +163,11 @@
 	}
 }
 
+// newerThan reports whether an update is of a later epoch, or of a later version of the same one.
+func (u *ListUpdate) newerThan(o *ListUpdate) bool {
+	return u.Epoch > o.Epoch || u.Epoch == o.Epoch && u.Version > o.Version
+}
+
 // withoutPeer returns the message without the state that its receiver reported itself.
 func withoutPeer(now time.Duration, total *Message, p *peer) *Message {
 	m := *total
--- a/internal/roll/leader/leader.go
+++ b/internal/roll/leader/leader.go
@@ -48,13 +48,33 @@
 	return Wait, freeAt - clock
 }
 
-// NextRow returns the row that an instance writes to acquire or renew the lease.
-func NextRow(clock time.Duration, row Row, self string) Row {
-	token := row.Token
-	if row.Holder != self {
-		token++
+// AfterRestore returns how long an instance must wait before it may acquire the lease of a store that was restored from a copy.
+// The copy may lack the row of a later holder, which may have sent orders until its lease expired. Only an instance that renewed
+// so recently that no other one can have acquired the lease since need not wait. Times are since boot: when the instance learned
+// of the restore, and when it sent its last renewal; zero if there was none.
+func AfterRestore(now, restoredAt, lastRenewal, leaseTerm time.Duration) time.Duration {
+	if restoredAt == 0 || lastRenewal > 0 && restoredAt-lastRenewal < Validity+leaseTerm {
+		return 0
 	}
-	return Row{Holder: self, Token: token, Renewed: clock.Milliseconds()}
+	return max(0, restoredAt+Validity+leaseTerm+Margin-now)
+}
+
+// epochTokens is the number of tokens of one epoch of the store.
+const epochTokens = 1 << 32
+
+// MinToken returns the smallest token of a holder that acquires the lease after it has read the store at a version of an epoch.
+// Every acquisition writes a row and so increases the version or, after a restore, meets a later epoch. A token of a holder whose
+// row the copy lacks is thus never given out again.
+func MinToken(epoch, version int64) int64 { return epoch*epochTokens + version + 1 }
+
+// Acquisition returns the row that an instance writes to acquire the lease.
+func Acquisition(clock time.Duration, row Row, self string, minToken int64) Row {
+	return Row{Holder: self, Token: max(row.Token+1, minToken), Renewed: clock.Milliseconds()}
+}
+
+// Renewal returns the row that the holder writes to renew the lease.
+func Renewal(clock time.Duration, row Row) Row {
+	return Row{Holder: row.Holder, Token: row.Token, Renewed: clock.Milliseconds()}
 }
 
 // Lease is the holder's state of the lease. Its times are since boot, including suspension.
@@ -62,7 +82,8 @@
 	Token int64
 	// Sent is when the last successful renewal was sent.
 	Sent time.Duration
-	// Version is the row's version after that renewal.
+	// Epoch is the store's epoch, and Version the row's version after that renewal.
+	Epoch   int64
 	Version int64
 	Row     Row
 }
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -138,8 +139,11 @@
 func (f *Fleet) Put(e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if n, ok := f.notices[e.ID]; ok && n.born == e.Born && n.leaving {
-		e.State = Draining
+	if n, ok := f.notices[e.ID]; ok && n.born == e.Born {
+		n.gone = false
+		if n.leaving {
+			e.State = Draining
+		}
 	}
 	u, ok := f.upstreams[e.ID]
 	if !ok || u.entry.Born != e.Born || u.entry.Address != e.Address {
@@ -174,12 +178,36 @@
 		}
 		return true
 	}
-	delete(f.upstreams, id)
+	f.remove(now, u)
 	return true
 }
 
+// remove removes an upstream whose entry is gone. The caller holds the lock.
+func (f *Fleet) remove(now time.Time, u *upstream) {
+	n := f.noticeOf(u.entry.ID, u.entry.Born, now)
+	n.gone = true
+	n.leaving = n.leaving || u.entry.State == Draining
+	delete(f.upstreams, u.entry.ID)
+}
+
 // Replace stores a complete list and drops the upstreams that it does not contain.
-func (f *Fleet) Replace(now time.Time, entries []Entry) {
+func (f *Fleet) Replace(now time.Time, entries []Entry) { f.replace(now, entries) }
+
+// ReplaceRestored is Replace for the list of a store that was restored from a copy. The copy may contain upstreams that have
+// left the list since; those are ignored until they write their entries again.
+func (f *Fleet) ReplaceRestored(now time.Time, entries []Entry) {
+	f.replace(now, slices.DeleteFunc(entries, func(e Entry) bool { return f.isGone(e) }))
+}
+
+// isGone reports whether the incarnation of an entry has left the list.
+func (f *Fleet) isGone(e Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.notices[e.ID]
+	return ok && n.born == e.Born && n.gone
+}
+
+func (f *Fleet) replace(now time.Time, entries []Entry) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		f.Put(e)
@@ -241,7 +269,7 @@
 	var expired []string
 	for id, u := range f.upstreams {
 		if !u.delistedAt.IsZero() && now.Sub(u.delistedAt) > relistGracePeriod {
-			delete(f.upstreams, id)
+			f.remove(now, u)
 			expired = append(expired, id)
 		}
 	}
--- a/internal/route/fleet/notice.go
+++ b/internal/route/fleet/notice.go
@@ -18,6 +18,8 @@
 	leaving bool
 	// seenLeaving is when this instance last saw the departure itself; zero if only others did.
 	seenLeaving time.Time
+	// gone reports whether the incarnation was removed from the list and was not listed again since.
+	gone bool
 	// retryAt is when it accepts requests of this instance again; zero if it has not refused them for a time.
 	retryAt time.Time
 }
