--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -211,11 +211,11 @@
 func TestReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
 	l := NewLimiter()
 	l.SetLimits(0, map[string]Limit{"w": {Rate: 1, Burst: 100}})
-	for _, incarnations := range [][2]int64{{1, 2}, {2, 1}} {
+	for peer, incarnations := range map[string][2]int64{"rising": {1, 2}, "falling": {2, 1}} {
 		before, after := incarnations[0], incarnations[1]
-		l.Merge(0, "p", before, Report{Ready: true, Used: map[string]float64{"w": 4000}})
-		l.Merge(0, "p", after, Report{Ready: true, Used: map[string]float64{"w": 5}})
-		l.Merge(0, "p", before, Report{Ready: true, Used: map[string]float64{"w": 5000}})
+		l.Merge(0, peer, before, Report{Ready: true, Used: map[string]float64{"w": 4000}})
+		l.Merge(0, peer, after, Report{Ready: true, Used: map[string]float64{"w": 5}})
+		l.Merge(0, peer, before, Report{Ready: true, Used: map[string]float64{"w": 5000}})
 	}
 	ok, _ := l.Admit(0, "w", 50)
 	must.True(t, ok)
