Quota: requests that cost a workspace little are refused last

Cause: beyond its rate a workspace's bucket was emptied by large prompts, and an instance that had admitted one in an interval refused everything else in it, also while the level allowed it (level 69,216, 7,297 units refused; bookings of 200 units refused at a level of 12,193). Load pattern: a limit lowered far below what a workspace sends. Change: the fair share of an interval includes a quarter of the excess that the site tolerates (new settings quota_window, quota_overshoot, quota_slack); small requests have their own share of an interval; at a workspace beyond its rate a request must leave twice its own size in the bucket.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -325,13 +325,14 @@
 
 // applyLimits applies the document's rate limits.
 func (e *Edge) applyLimits(doc *policy.Document) {
+	tolerance := quota.Tolerance{Window: seconds(e.settings.QuotaWindow), Ratio: e.settings.QuotaOvershoot, Slack: e.settings.QuotaSlack}
 	limits := make(map[string]quota.Limit, len(doc.Workspaces))
 	for _, w := range doc.Workspaces {
 		rate := w.Rate
 		if math.IsNaN(rate) || rate < 0 {
 			rate = 0
 		}
-		limits[w.Name] = quota.Limit{Rate: rate, Burst: w.Burst}
+		limits[w.Name] = quota.Limit{Rate: rate, Burst: w.Burst, Excess: tolerance.Excess(rate, w.Burst)}
 	}
 	e.quota.SetLimits(clock.SinceBoot(), limits)
 }
--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -43,6 +43,11 @@
 	RetryRatio  float64 `yaml:"ratio" validate:"gte=0"`
 	RetrySlack  float64 `yaml:"slack" validate:"gte=0"`
 	RetryWindow float64 `yaml:"window" validate:"gt=0"`
+	// QuotaWindow is the time in seconds over which the site sums what a workspace is admitted, QuotaOvershoot the fraction of
+	// its rate and burst, and QuotaSlack the number of units, by which the sum may exceed them.
+	QuotaWindow    float64 `yaml:"quota_window" validate:"gte=0"`
+	QuotaOvershoot float64 `yaml:"quota_overshoot" validate:"gte=0"`
+	QuotaSlack     float64 `yaml:"quota_slack" validate:"gte=0"`
 	// Level is the minimum log level.
 	Level string `yaml:"level" validate:"oneof=debug info error"`
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -31,6 +31,15 @@
 	// startupPeriod is how long after it has received its first limits an instance counts as starting, unless it adopts the
 	// levels of an established one before. Instances that start while the store is out meet about a second after it returns.
 	startupPeriod = 2 * time.Second
+	// fairShareExcess is the fraction of the tolerated excess that instances may use together before the next reports. Small
+	// requests are thus not refused while the level would allow them. The rest is for instances that are killed or cut off.
+	fairShareExcess = 0.25
+	// smallRequestTime is the time in which the rate yields the units of the largest request that counts as small. Large ones of
+	// the same interval do not use up its fair share.
+	smallRequestTime = 20 * time.Millisecond
+	// reserveTime is the time in which the rate yields the largest reserve. At a workspace beyond its rate, a request must leave twice
+	// its own size in the bucket, so that the smallest requests, which cost the least, are refused last.
+	reserveTime = 250 * time.Millisecond
 	// peerTimeout is how long a peer without reports keeps its share of every rate. It may be isolated and still admitting.
 	peerTimeout = 30 * time.Second
 )
@@ -41,6 +50,22 @@
 	Rate float64
 	// Burst is in units.
 	Burst float64
+	// Excess is how many units more than rate and burst the site tolerates in a window, because instances learn of each
+	// other's admissions late.
+	Excess float64
+}
+
+// Tolerance is what the site tolerates beyond rates and bursts.
+type Tolerance struct {
+	// Window is the time over which admissions are summed.
+	Window time.Duration
+	// Ratio is the tolerated part of rate and burst, Slack a number of units beyond that.
+	Ratio, Slack float64
+}
+
+// Excess returns the tolerated units of a workspace in one window.
+func (t Tolerance) Excess(rate, burst float64) float64 {
+	return t.Ratio*(rate*t.Window.Seconds()+burst) + t.Slack
 }
 
 type bucket struct {
@@ -52,6 +77,8 @@
 	// intervalStart is when the report interval began, and ownInInterval what this instance has admitted in it.
 	intervalStart time.Duration
 	ownInInterval float64
+	// smallInInterval is the part of ownInInterval that small requests have taken.
+	smallInInterval float64
 	// siteRate is the average rate of all instances' admissions in units a second, as of siteRateAt.
 	siteRate   float64
 	siteRateAt time.Duration
@@ -80,7 +107,7 @@
 type peer struct {
 	// incarnation is that of the last report; earlier is the one before, whose delayed reports are ignored.
 	incarnation, earlier int64
-	lastSeen    time.Duration
+	lastSeen             time.Duration
 	// used holds the totals of its last report; nil until its levels have been adopted.
 	used map[string]float64
 }
@@ -182,19 +209,32 @@
 	l.refill(now, b)
 	// A request larger than the burst may run when the bucket is full.
 	need := min(units, b.limit.Burst)
-	if b.level < need {
-		seconds := (need - b.level) / (b.limit.Rate * l.rateShare(now))
+	small := need <= b.limit.Rate*smallRequestTime.Seconds()
+	busy := b.addToRate(now, 0) > fairShareAbove*b.limit.Rate
+	reserve := 0.0
+	if busy {
+		reserve = min(2*need, b.limit.Rate*reserveTime.Seconds(), b.limit.Burst-need)
+	}
+	if b.level < need+reserve {
+		seconds := max(0, need-b.level) / (b.limit.Rate * l.rateShare(now))
 		return false, time.Duration(seconds * float64(time.Second))
 	}
 	if now-b.intervalStart >= reportInterval {
-		b.intervalStart, b.ownInInterval = now, 0
+		b.intervalStart, b.ownInInterval, b.smallInInterval = now, 0, 0
 	}
 	// The fair share does not restrict the first request of an interval.
 	reporting, _ := l.count(now)
-	maxOwn := (b.level + b.ownInInterval) * fairShareFactor / float64(reporting)
-	if b.addToRate(now, 0) > fairShareAbove*b.limit.Rate && b.ownInInterval > 0 && b.ownInInterval+units > maxOwn {
+	maxOwn := (b.level + b.ownInInterval + b.limit.Excess*fairShareExcess) * fairShareFactor / float64(reporting)
+	own := b.ownInInterval
+	if small {
+		own = 2 * b.smallInInterval
+	}
+	if busy && own > 0 && own+units > maxOwn {
 		return false, b.intervalStart + reportInterval - now
 	}
+	if small {
+		b.smallInInterval += units
+	}
 	b.addToRate(now, units)
 	b.level -= units
 	b.ownInInterval += units
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -18,7 +18,13 @@
 	step      = 50 * time.Millisecond
 )
 
-var limit = Limit{Rate: 257082, Burst: 257082}
+var limit = withExcess(Limit{Rate: 257082, Burst: 257082})
+
+// withExcess sets what the site tolerates beyond the limit.
+func withExcess(l Limit) Limit {
+	l.Excess = Tolerance{Window: window, Ratio: overshoot, Slack: slack}.Excess(l.Rate, l.Burst)
+	return l
+}
 
 // site is a set of limiters that exchange reports in virtual time.
 type site struct {
@@ -236,7 +242,7 @@
 // Found by kill-quota --seed 214461736646.
 func TestAllInstancesKilledDuringOverload(t *testing.T) {
 	// The slack is the same for larger limits.
-	large := Limit{Rate: 389000, Burst: 389000}
+	large := withExcess(Limit{Rate: 389000, Burst: 389000})
 	bound := (large.Rate*window.Seconds()+large.Burst)*(1+overshoot) + slack
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -268,6 +274,7 @@
 // Then they exchange reports while the workspace still sends several times its rate.
 func TestInstancesThatStartAloneRepayTheirExcess(t *testing.T) {
 	narrow := Limit{Rate: 2000, Burst: 4000}
+	narrow.Excess = Tolerance{Window: window, Ratio: overshoot, Slack: narrow.Burst}.Excess(narrow.Rate, narrow.Burst)
 	const instances, size = 13, 420.0
 	s := newSite(instances, narrow)
 	for i := range s.limiters {
@@ -324,3 +331,38 @@
 	ok, _ := l.Admit(time.Second, "w", 800)
 	must.True(t, ok)
 }
+
+// A workspace sends three times its rate, most of it in a few large requests, to many instances. Load pattern: limits that are
+// lowered far below what a workspace sends.
+func TestSmallRequestsAreAdmittedBesideLargeOnes(t *testing.T) {
+	low := withExcess(Limit{Rate: 43299, Burst: 155875})
+	s := newSite(14, low)
+	random := rand.New(rand.NewPCG(3, 4))
+	pick := func() int { return random.IntN(14) }
+	s.run(4*time.Second, low.Rate/2, 9000, pick)
+	admitted, refused := 0, 0
+	for end := s.now + 20*time.Second; s.now < end; s.now += step {
+		if s.now%interval == 0 {
+			s.exchangeReports()
+		}
+		sum := 0.0
+		for _, size := range []float64{200, 200, 1400, 9000} {
+			if size == 9000 && s.now%(2*step) != 0 {
+				continue
+			}
+			ok, _ := s.limiters[pick()].Admit(s.now, "w", size)
+			if ok {
+				sum += size
+			}
+			if size == 200 && ok {
+				admitted++
+			} else if size == 200 {
+				refused++
+			}
+		}
+		s.admitted = append(s.admitted, sum)
+	}
+	must.LessEq(t, (low.Rate*window.Seconds()+low.Burst)*(1+overshoot)+slack, s.maxInWindow())
+	t.Logf("small requests: %d admitted, %d refused", admitted, refused)
+	must.Less(t, (admitted+refused)/10, refused)
+}
