--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -14,9 +14,8 @@
 	// staleAfter is how long superseded weights carry no penalty after an announcement. Users allow 1.5 s, of which the
 	// announcement takes a few tenths to arrive.
 	staleAfter = time.Second
-	// stalePenalty is the extra wait that is accepted for the latest weights. A request loses a fifth of its value on
-	// superseded weights, but more than half when late, and engines with superseded weights also hold its prefix.
-	stalePenalty = 100 * time.Millisecond
+	// minLatestWait is the shortest extra wait that is accepted for the latest weights.
+	minLatestWait = 100 * time.Millisecond
 	// maxPriority is the least urgent priority that engines accept.
 	maxPriority = 9
 	// routePriorityLevels is the number of route priorities within one workspace priority.
@@ -30,7 +29,7 @@
 		latest := x.Feed.Weights(x.info.Model)
 		q.Model, q.Version = x.info.Model, latest.Version
 		if x.Boot()-latest.FirstSeen > staleAfter {
-			q.StalePenalty = stalePenalty
+			q.StalePenalty = latestWait(x.route.Objective)
 		}
 		q.MinVersion = x.Feed.MinVersion(x.info.Model, x.Boot()-x.Settings.SupersededLimit)
 		for _, part := range x.info.SharedParts() {
@@ -60,6 +59,11 @@
 	return choice, ok
 }
 
+// latestWait returns the extra wait that is accepted for the latest weights. A request loses a fifth of its value on superseded
+// weights, and more than that when it is late. Within half of the objective the wait does not make it late. Load pattern: several
+// versions named within seconds, while a third of the engines load.
+func latestWait(objective time.Duration) time.Duration { return max(minLatestWait, objective/2) }
+
 // prefixChain returns one hash per shared part of the prompt. Each covers the version's salt and all parts up to that one.
 // The chain of a version is computed once per request.
 func (x *exchange) prefixChain(version int64) []uint64 {
