--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -38,8 +38,10 @@
 	// the same interval do not use up its fair share.
 	smallRequestTime = 20 * time.Millisecond
 	// reserveTime is the time in which the rate yields the largest reserve. At a workspace beyond its rate, a request must leave twice
-	// its own size in the bucket, so that the smallest requests, which cost the least, are refused last.
-	reserveTime = 250 * time.Millisecond
+	// its own size in the bucket, so that the smallest requests, which cost the least, are refused last. In the first sustainedTime
+	// of an instance, callers who return together after an outage are no such case.
+	reserveTime   = 250 * time.Millisecond
+	sustainedTime = 4 * time.Second
 	// peerTimeout is how long a peer without reports keeps its share of every rate. It may be isolated and still admitting.
 	peerTimeout = 30 * time.Second
 )
@@ -190,6 +192,7 @@
 	share := l.rateShare(now)
 	if b.level > 0 && share < b.rateShare {
 		b.level *= share / b.rateShare
+		b.allotment *= share / b.rateShare
 	}
 	b.rateShare = share
 	if passed := now - b.refilledAt; passed > 0 {
@@ -212,7 +215,7 @@
 	small := need <= b.limit.Rate*smallRequestTime.Seconds()
 	busy := b.addToRate(now, 0) > fairShareAbove*b.limit.Rate
 	reserve := 0.0
-	if busy {
+	if busy && now-l.limitedAt >= sustainedTime {
 		reserve = min(2*need, b.limit.Rate*reserveTime.Seconds(), b.limit.Burst-need)
 	}
 	if b.level < need+reserve {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -366,3 +366,22 @@
 	t.Logf("small requests: %d admitted, %d refused", admitted, refused)
 	must.Less(t, (admitted+refused)/10, refused)
 }
+
+// The limits may arrive before the list of the other instances. The part of the burst that an instance gives up when it learns of
+// them comes back when they turn out to have started with it.
+func TestAllotmentWhenLimitsArriveBeforePeers(t *testing.T) {
+	l := NewLimiter()
+	l.SetLimits(time.Second, map[string]Limit{"w": {Rate: 1, Burst: 1000}})
+	for i := range 4 {
+		l.AddPeer(time.Second, name(i))
+	}
+	ok, _ := l.Admit(time.Second, "w", 51)
+	must.False(t, ok)
+	for i := range 4 {
+		l.Merge(time.Second, name(i), 1, Report{Ready: true, Starting: true, Used: map[string]float64{"w": 10}, Levels: map[string]float64{"w": 40}})
+	}
+	ok, _ = l.Admit(time.Second, "w", 211)
+	must.False(t, ok)
+	ok, _ = l.Admit(time.Second, "w", 210)
+	must.True(t, ok)
+}
