--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -73,10 +73,6 @@
 	// live reports whether the previous read has just returned, so that rows of the next one are newly written.
 	live := false
 	for ctx.Err() == nil {
-		if current, _ := e.epochs.get(); current != epoch {
-			version = -1
-			live = false
-		}
 		if version >= 0 && !e.ranks.ShouldFollow(time.Now()) {
 			e.following.Store(false)
 			live = false
@@ -84,6 +80,11 @@
 			_ = sleep.For(ctx, followCheckInterval)
 			continue
 		}
+		if current, _ := e.epochs.get(); current != epoch {
+			// The store was restored; the instance that follows its changes reads all rows once more.
+			version = -1
+			live = false
+		}
 		rows, confirmed, err := e.readOperators(ctx, version)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			e.log.Info("store: change history lost, reading all rows", "for", outage.purpose, "after", version)
