--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -34,14 +34,13 @@
 	// fairShareExcess is the fraction of the tolerated excess that instances may use together before the next reports. Small
 	// requests are thus not refused while the level would allow them. The rest is for instances that are killed or cut off.
 	fairShareExcess = 0.25
-	// smallRequestTime is the time in which the rate yields the units of the largest request that counts as small. Large ones of
-	// the same interval do not use up its fair share.
+	// smallRequestTime is the time in which the rate yields the units of the largest request that counts as small.
 	smallRequestTime = 20 * time.Millisecond
-	// reserveTime is the time in which the rate yields the largest reserve. At a workspace beyond its rate, a request must leave twice
-	// its own size in the bucket, so that the smallest requests, which cost the least, are refused last. In the first sustainedTime
-	// of an instance, callers who return together after an outage are no such case.
-	reserveTime   = 250 * time.Millisecond
-	sustainedTime = 4 * time.Second
+	// reserveTime is the time in which the rate yields the largest reserve of a request.
+	reserveTime = 250 * time.Millisecond
+	// returnPeriod is how long after an instance's start no reserve is kept. The callers who then return together after an outage
+	// take the place of those who were not served in it.
+	returnPeriod = 4 * time.Second
 	// peerTimeout is how long a peer without reports keeps its share of every rate. It may be isolated and still admitting.
 	peerTimeout = 30 * time.Second
 )
@@ -76,11 +75,7 @@
 	refilledAt time.Duration
 	// rateShare is the share of the rate at the last refill.
 	rateShare float64
-	// intervalStart is when the report interval began, and ownInInterval what this instance has admitted in it.
-	intervalStart time.Duration
-	ownInInterval float64
-	// smallInInterval is the part of ownInInterval that small requests have taken.
-	smallInInterval float64
+	interval  interval
 	// siteRate is the average rate of all instances' admissions in units a second, as of siteRateAt.
 	siteRate   float64
 	siteRateAt time.Duration
@@ -214,37 +209,32 @@
 	need := min(units, b.limit.Burst)
 	small := need <= b.limit.Rate*smallRequestTime.Seconds()
 	busy := b.addToRate(now, 0) > fairShareAbove*b.limit.Rate
-	reserve := 0.0
-	if busy && now-l.limitedAt >= sustainedTime {
-		reserve = min(2*need, b.limit.Rate*reserveTime.Seconds(), b.limit.Burst-need)
-	}
-	if b.level < need+reserve {
+	if b.level < need+b.reserve(need, busy && now-l.limitedAt >= returnPeriod) {
 		seconds := max(0, need-b.level) / (b.limit.Rate * l.rateShare(now))
 		return false, time.Duration(seconds * float64(time.Second))
 	}
-	if now-b.intervalStart >= reportInterval {
-		b.intervalStart, b.ownInInterval, b.smallInInterval = now, 0, 0
-	}
-	// The fair share does not restrict the first request of an interval.
+	b.interval.begin(now)
 	reporting, _ := l.count(now)
-	maxOwn := (b.level + b.ownInInterval + b.limit.Excess*fairShareExcess) * fairShareFactor / float64(reporting)
-	own := b.ownInInterval
-	if small {
-		own = 2 * b.smallInInterval
-	}
-	if busy && own > 0 && own+units > maxOwn {
-		return false, b.intervalStart + reportInterval - now
-	}
-	if small {
-		b.smallInInterval += units
+	share := (b.level + b.interval.taken + b.limit.Excess*fairShareExcess) * fairShareFactor / float64(reporting)
+	if busy && !b.interval.allows(units, small, share) {
+		return false, b.interval.start + reportInterval - now
 	}
+	b.interval.add(units, small)
 	b.addToRate(now, units)
 	b.level -= units
-	b.ownInInterval += units
 	b.used += units
 	return true, 0
 }
 
+// reserve returns the units that a request must leave in the bucket. At a workspace beyond its rate it is twice the request's own
+// size, so that the smallest requests, which cost the least, are refused last. Load pattern: as for interval.allows.
+func (b *bucket) reserve(need float64, beyondRate bool) float64 {
+	if !beyondRate {
+		return 0
+	}
+	return min(2*need, b.limit.Rate*reserveTime.Seconds(), b.limit.Burst-need)
+}
+
 // addToRate adds admitted units to the average rate of the site and returns it.
 func (b *bucket) addToRate(now time.Duration, units float64) float64 {
 	if passed := now - b.siteRateAt; passed > 0 {
