--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	window    = 8 * time.Second
-	overshoot = 0.1
-	slack     = 110000
-	interval  = 250 * time.Millisecond
-	step      = 50 * time.Millisecond
+	window           = 8 * time.Second
+	overshoot        = 0.1
+	slack            = 110000
+	exchangeInterval = 250 * time.Millisecond
+	step             = 50 * time.Millisecond
 )
 
 var limit = withExcess(Limit{Rate: 257082, Burst: 257082})
@@ -78,7 +78,7 @@
 func (s *site) run(d time.Duration, rate, size float64, pick func() int) {
 	due := 0.0
 	for end := s.now + d; s.now < end; s.now += step {
-		if s.now%interval == 0 {
+		if s.now%exchangeInterval == 0 {
 			s.exchangeReports()
 		}
 		sum := 0.0
@@ -342,7 +342,7 @@
 	s.run(4*time.Second, low.Rate/2, 9000, pick)
 	admitted, refused := 0, 0
 	for end := s.now + 20*time.Second; s.now < end; s.now += step {
-		if s.now%interval == 0 {
+		if s.now%exchangeInterval == 0 {
 			s.exchangeReports()
 		}
 		sum := 0.0
