Check the rollout, the operators' rows and the list less often while nothing is pending

Change: checks each 300 ms while no rollout is pending, or while another instance leads it, and each 200 ms for the rest; announcements still wake the rollout.

--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -21,12 +21,12 @@
 	// storeTimeout bounds a call that the store answers at once; a slow store takes a quarter of a second.
 	storeTimeout = 900 * time.Millisecond
 	// followCheckInterval is the pause between checks whether another instance follows the operators' rows.
-	followCheckInterval = 100 * time.Millisecond
+	followCheckInterval = 200 * time.Millisecond
 	// listInterval is the time between reads of the list of upstreams; together with the takeover from a failed reader it
 	// stays below the drain limit.
 	listInterval = 600 * time.Millisecond
 	// listCheckInterval is the maximum pause between checks of the age of the list.
-	listCheckInterval = 100 * time.Millisecond
+	listCheckInterval = 200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 60 * time.Millisecond
 	maxRetryDelay = 1000 * time.Millisecond
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// rolloutInterval is the interval between checks of the rollout.
+	// rolloutInterval is the interval between checks of a pending rollout, idleInterval that between checks whether an engine has
+	// superseded weights; announcements are checked at once.
 	rolloutInterval = 50 * time.Millisecond
+	idleInterval    = 300 * time.Millisecond
 	// loadTimeout bounds the time that one engine takes to complete its requests and load.
 	loadTimeout = 9 * time.Second
 	// drainingTTL is how long a draining engine is avoided if it does not start loading.
@@ -126,16 +128,17 @@
 // run advances the rollout, while engines have superseded weights, until the context ends.
 func (r *rollout) run(ctx context.Context) {
 	defer r.loads.Wait()
-	ticker := time.NewTicker(rolloutInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
 	pendingSince := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-r.wakeup:
 		}
+		timer.Reset(idleInterval)
 		now := time.Now()
 		pending := r.countPending(now)
 		if pending == 0 || r.edge.handler.Draining.Load() && !r.holdsLease() {
@@ -146,6 +149,7 @@
 			pendingSince = now
 			r.scheduleAcquire(now)
 		}
+		timer.Reset(r.checkInterval(now))
 		if !r.ensureLease(ctx, now) {
 			continue
 		}
@@ -155,6 +159,16 @@
 	}
 }
 
+// checkInterval returns the time until the next check of a pending rollout. Instances that see another one lead check less often.
+func (r *rollout) checkInterval(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.leaderSeen) < leaderReportTTL {
+		return idleInterval
+	}
+	return rolloutInterval
+}
+
 // holdsLease reports whether this instance holds the lease. A draining instance continues the rollout as long as it holds
 // the lease.
 func (r *rollout) holdsLease() bool {
