--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -23,6 +23,9 @@
 	// fairShareAbove is the fraction of a rate above which an instance keeps to its fair share. Below it there is room for
 	// uneven clients.
 	fairShareAbove = 0.9
+	// fairShareBelow is the fraction of the burst below which an instance keeps to its fair share too. After an excess the rate of
+	// admissions is low, and the callers who were refused return together.
+	fairShareBelow = 0.25
 	// averagingTime is the time constant of the average of admissions.
 	averagingTime = time.Second
 	// fairShareFactor is the multiple of its fair share of a bucket that an instance may use per interval. Clients are spread
@@ -33,7 +36,7 @@
 	startupPeriod = 2 * time.Second
 	// fairShareExcess is the fraction of the tolerated excess that instances may use together before the next reports. Small
 	// requests are thus not refused while the level would allow them. The rest is for instances that are killed or cut off.
-	fairShareExcess = 0.25
+	fairShareExcess = 0.15
 	// smallRequestTime is the time in which the rate yields the units of the largest request that counts as small.
 	smallRequestTime = 20 * time.Millisecond
 	// reserveTime is the time in which the rate yields the largest reserve of a request.
@@ -208,7 +211,7 @@
 	// A request larger than the burst may run when the bucket is full.
 	need := min(units, b.limit.Burst)
 	small := need <= b.limit.Rate*smallRequestTime.Seconds()
-	busy := b.addToRate(now, 0) > fairShareAbove*b.limit.Rate
+	busy := b.addToRate(now, 0) > fairShareAbove*b.limit.Rate || b.level < b.limit.Burst*fairShareBelow
 	if b.level < need+b.reserve(need, busy && now-l.limitedAt >= returnPeriod) {
 		seconds := max(0, need-b.level) / (b.limit.Rate * l.rateShare(now))
 		return false, time.Duration(seconds * float64(time.Second))
@@ -364,7 +367,7 @@
 		if !ok {
 			level = b.limit.Burst * reportBelow
 		}
-		if l.adopted {
+		if !l.starting(now) {
 			level = min(b.level, level)
 		} else {
 			// The peer has not counted yet what this instance admitted since its start.
