--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -437,3 +437,34 @@
 		t.Logf("seed %d: %.0f units in a window", seed, s.maxInWindow())
 	}
 }
+
+// All instances start while the store is out, and each serves the workspace for some seconds before it learns of the others.
+func TestInstancesThatServeAloneRepayTheirExcess(t *testing.T) {
+	narrow := Limit{Rate: 2000, Burst: 4000}
+	const instances, size = 13, 420.0
+	s := newSite(instances, narrow)
+	for i := range s.limiters {
+		s.limiters[i] = NewLimiter()
+		s.limiters[i].SetLimits(s.now, map[string]Limit{"w": narrow})
+	}
+	admit := func(rate float64, d time.Duration, exchange bool) {
+		due, next := 0.0, 0
+		for end := s.now + d; s.now < end; s.now += step {
+			if exchange && s.now%exchangeInterval == 0 {
+				s.exchangeReports()
+			}
+			units := 0.0
+			for due += rate * step.Seconds(); due >= size; due -= size {
+				next++
+				if ok, _ := s.limiters[next%instances].Admit(s.now, "w", size); ok {
+					units += size
+				}
+			}
+			s.admitted = append(s.admitted, units)
+		}
+	}
+	admit(5000, startupPeriod+time.Second, false)
+	admit(5000, window, true)
+	// The bound of the soak test.
+	must.LessEq(t, (narrow.Rate*window.Seconds()+narrow.Burst)*(1+overshoot)+narrow.Burst, s.maxInWindow())
+}
