--- a/internal/app/edge/notice_test.go
+++ b/internal/app/edge/notice_test.go
@@ -57,8 +57,8 @@
 	must.LessEq(t, 2, len(s.Jobs[0].Runs()))
 }
 
-// An upstream that refuses with a Retry-After gets nothing before that time is over. If all do, callers are told at once when the
-// first one accepts requests again.
+// An upstream that refuses with a Retry-After gets nothing before that time is over. If all do, callers are refused at once, with the
+// time at which the first one accepts requests again.
 func TestRefusalsWithRetryAfterPauseAnUpstream(t *testing.T) {
 	s, r := startSite(t, 1, 2)
 	s.Jobs[0].SetFaults(fake.Faults{Shed: true, RetryAfter: "2.5"})
--- a/internal/app/edge/restore_test.go
+++ b/internal/app/edge/restore_test.go
@@ -150,7 +150,7 @@
 	must.Greater(t, int64(1)<<32, orders[len(orders)-1].Token)
 }
 
-// An instance that has not heard of a restore yet neither confirms documents nor changes the list of one that has.
+// An instance that does not know of a restore yet neither confirms documents nor changes the list of one that has.
 func TestMessagesFromBeforeTheRestore(t *testing.T) {
 	_, r := startSite(t, 1, 1)
 	boot := r.exchange.Clock()
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -337,7 +337,7 @@
 }
 
 // meet prepares the counting of a peer's admissions at its first report. All that a starting instance admitted is counted,
-// because nobody else knows of it. An aggregated report covers admissions that established instances know already.
+// because no other report includes it. An aggregated report covers admissions that established instances know already.
 func (l *Limiter) meet(now time.Duration, p *peer, r Report) {
 	starting := l.starting(now)
 	if !r.Starting || r.Aggregated && !starting {
--- a/internal/limit/quota/quota_test.go
+++ b/internal/limit/quota/quota_test.go
@@ -392,7 +392,7 @@
 	returns int
 }
 
-// A workspace sends eight times its rate, and callers who are refused return twice after the time that they were told. The returns
+// A workspace sends eight times its rate, and callers who are refused return twice, each time after the Retry-After. The returns
 // must not come as waves that exceed the rate. Found by storm-steps --vary --seed 718622144697.
 func TestReturningCallersDoNotExceedTheRate(t *testing.T) {
 	hot := withExcess(Limit{Rate: 399000, Burst: 399000})
