--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -74,9 +74,17 @@
 		return fail
 	}
 	now := time.Now()
-	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool {
-		return x.Budget.Spend(now, x.service)
-	})
+	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool { return x.spendRetry(now) })
+}
+
+// spendRetry takes one retry from the service's budget, or returns false when none is left.
+func (x *exchange) spendRetry(now time.Time) bool {
+	if x.Budget.Spend(now, x.service) {
+		return true
+	}
+	x.Log.Info("route: no retry left", "id", x.info.ID, "service", x.service, "sends", x.counts.Sends, "ran", x.counts.Ran,
+		"left_ms", x.deadline.Sub(now).Milliseconds())
+	return false
 }
 
 // failNotRun sends the error response of a request that did not run.
