Give up a silent upstream only after another one has accepted its stream

Callers saw a resumable stream end in the middle, with a closed connection, although its upstream had only paused. After 1.2 s without an event the router closed the upstream's connection first and looked for another upstream then. If there was none, if it declined, or if the retry budget was spent, nothing was left that could answer. Class of fault: the only running attempt is ended before its replacement is certain.

The report came without logs, so that it is not shown that this is what the users saw.

The idle timeout now applies below the decoder of the body, because a chunked body cannot be read on after an error.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -81,6 +81,7 @@
 
 type conn struct {
 	net.Conn
+	watch    *idleWatch
 	head     *headLimiter
 	address  string
 	reader   *bufio.Reader
@@ -198,6 +199,7 @@
 
 // Done returns the connection to the pool after the body has been read to EOF.
 func (r *Response) Done(now time.Time) {
+	r.conn.watch.onIdle = nil
 	if !r.stop() || r.raw.Close || r.conn.reader.Buffered() > 0 || !written(r.sent) {
 		r.pool.discard(r.conn)
 		return
@@ -223,11 +225,7 @@
 
 // SetReadTimeout limits the wait for the next bytes, unless the context has ended.
 func (r *Response) SetReadTimeout(ctx context.Context, timeout time.Duration) {
-	// If the connection is already closed, the next read fails.
-	_ = r.conn.SetReadDeadline(time.Now().Add(timeout))
-	if ctx.Err() != nil {
-		_ = r.conn.SetReadDeadline(time.Unix(1, 0))
-	}
+	setReadTimeout(ctx, r.conn, timeout)
 }
 
 // Abort closes the connection, which makes the upstream stop its work.
@@ -273,8 +271,9 @@
 		return nil, false, err
 	}
 	p.onOpen()
-	head := &headLimiter{Conn: raw, remaining: unlimited}
-	return &conn{Conn: raw, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
+	watch := &idleWatch{Conn: raw}
+	head := &headLimiter{Conn: watch, remaining: unlimited}
+	return &conn{Conn: raw, watch: watch, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
 }
 
 // popIdle returns the most recently used connection, or nil.
--- a/internal/front/serve/decide.go
+++ b/internal/front/serve/decide.go
@@ -56,6 +56,11 @@
 	Ran int
 }
 
+// canSend reports whether another send is allowed with that time remaining.
+func (c sendCounts) canSend(remaining time.Duration) bool {
+	return remaining > minRemaining && c.Sends < maxSends
+}
+
 const (
 	// maxSends limits the sends of one request, including declined and undelivered ones. If four upstreams in a row
 	// decline, the service has no capacity.
@@ -70,7 +75,7 @@
 	if r == answered {
 		return deliver
 	}
-	canSend := remaining > minRemaining && counts.Sends < maxSends
+	canSend := counts.canSend(remaining)
 	switch r {
 	case unsent:
 		if canSend && (repeatable || counts.Ran == 0) {
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -144,13 +144,14 @@
 }
 
 // recordHolders records that the engine holds the prompt's prefix, and the KV store too if saving was requested.
-func (x *exchange) recordHolders(now time.Time, choice place.Choice) {
+func (x *exchange) recordHolders(now time.Time, c *call) {
+	choice := c.choice
 	if choice.Version == 0 || len(x.info.SharedParts()) == 0 {
 		return
 	}
 	chain := x.prefixChain(choice.Version)
 	x.Holders.RecordUse(now, holder.Use{Holder: choice.ID, Chain: chain})
-	if x.saving {
+	if c.saving {
 		x.Holders.RecordUse(now, holder.Use{Holder: holder.Store, Chain: chain})
 	}
 }
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -7,13 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
-	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
@@ -27,7 +25,7 @@
 	fullBackoff = 60 * time.Millisecond
 	// maxBufferedBytes limits a response that is buffered until complete.
 	maxBufferedBytes = 16 << 20
-	// minIdleTimeout is the shortest idle time after which a stream is moved to another upstream. Callers disconnect
+	// minIdleTimeout is the shortest idle time after which a stream may move to another upstream. Callers disconnect
 	// after two seconds without data.
 	minIdleTimeout = 1200 * time.Millisecond
 )
@@ -149,67 +147,15 @@
 
 // attempt sends the request to one upstream and forwards its response, if any, to the caller.
 func (x *exchange) attempt(ctx context.Context, choice place.Choice) (result, error) {
-	now := time.Now()
-	x.sentAt = now
-	x.counts.Sends++
-	x.avoid[choice.ID] = true
-	tokens := choice.PrefillTokens
-	x.Fleet.RequestSent(choice.ID, tokens)
-	defer func() { x.Fleet.RequestEnded(choice.ID, tokens) }()
-	forward := x.forwardInfo(now, choice)
-	x.saving = forward.SaveTo != ""
-	resp, err := x.Pool.Send(ctx, now, link.Request{
-		Address:   choice.Address,
-		Method:    x.r.Method,
-		Target:    x.r.RequestURI,
-		Host:      x.r.Host,
-		Header:    x.Dialect.ForwardHeader(x.r.Header, x.info, forward),
-		Body:      x.body,
-		Matches:   func(h http.Header) bool { return x.Dialect.ParseResponse(h).ID == x.info.ID },
-		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
-	})
-	if link.NotSent(err) {
-		if ctx.Err() == nil && !errors.Is(err, link.ErrConnLimit) {
-			x.Fleet.Failed(time.Now(), choice.ID)
-		}
-		x.logSend(unsent, choice, err)
-		return unsent, err
-	}
-	if err != nil {
-		x.counts.Ran++
-		x.recordBroken(ctx, choice, err)
-		return broken, err
-	}
-	verdict := x.Dialect.ParseResponse(resp.Header)
-	x.recordNotices(choice, resp.Status, verdict)
-	r := classify(resp.Status, verdict)
-	switch r {
-	case notRun:
-		x.recordDeclined(choice, resp, verdict)
-		drain(ctx, resp)
-		err := fmt.Errorf("upstream %s declined with status %d", choice.ID, resp.Status)
-		x.logSend(r, choice, err)
+	c, r, err := x.open(ctx, choice)
+	if c == nil {
 		return r, err
-	case broken:
-		x.counts.Ran++
-		resp.Abort()
-		x.Fleet.ReturnedError(time.Now(), choice.ID)
-		err := fmt.Errorf("upstream %s sent an answer without a signature, status %d", choice.ID, resp.Status)
-		x.logSend(r, choice, err)
-		return r, err
-	}
-	x.counts.Ran++
-	if choice.Version > 0 && verdict.Version > choice.Version {
-		x.Fleet.ConfirmWeights(choice.ID, x.info.Model, verdict.Version)
 	}
-	if r == answered && x.route.Kind == policy.Streaming && resp.Status < http.StatusMultipleChoices {
-		// Engines send the head immediately; prefill is complete when the first event arrives.
-		return x.relayStream(ctx, choice, resp, func() {
-			x.Fleet.Prefilled(choice.ID, tokens)
-			tokens = 0
-		})
+	if c.isStream(r, x.route) {
+		return x.relayStream(ctx, c)
 	}
-	return x.relayBuffered(ctx, choice, resp, r)
+	defer x.end(c)
+	return x.relayBuffered(ctx, c, r)
 }
 
 // drain discards a response so that its connection can be reused. Responses that are longer than maxDrainBytes or do not end
@@ -265,24 +211,20 @@
 
 // recordBroken updates the fleet state after an upstream sent no complete response. If the caller disconnected or the
 // deadline passed, only a long idle time counts against the upstream.
-func (x *exchange) recordBroken(ctx context.Context, choice place.Choice, err error) {
-	x.logSend(broken, choice, err)
+func (x *exchange) recordBroken(ctx context.Context, c *call, err error) {
+	x.logSend(broken, c.choice, err)
 	now := time.Now()
 	if ctx.Err() != nil {
-		if !x.streaming && now.Sub(x.sentAt) >= minIdleTimeout {
-			x.Fleet.Unanswered(now, choice.ID)
+		if !x.streaming && now.Sub(c.sentAt) >= minIdleTimeout {
+			x.Fleet.Unanswered(now, c.choice.ID)
 		}
 		return
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.Fleet.IdleTimedOut(now, choice.ID)
-	} else {
-		x.Fleet.Failed(now, choice.ID)
-	}
+	x.Fleet.Failed(now, c.choice.ID)
 	if !errors.Is(err, bound.ErrTooLong) {
 		x.CrashCounter.Crashed(now, x.fingerprint)
 	}
-	x.Pool.CloseIdle(choice.Address)
+	x.Pool.CloseIdle(c.choice.Address)
 }
 
 // logSend logs a send without a usable response.
@@ -292,12 +234,13 @@
 }
 
 // relayBuffered reads the whole response before forwarding it, so that a broken one can be retried on another upstream.
-func (x *exchange) relayBuffered(ctx context.Context, choice place.Choice, resp *link.Response, r result) (result, error) {
+func (x *exchange) relayBuffered(ctx context.Context, c *call, r result) (result, error) {
+	choice, resp := c.choice, c.resp
 	buffer := x.Memory.Buffer(maxBufferedBytes)
 	defer buffer.Release()
 	if _, err := buffer.ReadFrom(resp.Body); err != nil {
 		resp.Abort()
-		x.recordBroken(ctx, choice, err)
+		x.recordBroken(ctx, c, err)
 		return broken, err
 	}
 	body := buffer.Bytes()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -112,14 +112,10 @@
 	chains map[int64][]uint64
 	// lastChoice is the latest placement, for the log.
 	lastChoice place.Choice
-	// sentAt is when the last send started.
-	sentAt time.Time
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
 	// streaming reports whether the head of a streamed response has been sent to the caller.
 	streaming bool
-	// saving reports whether the last send requested that its prefix be saved to the KV store.
-	saving bool
 	// headDelay is the time from the request's arrival until the head of a stream was sent.
 	headDelay time.Duration
 	// failure is the upstream's error response to the last send, returned to the caller if there is no further send.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -9,48 +9,68 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
-	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
 // errUnfinished is returned when a stream ends within an event.
 var errUnfinished = errors.New("the stream ended within an event")
 
-// relayStream forwards complete events as they arrive. If the stream ends early, the result is broken and another upstream
-// may resume it after the last forwarded event.
-func (x *exchange) relayStream(ctx context.Context, choice place.Choice, resp *link.Response, prefilled func()) (result, error) {
-	events := newEventReader(resp.Body, x.Memory)
+// relayStream forwards the events of a call, and of those that replace it while its upstream is silent. If the last stream ends
+// early, the result is broken and another upstream may resume it after the last forwarded event.
+func (x *exchange) relayStream(ctx context.Context, c *call) (result, error) {
+	for {
+		next, r, err := x.relayEvents(ctx, c)
+		x.end(c)
+		if next == nil {
+			return r, err
+		}
+		c = next
+	}
+}
+
+// relayEvents forwards complete events of one call as they arrive. It returns the call that replaces it, if any.
+func (x *exchange) relayEvents(ctx context.Context, c *call) (*call, result, error) {
+	events := newEventReader(c.resp.Body, x.Memory)
 	defer events.release()
-	timeout := x.idleTimeout()
+	var replacement *call
+	if timeout := x.idleTimeout(); timeout > 0 {
+		c.resp.WatchIdle(ctx, timeout, func() bool {
+			replacement = x.replaceSilent(ctx, c)
+			return replacement == nil
+		})
+	}
 	first := true
 	for {
-		if timeout > 0 {
-			resp.SetReadTimeout(ctx, timeout)
-		}
 		ev, rest, err := events.next()
+		if replacement != nil {
+			c.resp.Abort()
+			return replacement, broken, nil
+		}
 		if errors.Is(err, io.EOF) {
 			if len(rest) > 0 {
 				err = errUnfinished
 			} else {
-				return x.finishStream(choice, resp)
+				r, err := x.finishStream(c)
+				return nil, r, err
 			}
 		}
 		if err != nil {
-			resp.Abort()
-			x.recordBroken(ctx, choice, err)
-			return broken, err
+			c.resp.Abort()
+			x.recordBroken(ctx, c, err)
+			return nil, broken, err
 		}
 		if first {
 			first = false
-			prefilled()
-			x.Fleet.AnswerStarted(time.Now(), choice.ID)
-			x.sendHead(resp)
-			x.recordHolders(time.Now(), choice)
+			x.Fleet.Prefilled(c.choice.ID, c.pendingTokens)
+			c.pendingTokens = 0
+			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
+			x.sendHead(c.resp)
+			x.recordHolders(time.Now(), c)
 		}
 		if !x.isNewEvent(ev.id) {
 			continue
 		}
 		if !x.writeEvent(ev.raw) {
-			resp.Abort()
+			c.resp.Abort()
 			x.abortDisconnected()
 		}
 		if ev.id != "" {
@@ -91,15 +111,15 @@
 }
 
 // finishStream completes a stream that ended properly.
-func (x *exchange) finishStream(choice place.Choice, resp *link.Response) (result, error) {
-	x.sendHead(resp)
-	resp.Done(time.Now())
-	x.Fleet.AnswerCompleted(choice.ID)
-	x.logResult("route: answered", resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
+func (x *exchange) finishStream(c *call) (result, error) {
+	x.sendHead(c.resp)
+	c.resp.Done(time.Now())
+	x.Fleet.AnswerCompleted(c.choice.ID)
+	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
 	return answered, nil
 }
 
-// idleTimeout returns how long an upstream may send nothing before another one resumes the stream; zero if none may.
+// idleTimeout returns how long an upstream may send nothing before another one may resume the stream; zero if none may.
 func (x *exchange) idleTimeout() time.Duration {
 	if !x.route.Repeatable() || x.counts.Ran >= x.route.Attempts {
 		return 0
