Cut a stream whose resumption returns an error

Callers got a stream that ended as if it were complete, without its last events: after a stream had broken off, the error response of the upstream that was to resume it was written into the stream, and the stream was ended normally.

TestErrorAfterResumeCutsTheStream failed before for 500 and 403 (events 1 and 2 of 5, complete) and passes now. Found by the case "other upstreams fail" of TestPausedUpstreamKeepsItsStreamWithoutReplacement.

--- a/internal/app/edge/silent_test.go
+++ b/internal/app/edge/stream_test.go
@@ -70,3 +70,18 @@
 	must.SliceLen(t, 1, s.Engines[1].Runs())
 	must.Eq(t, "2", s.Engines[1].Runs()[0].LastEvent)
 }
+
+// A stream that was resumed at an upstream that returns an error ended as if it were complete.
+func TestErrorAfterResumeCutsTheStream(t *testing.T) {
+	for name, faults := range map[string]fake.Faults{"failure": {Fail: true}, "client error": {Deny: true}} {
+		t.Run(name, func(t *testing.T) {
+			s, r := startSite(t, 2, 1)
+			s.Engines[0].SetFaults(fake.Faults{CutAfter: 2})
+			s.Engines[1].SetFaults(faults)
+			r.fleet.SetSwitching(s.Engines[1].ID, time.Now().Add(time.Second))
+			reply := r.send(t, newPromptCall(fake.QuotePath+"1"))
+			must.Eq(t, events(1, 2), reply.Body)
+			must.False(t, reply.Complete)
+		})
+	}
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -155,6 +155,12 @@
 		return x.relayStream(ctx, c)
 	}
 	defer x.end(c)
+	if x.streaming && r == answered {
+		c.resp.Abort()
+		err := fmt.Errorf("upstream %s resumed the stream with status %d", choice.ID, c.resp.Status)
+		x.logSend(failed, choice, err)
+		return failed, err
+	}
 	return x.relayBuffered(ctx, c, r)
 }
 
@@ -256,9 +262,10 @@
 	return answered, nil
 }
 
-// deliverFailure forwards an upstream's error response, unless its status implies that the request has not run.
+// deliverFailure forwards an upstream's error response, unless its status implies that the request has not run or a part of a
+// stream has been sent.
 func (x *exchange) deliverFailure(ctx context.Context, err error) {
-	if !deliverable(x.failure.status) {
+	if x.streaming || !deliverable(x.failure.status) {
 		x.failUnknown(ctx, err)
 		return
 	}
