Treat a stream without a length or events as broken

A response with neither a length nor chunks ends with its connection. If an upstream closes the connection before the first event, the router answered 200 with an empty stream that looked complete; callers do not retry that. It is 502 now, or another upstream resumes.

TestStreamWithoutLengthOrEventsIsBroken failed before (200) and passes now.

--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -85,3 +85,35 @@
 		})
 	}
 }
+
+// A response without a length or chunks ends with its connection, which is also how an upstream that crashes ends it.
+func TestStreamWithoutLength(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		faults   fake.Faults
+		body     string
+		complete bool
+	}{
+		{"complete", fake.Faults{NoLength: true}, events(1, 5), true},
+		{"paused", fake.Faults{NoLength: true, PauseAfter: 2, Pause: 1600 * time.Millisecond}, events(1, 5), true},
+		{"cut within an event", fake.Faults{NoLength: true, CutAfter: 2}, events(1, 2), false},
+	} {
+		for _, path := range []string{fake.QuotePath, fake.BriefPath} {
+			t.Run(c.name+path, func(t *testing.T) {
+				s, r := startSite(t, 1, 1)
+				s.Engines[0].SetFaults(c.faults)
+				reply := r.send(t, newPromptCall(path+"1"))
+				must.Eq(t, c.body, reply.Body)
+				must.Eq(t, c.complete, reply.Complete)
+			})
+		}
+	}
+}
+
+// A stream without a length whose connection ended before the first event was answered as a complete, empty one.
+func TestStreamWithoutLengthOrEventsIsBroken(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	s.Engines[0].SetFaults(fake.Faults{NoLength: true, NoEvents: true})
+	reply := r.send(t, newPromptCall(fake.BriefPath+"1"))
+	must.Eq(t, http.StatusBadGateway, reply.Status)
+}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -197,6 +197,12 @@
 // Reused reports whether the request was sent on a pooled connection.
 func (r *Response) Reused() bool { return r.reused }
 
+// Delimited reports whether the response shows where its body ends. The end of any other body cannot be told from a connection that
+// the upstream closed early.
+func (r *Response) Delimited() bool {
+	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
+}
+
 // Done returns the connection to the pool after the body has been read to EOF.
 func (r *Response) Done(now time.Time) {
 	r.conn.watch.onIdle = nil
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -11,8 +11,12 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
 
-// errUnfinished is returned when a stream ends within an event.
-var errUnfinished = errors.New("the stream ended within an event")
+var (
+	// errUnfinished is returned when a stream ends within an event.
+	errUnfinished = errors.New("the stream ended within an event")
+	// errNoEvent is returned when a connection that would also end a complete stream ends before the first event.
+	errNoEvent = errors.New("the connection ended before the first event")
+)
 
 // relayStream forwards the events of a call, and of those that replace it while its upstream is silent. If the last stream ends
 // early, the result is broken and another upstream may resume it after the last forwarded event.
@@ -46,9 +50,12 @@
 			return replacement, broken, nil
 		}
 		if errors.Is(err, io.EOF) {
-			if len(rest) > 0 {
+			switch {
+			case len(rest) > 0:
 				err = errUnfinished
-			} else {
+			case first && !c.resp.Delimited():
+				err = errNoEvent
+			default:
 				r, err := x.finishStream(c)
 				return nil, r, err
 			}
