Keep a silent upstream until another one has sent an event

The first form of the fix waited 250 ms for the head of another upstream's response and then stayed with the silent one. Besides, a head proves little: an upstream that sends one and closes the connection left the caller without either.

The request now waits on both upstreams: what arrives first goes on, and the other connection is closed. A request starts to run with its first token, so that the second run begins when the first one is ended. Retries after an upstream that was not reached are free, as elsewhere, and a stream ejects its silent upstream once.

--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -41,6 +41,7 @@
 		{name: "other upstreams decline", engines: 3, others: fake.Faults{Shed: true}},
 		{name: "other upstreams fail", engines: 3, others: fake.Faults{Fail: true}},
 		{name: "other upstreams do not respond", engines: 3, others: fake.Faults{Hang: true}},
+		{name: "other upstreams end before the first event", engines: 3, others: fake.Faults{NoLength: true, NoEvents: true}},
 		{name: "no retry left", engines: 2, spent: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/front/link/watch.go
+++ b/internal/front/link/watch.go
@@ -14,8 +14,8 @@
 	net.Conn
 	ctx     context.Context
 	timeout time.Duration
-	// onIdle reports whether to go on waiting; nil if the connection is not watched.
-	onIdle func() bool
+	// onIdle returns how long to go on waiting, or zero to fail the read; nil if the connection is not watched.
+	onIdle func() time.Duration
 }
 
 // Read implements io.Reader.
@@ -23,10 +23,13 @@
 	if w.onIdle == nil {
 		return w.Conn.Read(p)
 	}
-	for {
-		setReadTimeout(w.ctx, w.Conn, w.timeout)
+	for timeout := w.timeout; ; {
+		setReadTimeout(w.ctx, w.Conn, timeout)
 		n, err := w.Conn.Read(p)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || w.ctx.Err() != nil || !w.onIdle() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || w.ctx.Err() != nil {
+			return n, err
+		}
+		if timeout = w.onIdle(); timeout <= 0 {
 			return n, err
 		}
 	}
@@ -41,7 +44,8 @@
 	}
 }
 
-// WatchIdle calls onIdle each time that a read of the body has waited for the timeout. The read fails if onIdle returns false.
-func (r *Response) WatchIdle(ctx context.Context, timeout time.Duration, onIdle func() bool) {
+// WatchIdle calls onIdle when a read of the body has waited for the timeout. OnIdle returns how long the read waits before the
+// next call; if it returns zero, the read fails.
+func (r *Response) WatchIdle(ctx context.Context, timeout time.Duration, onIdle func() time.Duration) {
 	r.conn.watch.ctx, r.conn.watch.timeout, r.conn.watch.onIdle = ctx, timeout, onIdle
 }
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -23,6 +23,10 @@
 	saving bool
 	// resp is nil until the head of the response has arrived.
 	resp *link.Response
+	// events reads the events of a stream; nil before the first one is read.
+	events *eventReader
+	// first is the first event if it has been read before the call replaced another one.
+	first *event
 	// cancel, if set, releases the context of a call that replaced another one.
 	cancel context.CancelFunc
 }
@@ -107,71 +111,3 @@
 	}
 	return r, nil
 }
-
-// replaceTimeout is how long another upstream may take to accept the stream of a silent one. Both may work on it meanwhile; the
-// site allows that for 400 ms.
-const replaceTimeout = 250 * time.Millisecond
-
-// replaceSilent sends the request of a silent upstream to another one. Unless that one accepts it, the silent upstream keeps the
-// request, since it may only have paused, and the result is nil.
-func (x *exchange) replaceSilent(ctx context.Context, silent *call) *call {
-	x.Fleet.IdleTimedOut(time.Now(), silent.choice.ID)
-	x.Pool.CloseIdle(silent.choice.Address)
-	next, err := x.openReplacement(ctx)
-	replacement := ""
-	if next != nil {
-		replacement = next.choice.ID
-	} else {
-		x.lastChoice = silent.choice
-	}
-	x.Log.Info("route: upstream is silent", "id", x.info.ID, "upstream", silent.choice.ID, "replacement", replacement,
-		"error", errorText(err), "sends", x.counts.Sends, "ran", x.counts.Ran, "left_ms", x.remaining().Milliseconds())
-	return next
-}
-
-var (
-	errNoAttempt  = errors.New("the request may not be sent again")
-	errNoRetry    = errors.New("no retry is left")
-	errNotStarted = errors.New("the other upstream did not start a stream")
-)
-
-// openReplacement sends the request to other upstreams until one begins a stream or may have run the request, for at most
-// replaceTimeout.
-func (x *exchange) openReplacement(ctx context.Context) (*call, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(replaceTimeout, cancel)
-	next, r, err := x.openNext(ctx)
-	for (r == unsent || r == notRun) && ctx.Err() == nil {
-		next, r, err = x.openNext(ctx)
-	}
-	if next == nil {
-		cancel()
-		return nil, err
-	}
-	next.cancel = cancel
-	if timer.Stop() && next.isStream(r, x.route) {
-		return next, nil
-	}
-	next.resp.Abort()
-	x.end(next)
-	if r == failed {
-		x.Fleet.ReturnedError(time.Now(), next.choice.ID)
-	}
-	return nil, errNotStarted
-}
-
-// openNext sends the request to the upstream that is chosen next. The result is "" if nothing was sent.
-func (x *exchange) openNext(ctx context.Context) (*call, result, error) {
-	now := time.Now()
-	if !x.counts.canSend(x.deadline.Sub(now)) || x.counts.Ran >= x.route.Attempts {
-		return nil, "", errNoAttempt
-	}
-	choice, ok := x.place(now)
-	if !ok {
-		return nil, "", errNoUpstream
-	}
-	if !x.spendRetry(now) {
-		return nil, "", errNoRetry
-	}
-	return x.open(ctx, choice)
-}
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -33,34 +33,28 @@
 
 // relayEvents forwards complete events of one call as they arrive. It returns the call that replaces it, if any.
 func (x *exchange) relayEvents(ctx context.Context, c *call) (*call, result, error) {
-	events := newEventReader(c.resp.Body, x.Memory)
-	defer events.release()
-	var replacement *call
-	if timeout := x.idleTimeout(); timeout > 0 {
-		c.resp.WatchIdle(ctx, timeout, func() bool {
-			replacement = x.replaceSilent(ctx, c)
-			return replacement == nil
-		})
+	if c.events == nil {
+		c.events = newEventReader(c.resp.Body, x.Memory)
+	}
+	defer c.events.release()
+	other := &standby{x: x, ctx: ctx, silent: c, timeout: x.idleTimeout()}
+	defer other.stop()
+	if other.timeout > 0 {
+		c.resp.WatchIdle(ctx, other.timeout, other.onIdle)
 	}
 	first := true
 	for {
-		ev, rest, err := events.next()
-		if replacement != nil {
+		ev, rest, err := c.next()
+		if other.replacement != nil {
 			c.resp.Abort()
-			return replacement, broken, nil
+			return other.replacement, broken, nil
 		}
-		if errors.Is(err, io.EOF) {
-			switch {
-			case len(rest) > 0:
-				err = errUnfinished
-			case first && !c.resp.Delimited():
-				err = errNoEvent
-			default:
+		other.stop()
+		if err != nil {
+			if err = c.streamError(err, rest, first); err == nil {
 				r, err := x.finishStream(c)
 				return nil, r, err
 			}
-		}
-		if err != nil {
 			c.resp.Abort()
 			x.recordBroken(ctx, c, err)
 			return nil, broken, err
@@ -86,6 +80,30 @@
 	}
 }
 
+// next returns the next event of a stream.
+func (c *call) next() (ev event, rest []byte, err error) {
+	if c.first != nil {
+		ev, c.first = *c.first, nil
+		return ev, nil, nil
+	}
+	return c.events.next()
+}
+
+// streamError returns why a stream that ended with err is not complete, or nil if it is. Rest is what followed the last event,
+// first reports whether there was none.
+func (c *call) streamError(err error, rest []byte, first bool) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case len(rest) > 0:
+		return errUnfinished
+	case first && !c.resp.Delimited():
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 // writeEvent writes and flushes an event; it reports whether that succeeded.
 func (x *exchange) writeEvent(raw []byte) bool {
 	if _, err := x.w.Write(raw); err != nil {
--- a/internal/route/fleet/events.go
+++ b/internal/route/fleet/events.go
@@ -60,7 +60,7 @@
 	})
 }
 
-// IdleTimedOut records that a request was aborted because the upstream sent no data, and ejects the upstream.
+// IdleTimedOut records that an upstream sent no data within a stream's idle timeout, and ejects the upstream.
 func (f *Fleet) IdleTimedOut(now time.Time, id string) {
 	f.update(id, func(u *upstream) {
 		u.recent.addUnanswered(now)
