Count streams of disconnected callers as ended

Since a stream whose caller disconnected, so that writing an event failed, stayed in the number of running requests of its upstream for good: the handler panics there and the count was not deferred. Placement, the loads told to other instances and the rollout of weights use that number.

TestStreamsOfDisconnectedCallersAreNotCountedAsRunning: 3 running after three such streams before, 0 now.

--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -118,3 +120,26 @@
 	reply := r.send(t, newPromptCall(fake.BriefPath+"1"))
 	must.Eq(t, http.StatusBadGateway, reply.Status)
 }
+
+// brokenWriter is a response that the caller does not read.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// Streams whose callers disconnected counted as running at their upstream for good.
+func TestStreamsOfDisconnectedCallersAreNotCountedAsRunning(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	for range 3 {
+		req := httptest.NewRequest(http.MethodPost, fake.QuotePath+"1", nil)
+		req.Host = fake.Host
+		req.Header.Set(fake.HeaderID, newCall(http.MethodPost, "").ID)
+		req.Header.Set("Authorization", "Token "+fake.Key)
+		req.Header.Set("X-Model", fake.Model)
+		req.Header.Set("X-Token-Usage", "1000,10")
+		func() {
+			defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
+			r.handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, req)
+		}()
+	}
+	must.Eq(t, 0, r.fleet.Loads(time.Now())[s.Engines[0].ID].Running)
+}
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -21,12 +21,14 @@
 // relayStream forwards the events of a call, and of those that replace it while its upstream is silent. If the last stream ends
 // early, the result is broken and another upstream may resume it after the last forwarded event.
 func (x *exchange) relayStream(ctx context.Context, c *call) (result, error) {
+	// Deferred, because relayEvents panics when the caller disconnects.
+	defer func() { x.end(c) }()
 	for {
 		next, r, err := x.relayEvents(ctx, c)
-		x.end(c)
 		if next == nil {
 			return r, err
 		}
+		x.end(c)
 		c = next
 	}
 }
