Do not count an empty resumption as a crash of the request

A stream that is resumed after its last event may have none left. If its response has neither a length nor chunks, it cannot be told from one that broke off, and stays 502; but it also counted as a crash of its request, so that the fourth such caller was refused.

TestEmptyResumptionIsNoCrash failed before (503 for the fourth call) and passes now.

--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -12,6 +12,9 @@
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
+// maxCrashes is the number of crashes from which a request is refused.
+const maxCrashes = 3
+
 // startPausedSite starts a site whose first engine pauses each stream after two events. New requests go to that engine; the
 // others have the given faults.
 func startPausedSite(t *testing.T, engines int, pause time.Duration, others fake.Faults, change func(*Settings)) (*fake.Site, *router) {
@@ -121,6 +124,17 @@
 	must.Eq(t, http.StatusBadGateway, reply.Status)
 }
 
+// Callers that resumed a stream without further events were refused after three times, as if their request crashed upstreams.
+func TestEmptyResumptionIsNoCrash(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	s.Engines[0].SetFaults(fake.Faults{NoLength: true, NoEvents: true})
+	for range maxCrashes + 1 {
+		c := newPromptCall(fake.QuotePath + "1")
+		c.ID, c.Header = "thesameprompt", http.Header{"Last-Event-Id": {"5"}}
+		must.Eq(t, http.StatusBadGateway, r.send(t, c).Status)
+	}
+}
+
 // brokenWriter is a response that the caller does not read.
 type brokenWriter struct{ http.ResponseWriter }
 
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -227,7 +227,9 @@
 		return
 	}
 	x.Fleet.Failed(now, c.choice.ID)
-	if !errors.Is(err, bound.ErrTooLong) {
+	// An upstream may have no event left to send when it resumes a stream.
+	nothingLeft := errors.Is(err, errNoEvent) && (x.info.LastEventID != "" || x.lastEventID != "")
+	if !errors.Is(err, bound.ErrTooLong) && !nothingLeft {
 		x.CrashCounter.Crashed(now, x.fingerprint)
 	}
 	x.Pool.CloseIdle(c.choice.Address)
