Refuse requests late in a shutdown instead of closing their connections

A request that was read after http.Server.Shutdown had begun got neither an answer nor a refusal: net/http closes its connection without calling the handler. It happened from 2.3 s after SIGTERM on connections that were accepted before.

The instance now closes its listener and idle connections itself, and answers what still arrives on open connections with 503 and Retry-After.

TestFirstRequestLateInShutdownIsRefused failed before (unexpected EOF) and passes now; TestGracefulShutdown still passes.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -23,6 +22,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/meter"
+	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/front/serve"
@@ -88,6 +88,8 @@
 	closeMetrics func() error
 	socket       *net.UDPConn
 	listeners    []net.Listener
+	// openConns counts the open connections of callers.
+	openConns atomic.Int64
 	// newerDocument queues the address of an instance that has a newer routing document.
 	newerDocument chan string
 	// documentRow is the row of the routing document in force.
@@ -206,6 +208,7 @@
 		{Handler: e.handler}, {Handler: http.HandlerFunc(e.handleReady)}, {Handler: e.metricsHandler()}, {Handler: e.peerHandler()},
 	}
 	front := servers[0]
+	front.ConnState = e.countConn
 	for i, s := range servers {
 		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
 		go func() { serveErrs <- s.Serve(e.listeners[i]) }()
@@ -246,12 +249,38 @@
 	remaining := seconds(e.settings.Grace) - shutdownMargin - time.Since(started)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
 	defer cancel()
-	if err := front.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		e.log.Info("edge: server did not shut down cleanly", "error", err.Error())
-	}
+	e.closeConnections(ctx, front)
 	e.exchange.Send()
 }
 
+// connCheckInterval is the interval at which a stopping instance closes idle connections.
+const connCheckInterval = 50 * time.Millisecond
+
+// closeConnections stops listening and closes connections when they become idle, until none is left or the context ends. Requests
+// that still arrive on open connections are refused; http.Server.Shutdown would close these without an answer.
+func (e *Edge) closeConnections(ctx context.Context, front *http.Server) {
+	e.handler.Closed.Store(true)
+	// The listener is not used again, so an error does not matter.
+	_ = e.listeners[0].Close()
+	for e.openConns.Load() > 0 {
+		front.SetKeepAlivesEnabled(false)
+		if sleep.For(ctx, connCheckInterval) != nil {
+			e.log.Info("edge: connections are still open", "open", e.openConns.Load(), "requests", e.handler.OpenRequests.Load())
+			return
+		}
+	}
+}
+
+// countConn counts the open connections of callers.
+func (e *Edge) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		e.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		e.openConns.Add(-1)
+	}
+}
+
 // handleReady responds to the readiness polls of the load balancer.
 func (e *Edge) handleReady(w http.ResponseWriter, _ *http.Request) {
 	now := clock.SinceBoot()
--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -465,6 +465,29 @@
 	r.done = nil
 }
 
+// A request that was the first on its connection was read and closed without an answer late in a shutdown.
+func TestFirstRequestLateInShutdownIsRefused(t *testing.T) {
+	s := newSite(t, 1, 1)
+	cfg := testSettings(t, s)
+	cfg.Grace = 4
+	r := startRouter(t, cfg)
+	eventually(t, "ready", r.isReady)
+	r.stop()
+	time.Sleep(1800 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := fake.Dial(ctx, r.settings.Listen)
+	must.NoError(t, err)
+	defer conn.Close()
+	time.Sleep(600 * time.Millisecond)
+	reply, _, open, err := conn.Send(ctx, newCall(http.MethodPost, fake.BookPath+"1"))
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+	must.Positive(t, reply.RetryAfter)
+	must.False(t, open)
+	must.SliceEmpty(t, s.Jobs[0].Runs())
+}
+
 func TestOneInstanceReadsTheStoreForAll(t *testing.T) {
 	s := newSite(t, 1, 1)
 	var routers []*router
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -34,6 +34,8 @@
 	// retryAfterNotCurrent is the Retry-After while this instance's document is missing or outdated. Other instances may
 	// serve the request.
 	retryAfterNotCurrent = 500 * time.Millisecond
+	// retryAfterDraining is the Retry-After while this instance stops. Other instances serve the request at once.
+	retryAfterDraining = 100 * time.Millisecond
 	// freshAge is the document age up to which an unknown route or key is reported as unknown. The site allows 2 s or more
 	// until a new document is in force.
 	freshAge = 1800 * time.Millisecond
@@ -77,8 +79,9 @@
 	Metrics tallies.Scope
 	// Boot returns the time since boot, including suspension.
 	Boot func() time.Duration
-	// Draining reports whether the instance is about to stop.
+	// Draining reports whether the instance is about to stop, Closed whether it accepts no more requests.
 	Draining atomic.Bool
+	Closed   atomic.Bool
 	// Memory is the memory for responses that are buffered.
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
@@ -152,6 +155,9 @@
 	if x.info, err = x.Dialect.ParseRequest(x.r); err != nil {
 		return fault.New(fault.BadRequest, "%s", err)
 	}
+	if x.Closed.Load() {
+		return fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance is about to stop")
+	}
 	if x.doc == nil {
 		return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "this instance has no routing document yet")
 	}
