Log what a broken request had in its prompt and whether its upstream has ended

The logs of the incident do not say which parts the requests had that broke off with an engine, how long after the head, and whether the engine refused connections afterwards, so that they cannot tell the hypotheses apart.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,6 +26,8 @@
 	// dialTimeout limits connection setup. Zones are a few milliseconds apart. A lost SYN costs a second, so trying
 	// another upstream is faster.
 	dialTimeout = 400 * time.Millisecond
+	// refuseTimeout limits the check whether an upstream refuses connections.
+	refuseTimeout = 100 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	unackedTimeout = 1500 * time.Millisecond
 	// defaultIdleTimeout applies if the upstream sends no Keep-Alive timeout.
@@ -254,6 +257,19 @@
 	return defaultIdleTimeout
 }
 
+// Refuses reports whether an upstream refuses new connections, which shows that its process has ended. The connection, if any, is
+// closed at once.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: refuseTimeout, KeepAlive: -1}
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.onOpen()
+	_ = c.Close()
+	return false
+}
+
 func (p *Pool) acquire(ctx context.Context, now time.Time, r Request) (*conn, bool, error) {
 	for {
 		c := p.popIdle(now, r)
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -21,8 +21,9 @@
 	pendingTokens int64
 	// saving reports whether the upstream was asked to save the prefix to the KV store.
 	saving bool
-	// resp is nil until the head of the response has arrived.
-	resp *link.Response
+	// resp is nil until the head of the response has arrived, at headAt.
+	resp   *link.Response
+	headAt time.Time
 	// events reads the events of a stream; nil before the first one is read.
 	events *eventReader
 	// first is the first event if it has been read before the call replaced another one.
@@ -86,7 +87,7 @@
 		x.recordBroken(ctx, c, err)
 		return broken, err
 	}
-	c.resp = resp
+	c.resp, c.headAt = resp, time.Now()
 	verdict := x.Dialect.ParseResponse(resp.Header)
 	x.recordNotices(choice, resp.Status, verdict)
 	r := classify(resp.Status, verdict)
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -227,6 +227,7 @@
 		return
 	}
 	x.Fleet.Failed(now, c.choice.ID)
+	x.logCrash(ctx, now, c)
 	// An upstream may have no event left to send when it resumes a stream.
 	nothingLeft := errors.Is(err, errNoEvent) && (x.info.LastEventID != "" || x.lastEventID != "")
 	if !errors.Is(err, bound.ErrTooLong) && !nothingLeft {
