Refuse prompts with a part that crashes upstreams

Crashes were counted by a fingerprint of the whole request, so that no count passed one. Class of fault: evidence is kept under a key that is more specific than the cause.

Each shared part of a prompt is now tracked. A part is suspected when an upstream ends, which shows by refused connections, while a request with it runs for at most 2 s, and cleared when a request with it survives. Requests with a part are refused, with 503 and Retry-After, once it has three such crashes without a survival in between, each of a request that was sent after the crash before: an outage of many upstreams thus counts once, and popular parts, which share each crash with the one that causes it, are cleared by their other requests. Instances report all that they know, so that one that has just started knows it too, and they judge after 700 ms, when survivals have been reported. After 10 minutes the part is tried again.

The unit tests fail without the rule on simultaneous crashes, without survivals, without the delay, and if a survival does not lift the refusal.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -79,6 +79,7 @@
 	quota        *quota.Limiter
 	budget       *budget.Budget
 	crashes      *fatal.Tracker
+	parts        *fatal.PartTracker
 	holders      *holder.Tracker
 	handler      *serve.Handler
 	exchange     *gossip.Exchange
@@ -115,7 +116,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	e := &Edge{
 		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
-		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(),
+		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
 		holders: holder.NewTracker(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
 		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
@@ -132,10 +133,11 @@
 			SupersededLimit: millis(s.Weights) - weightsMargin,
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
-		Holders: e.holders, CrashCounter: e.crashes, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
+		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor),
 	}
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
+	e.handler.ReportCrash = func() { e.exchange.TriggerSend() }
 	e.rollout = newRollout(e)
 	if err := e.listen(); err != nil {
 		return nil, err
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -18,6 +18,7 @@
 	m.Rates = e.quota.Report(boot)
 	m.Loads = e.fleet.Loads(now)
 	m.Crashes = e.crashes.Report(now)
+	m.Parts = e.parts.Report(now)
 	m.Uses = e.holders.Report(now, e.exchange.Interval())
 	m.Leaving = e.handler.Draining.Load() && e.handler.OpenRequests.Load() == 0
 	m.Following = e.following.Load() || !e.ranks.ShouldFollow(now)
@@ -52,6 +53,7 @@
 	}
 	e.fleet.SetPeerLoads(now, m.Address, m.Loads)
 	e.crashes.Merge(now, m.Address, m.Crashes)
+	e.parts.Merge(now, m.Parts)
 	e.holders.Merge(now, m.Uses)
 	e.budget.SetInstances(e.exchange.Count())
 	for _, a := range m.Announcements {
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -2,24 +2,93 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"errors"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
-// maxLoggedParts limits the prompt parts in a log line.
-const maxLoggedParts = 8
+// crashSuspectTime is the time from the head of a response in which its request may be the cause of a crash. A request whose
+// upstream runs for longer has survived.
+const crashSuspectTime = 2 * time.Second
+
+// PartTracker finds prompt parts that crash upstreams.
+type PartTracker interface {
+	// Blocked reports whether requests with one of the parts are refused, and returns the number of crashes.
+	Blocked(now time.Time, parts []uint64) (crashes int, blocked bool)
+	// Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
+	Crashed(now time.Time, parts []uint64, upstream uint64, sent time.Time)
+	// Survived records that an upstream outlived a request with the parts.
+	Survived(now time.Time, parts []uint64)
+}
 
-// logCrash logs a request whose upstream broke it off.
-func (x *exchange) logCrash(ctx context.Context, now time.Time, c *call) {
-	sinceHead := int64(-1)
+// partHashes returns the identities of the prompt's shared parts.
+func (r *RequestInfo) partHashes() []uint64 {
+	shared := r.SharedParts()
+	hashes := make([]uint64, len(shared))
+	for i, p := range shared {
+		hashes[i] = xxhash.Sum64String(p.ID)
+	}
+	return hashes
+}
+
+// recordCrash counts a request that was broken off against the request and, if the upstream has ended, against its prompt parts.
+func (x *exchange) recordCrash(ctx context.Context, now time.Time, c *call, err error) {
+	// An upstream may have no event left to send when it resumes a stream.
+	nothingLeft := errors.Is(err, errNoEvent) && (x.info.LastEventID != "" || x.lastEventID != "")
+	if errors.Is(err, bound.ErrTooLong) || nothingLeft {
+		return
+	}
+	x.CrashCounter.Crashed(now, x.fingerprint)
+	sinceHead := time.Duration(0)
 	if !c.headAt.IsZero() {
-		sinceHead = now.Sub(c.headAt).Milliseconds()
+		sinceHead = now.Sub(c.headAt)
+	}
+	if len(x.parts) == 0 || sinceHead > crashSuspectTime || !x.Pool.Refuses(ctx, c.choice.Address) {
+		return
+	}
+	x.Parts.Crashed(now, x.parts, upstreamHash(c.choice.ID, c.choice.Born), c.sentAt)
+	x.Log.Info("crash: upstream ended while running a request", "id", x.info.ID, "upstream", c.choice.ID, "parts", x.loggedParts(),
+		"since_head_ms", sinceHead.Milliseconds(), "head", c.resp != nil)
+	x.ReportCrash()
+}
+
+// upstreamHash identifies an incarnation of an upstream.
+func upstreamHash(id string, born int64) uint64 {
+	d := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = d.WriteString(id)
+	_, _ = d.Write(binary.LittleEndian.AppendUint64(nil, uint64(born)))
+	return d.Sum64()
+}
+
+// partsBlocked returns the number of upstreams that a part of the prompt has crashed, if requests with it are refused.
+func (x *exchange) partsBlocked(now time.Time) (crashes int, blocked bool) {
+	if len(x.parts) == 0 {
+		return 0, false
+	}
+	return x.Parts.Blocked(now, x.parts)
+}
+
+// recordSurvival records that an upstream has outlived the request.
+func (x *exchange) recordSurvival(now time.Time) {
+	if len(x.parts) > 0 && !x.survived {
+		x.survived = true
+		x.Parts.Survived(now, x.parts)
 	}
-	parts := make([]string, 0, maxLoggedParts)
-	for _, p := range x.info.SharedParts() {
-		if len(parts) < maxLoggedParts {
-			parts = append(parts, p.ID)
-		}
+}
+
+// maxLoggedParts limits the prompt parts in a log line.
+const maxLoggedParts = 8
+
+func (x *exchange) loggedParts() []string {
+	shared := x.info.SharedParts()
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range shared[:min(len(shared), maxLoggedParts)] {
+		ids = append(ids, p.ID)
 	}
-	x.Log.Info("crash: upstream broke off a request", "id", x.info.ID, "upstream", c.choice.ID, "parts", parts, "since_head_ms", sinceHead,
-		"events", x.lastEventID, "refuses", x.Pool.Refuses(ctx, c.choice.Address))
+	return ids
 }
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -72,6 +71,9 @@
 		return fail
 	}
 	now := time.Now()
+	if _, blocked := x.partsBlocked(now); blocked && r != answered && r != failed {
+		return fail
+	}
 	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool { return x.spendRetry(now) })
 }
 
@@ -227,12 +229,7 @@
 		return
 	}
 	x.Fleet.Failed(now, c.choice.ID)
-	x.logCrash(ctx, now, c)
-	// An upstream may have no event left to send when it resumes a stream.
-	nothingLeft := errors.Is(err, errNoEvent) && (x.info.LastEventID != "" || x.lastEventID != "")
-	if !errors.Is(err, bound.ErrTooLong) && !nothingLeft {
-		x.CrashCounter.Crashed(now, x.fingerprint)
-	}
+	x.recordCrash(ctx, now, c, err)
 	x.Pool.CloseIdle(c.choice.Address)
 }
 
@@ -261,6 +258,7 @@
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
+	x.recordSurvival(time.Now())
 	x.respond(resp.Status, resp.Header, body, answered)
 	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -70,7 +70,10 @@
 	Budget       *budget.Budget
 	Holders      *holder.Tracker
 	CrashCounter CrashCounter
-	Costs        place.Costs
+	Parts        PartTracker
+	// ReportCrash makes the instance report a crash to the others at once.
+	ReportCrash func()
+	Costs       place.Costs
 	// PrefillRate measures the rate of prompt tokens that this instance sends to engines.
 	PrefillRate place.PrefillRate
 	// Peers returns how many other instances place prompts, and how long the report of a placement takes to reach them.
@@ -107,6 +110,9 @@
 	// docAge is the time since the document was last confirmed.
 	docAge      time.Duration
 	fingerprint uint64
+	// parts identifies the prompt's shared parts. survived reports whether an upstream has outlived the request.
+	parts    []uint64
+	survived bool
 	// units is the quota charged for the request.
 	units  float64
 	counts sendCounts
@@ -187,11 +193,18 @@
 	x.deadline = x.started.Add(x.timeout())
 	x.fingerprint = x.requestHash()
 	if crashes := x.CrashCounter.Count(x.started, x.fingerprint); crashes >= maxCrashes {
-		return fault.NewRetryAfter(fault.NoUpstream, 5*time.Second, "%d upstreams died of this request", crashes)
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams died of this request", crashes)
+	}
+	x.parts = x.info.partHashes()
+	if crashes, blocked := x.partsBlocked(x.started); blocked {
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams crashed while running requests with a part of the prompt", crashes)
 	}
 	return x.chargeQuota(boot)
 }
 
+// retryAfterCrashes is the Retry-After of requests that crash upstreams.
+const retryAfterCrashes = 5 * time.Second
+
 // maxCrashes is the number of upstreams that may crash while running a request before it is rejected.
 const maxCrashes = 3
 
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -91,6 +91,9 @@
 	if !x.counts.canSend(x.deadline.Sub(now)) || x.counts.Ran >= x.route.Attempts {
 		return errNoAttempt
 	}
+	if _, blocked := x.partsBlocked(now); blocked {
+		return errNoAttempt
+	}
 	choice, ok := x.place(now)
 	if !ok {
 		return errNoUpstream
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -69,6 +69,9 @@
 			x.sendHead(c.resp)
 			x.recordHolders(time.Now(), c)
 		}
+		if now := time.Now(); now.Sub(c.headAt) > crashSuspectTime {
+			x.recordSurvival(now)
+		}
 		if !x.isNewEvent(ev.id) {
 			continue
 		}
@@ -142,6 +145,7 @@
 	x.sendHead(c.resp)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
+	x.recordSurvival(time.Now())
 	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
 	return answered, nil
 }
--- /dev/null
+++ b/internal/once/fatal/parts.go
@@ -0,0 +1,285 @@
+package fatal
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// minPartCrashes is the number of crashes from which requests with a part are refused. Two may have a rare part in common
+	// by chance.
+	minPartCrashes = 3
+	// settleTime is the age of the first of these crashes from which they are judged. Until then, other instances may not have
+	// reported that requests with the part survive.
+	settleTime = 700 * time.Millisecond
+	// blockTTL is how long requests with a part are refused. After that, one crash is enough to refuse them again.
+	blockTTL = 10 * time.Minute
+	// partTTL is how long the last crash of a part is kept.
+	partTTL = 2 * blockTTL
+	// clearedReportTTL is how long a part whose requests survive is reported after its last crash.
+	clearedReportTTL = 5 * time.Second
+	// maxParts limits the parts that are tracked, maxPartReports those in one message.
+	maxParts       = 4096
+	maxPartReports = 48
+	// maxPartCrashes limits the crashes that are kept of one part.
+	maxPartCrashes = 8
+)
+
+// partCrash is the end of an upstream while it ran a request with a part.
+type partCrash struct {
+	// upstream identifies the upstream's incarnation.
+	upstream uint64
+	// sent is when the request was sent.
+	sent time.Time
+	at   time.Time
+}
+
+// part holds what is known of requests with one prompt part.
+type part struct {
+	// crashes are in order of time, with one entry an upstream.
+	crashes []partCrash
+	// survived is when an upstream last outlived a request with the part.
+	survived time.Time
+	// blockedAt is when requests with the part began to be refused; zero while they are not.
+	blockedAt time.Time
+}
+
+// count returns the number of crashes since a request last survived, and the time of the first one. Of crashes that hit requests
+// at the same time only one counts, so that an outage of many upstreams does not count for the parts that were in use. A later
+// request must have been sent after the crash before.
+func (p *part) count() (n int, first time.Time) {
+	var last time.Time
+	for _, c := range p.crashes {
+		if !c.at.After(p.survived) || n > 0 && !c.sent.After(last) {
+			continue
+		}
+		if n == 0 {
+			first = c.at
+		}
+		n, last = n+1, c.at
+	}
+	return n, first
+}
+
+// update sets blockedAt as of now.
+func (p *part) update(now time.Time) {
+	n, first := p.count()
+	switch {
+	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
+		p.blockedAt = time.Time{}
+	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
+		p.blockedAt = time.Time{}
+		p.crashes = p.crashes[max(0, len(p.crashes)-minPartCrashes+1):]
+	case p.blockedAt.IsZero() && n >= minPartCrashes && now.Sub(first) >= settleTime:
+		p.blockedAt = now
+	}
+}
+
+// add adds a crash, unless one of the same upstream is known.
+func (p *part) add(c partCrash) {
+	if slices.ContainsFunc(p.crashes, func(o partCrash) bool { return o.upstream == c.upstream }) {
+		return
+	}
+	p.crashes = append(p.crashes, c)
+	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
+	if len(p.crashes) > maxPartCrashes {
+		p.crashes = p.crashes[1:]
+	}
+}
+
+// lastCrash returns the time of the latest crash.
+func (p *part) lastCrash() time.Time {
+	if len(p.crashes) == 0 {
+		return time.Time{}
+	}
+	return p.crashes[len(p.crashes)-1].at
+}
+
+// PartTracker finds the prompt parts that crash the upstreams that run them, whatever else a request holds. A part is suspected
+// when upstreams end soon after they have begun requests with it, and cleared when a request with it survives. It is safe for
+// concurrent use.
+type PartTracker struct {
+	mu    sync.Mutex
+	parts map[uint64]*part
+}
+
+// NewPartTracker returns an empty PartTracker.
+func NewPartTracker() *PartTracker { return &PartTracker{parts: make(map[uint64]*part)} }
+
+// Blocked reports whether requests with one of the parts are refused, and returns the number of crashes.
+func (tr *PartTracker) Blocked(now time.Time, parts []uint64) (crashes int, blocked bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, id := range parts {
+		p, ok := tr.parts[id]
+		if !ok {
+			continue
+		}
+		if p.update(now); !p.blockedAt.IsZero() {
+			return len(p.crashes), true
+		}
+	}
+	return 0, false
+}
+
+// Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
+func (tr *PartTracker) Crashed(now time.Time, parts []uint64, upstream uint64, sent time.Time) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, id := range parts {
+		if p := tr.getOrCreate(now, id); p != nil {
+			p.add(partCrash{upstream, sent, now})
+		}
+	}
+}
+
+// Survived records that an upstream outlived a request with the parts.
+func (tr *PartTracker) Survived(now time.Time, parts []uint64) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, id := range parts {
+		if p, ok := tr.parts[id]; ok {
+			p.survived = now
+		}
+	}
+}
+
+func (tr *PartTracker) getOrCreate(now time.Time, id uint64) *part {
+	if p, ok := tr.parts[id]; ok {
+		return p
+	}
+	if len(tr.parts) >= maxParts {
+		tr.removeExpired(now)
+	}
+	if len(tr.parts) >= maxParts {
+		return nil
+	}
+	p := &part{}
+	tr.parts[id] = p
+	return p
+}
+
+func (tr *PartTracker) removeExpired(now time.Time) {
+	for id, p := range tr.parts {
+		if p.update(now); !p.blockedAt.IsZero() {
+			continue
+		}
+		ttl := partTTL
+		if n, _ := p.count(); n == 0 {
+			ttl = clearedReportTTL
+		}
+		if now.Sub(p.lastCrash()) > ttl {
+			delete(tr.parts, id)
+		}
+	}
+}
+
+// PartReport is what an instance knows of one prompt part. Ages are in milliseconds.
+type PartReport struct {
+	// Part is the hexadecimal identity of the part.
+	Part    string        `json:"p"`
+	Crashes []CrashReport `json:"c,omitempty"`
+	// Survived is the time since a request with the part last survived, plus one; zero if none did.
+	Survived int64 `json:"s,omitempty"`
+	// Blocked is the time since requests with the part began to be refused, plus one; zero if they are not.
+	Blocked int64 `json:"b,omitempty"`
+}
+
+// CrashReport is one crash in a PartReport.
+type CrashReport struct {
+	// Upstream is the hexadecimal identity of the upstream's incarnation.
+	Upstream string `json:"u"`
+	Sent     int64  `json:"s"`
+	Age      int64  `json:"a"`
+}
+
+// Report returns what this instance knows, from its own requests and from other instances: refused parts first, then those with
+// the latest crashes.
+func (tr *PartTracker) Report(now time.Time) []PartReport {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.removeExpired(now)
+	ids := make([]uint64, 0, len(tr.parts))
+	for id := range tr.parts {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b uint64) int {
+		return cmp.Or(compareBlocked(tr.parts[a], tr.parts[b]), tr.parts[b].lastCrash().Compare(tr.parts[a].lastCrash()), cmp.Compare(a, b))
+	})
+	var reports []PartReport
+	for _, id := range ids[:min(len(ids), maxPartReports)] {
+		reports = append(reports, tr.parts[id].report(now, id))
+	}
+	return reports
+}
+
+// compareBlocked orders refused parts before others.
+func compareBlocked(a, b *part) int {
+	switch {
+	case a.blockedAt.IsZero() == b.blockedAt.IsZero():
+		return 0
+	case b.blockedAt.IsZero():
+		return -1
+	default:
+		return 1
+	}
+}
+
+func (p *part) report(now time.Time, id uint64) PartReport {
+	r := PartReport{Part: strconv.FormatUint(id, 16), Survived: ageOf(now, p.survived), Blocked: ageOf(now, p.blockedAt)}
+	for _, c := range p.crashes {
+		r.Crashes = append(r.Crashes, CrashReport{strconv.FormatUint(c.upstream, 16), now.Sub(c.sent).Milliseconds(), now.Sub(c.at).Milliseconds()})
+	}
+	return r
+}
+
+// ageOf returns the age of a time in milliseconds plus one, or zero for no time.
+func ageOf(now, at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(at).Milliseconds()) + 1
+}
+
+// timeOf is the inverse of ageOf.
+func timeOf(now time.Time, age int64) time.Time {
+	if age <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(age-1) * time.Millisecond)
+}
+
+// Merge records what another instance reported.
+func (tr *PartTracker) Merge(now time.Time, reports []PartReport) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, r := range reports {
+		id, err := strconv.ParseUint(r.Part, 16, 64)
+		if err != nil {
+			continue
+		}
+		if p := tr.getOrCreate(now, id); p != nil {
+			p.merge(now, r)
+		}
+	}
+}
+
+func (p *part) merge(now time.Time, r PartReport) {
+	for _, c := range r.Crashes {
+		upstream, err := strconv.ParseUint(c.Upstream, 16, 64)
+		if err != nil || c.Age < 0 || c.Sent < c.Age || c.Sent > partTTL.Milliseconds() {
+			continue
+		}
+		p.add(partCrash{upstream, now.Add(-time.Duration(c.Sent) * time.Millisecond), now.Add(-time.Duration(c.Age) * time.Millisecond)})
+	}
+	if survived := timeOf(now, r.Survived); survived.After(p.survived) {
+		p.survived = survived
+	}
+	if blocked := timeOf(now, r.Blocked); blocked.After(p.survived) && p.blockedAt.IsZero() && now.Sub(blocked) <= blockTTL {
+		p.blockedAt = blocked
+	}
+	p.update(now)
+}
--- /dev/null
+++ b/internal/once/fatal/parts_test.go
@@ -0,0 +1,172 @@
+package fatal
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+const (
+	deadPart  = uint64(1)
+	soundPart = uint64(2)
+)
+
+// crashSome makes n upstreams crash one after the other, a second apart, under requests with a part.
+func crashSome(tr *PartTracker, at time.Time, id uint64, n int) time.Time {
+	for i := range n {
+		at = at.Add(time.Second)
+		tr.Crashed(at, []uint64{id}, uint64(at.UnixNano())+uint64(i), at.Add(-100*time.Millisecond))
+	}
+	return at
+}
+
+func isBlocked(tr *PartTracker, now time.Time, id uint64) bool {
+	_, blocked := tr.Blocked(now, []uint64{id})
+	return blocked
+}
+
+func TestPartIsBlockedAfterSeveralCrashes(t *testing.T) {
+	tr := NewPartTracker()
+	at := crashSome(tr, start, deadPart, minPartCrashes-1)
+	must.False(t, isBlocked(tr, at, deadPart))
+	at = crashSome(tr, at, deadPart, 1)
+	must.True(t, isBlocked(tr, at, deadPart))
+	must.False(t, isBlocked(tr, at, soundPart))
+	crashes, _ := tr.Blocked(at, []uint64{soundPart, deadPart})
+	must.Eq(t, minPartCrashes, crashes)
+}
+
+// Upstreams that end at the same moment ran requests with all popular parts.
+func TestOutageOfManyUpstreamsBlocksNoPart(t *testing.T) {
+	tr := NewPartTracker()
+	for i := range uint64(20) {
+		tr.Crashed(start.Add(time.Duration(i)*50*time.Millisecond), []uint64{soundPart}, i, start.Add(-time.Second))
+	}
+	must.False(t, isBlocked(tr, start.Add(time.Minute), soundPart))
+}
+
+func TestPartIsJudgedOnceOthersHaveReported(t *testing.T) {
+	tr := NewPartTracker()
+	for i := range time.Duration(minPartCrashes) {
+		tr.Crashed(start.Add(i*100*time.Millisecond), []uint64{deadPart}, uint64(i), start.Add(i*100*time.Millisecond-time.Millisecond))
+	}
+	must.False(t, isBlocked(tr, start.Add(settleTime-time.Millisecond), deadPart))
+	must.True(t, isBlocked(tr, start.Add(settleTime), deadPart))
+}
+
+func TestSurvivalClearsAPart(t *testing.T) {
+	tr := NewPartTracker()
+	at := crashSome(tr, start, soundPart, minPartCrashes-1)
+	tr.Survived(at, []uint64{soundPart})
+	at = crashSome(tr, at, soundPart, minPartCrashes-1)
+	must.False(t, isBlocked(tr, at, soundPart))
+	at = crashSome(tr, at, soundPart, 1)
+	must.True(t, isBlocked(tr, at, soundPart))
+	tr.Survived(at.Add(time.Millisecond), []uint64{soundPart})
+	must.False(t, isBlocked(tr, at.Add(time.Second), soundPart))
+}
+
+// After a while requests with the part are tried again; the first crash blocks it again.
+func TestBlockIsTriedAgain(t *testing.T) {
+	tr := NewPartTracker()
+	at := crashSome(tr, start, deadPart, minPartCrashes)
+	must.True(t, isBlocked(tr, at, deadPart))
+	must.True(t, isBlocked(tr, at.Add(blockTTL), deadPart))
+	at = at.Add(blockTTL + time.Second)
+	must.False(t, isBlocked(tr, at, deadPart))
+	at = crashSome(tr, at, deadPart, 1)
+	must.True(t, isBlocked(tr, at, deadPart))
+	at = at.Add(blockTTL + time.Second)
+	must.False(t, isBlocked(tr, at, deadPart))
+	must.SliceLen(t, 1, tr.Report(at))
+	must.SliceEmpty(t, tr.Report(at.Add(partTTL)))
+}
+
+// An instance that has just started learns of all crashes, also of those that another instance saw before it restarted itself.
+func TestReportsPassOnWhatOthersReported(t *testing.T) {
+	a, b, c := NewPartTracker(), NewPartTracker(), NewPartTracker()
+	at := crashSome(a, start, deadPart, minPartCrashes-1)
+	b.Merge(at, a.Report(at))
+	at = crashSome(b, at, deadPart, 1)
+	c.Merge(at, b.Report(at))
+	c.Merge(at, a.Report(at))
+	c.Merge(at, b.Report(at))
+	must.True(t, isBlocked(c, at, deadPart))
+	n, _ := c.parts[deadPart].count()
+	must.Eq(t, minPartCrashes, n)
+	b.Survived(at.Add(time.Millisecond), []uint64{deadPart})
+	c.Merge(at.Add(time.Second), b.Report(at.Add(time.Second)))
+	must.False(t, isBlocked(c, at.Add(time.Second), deadPart))
+}
+
+func TestInvalidPartReportsAreIgnored(t *testing.T) {
+	tr := NewPartTracker()
+	tr.Merge(start, []PartReport{
+		{Part: "no number", Blocked: 1},
+		{Part: "1", Crashes: []CrashReport{{"x", 2, 1}, {"2", 1, 2}, {"3", 1, -1}, {"4", partTTL.Milliseconds() + 1, 1}}, Survived: -5, Blocked: -5},
+	})
+	must.False(t, isBlocked(tr, start, deadPart))
+	must.SliceEmpty(t, tr.parts[deadPart].crashes)
+}
+
+func TestTrackedPartsAreLimited(t *testing.T) {
+	tr := NewPartTracker()
+	for i := range uint64(maxParts + 10) {
+		tr.Crashed(start, []uint64{i}, i, start)
+	}
+	must.MapLen(t, maxParts, tr.parts)
+	at := crashSome(tr, start, deadPart, minPartCrashes)
+	reports := tr.Report(at)
+	must.SliceLen(t, maxPartReports, reports)
+	must.Eq(t, "1", reports[0].Part)
+	for i := range 20 {
+		tr.Crashed(at, []uint64{deadPart}, uint64(i)+1<<40, at)
+	}
+	must.SliceLen(t, maxPartCrashes, tr.parts[deadPart].crashes)
+}
+
+// Instances that see any part of the crashes and survivals, and hear of the rest late, refuse the part that never survives and
+// never one that survives between any two crashes.
+func TestOnlyPartsThatNeverSurviveAreBlocked(t *testing.T) {
+	const maxDelay = settleTime / 2
+	rapid.Check(t, func(t *rapid.T) {
+		trackers := make([]*PartTracker, rapid.IntRange(1, 6).Draw(t, "instances"))
+		for i := range trackers {
+			trackers[i] = NewPartTracker()
+		}
+		pick := func(what string) *PartTracker { return trackers[rapid.IntRange(0, len(trackers)-1).Draw(t, what)] }
+		exchange := func(now time.Time) {
+			for _, from := range trackers {
+				reports := from.Report(now)
+				for _, to := range trackers {
+					to.Merge(now, reports)
+				}
+			}
+		}
+		now := start
+		step := func(what string) {
+			now = now.Add(time.Duration(rapid.Int64Range(10, maxDelay.Milliseconds()).Draw(t, what)) * time.Millisecond)
+		}
+		for i := range 12 {
+			sent := now
+			step("run")
+			pick("crash").Crashed(now, []uint64{deadPart, soundPart}, uint64(i), sent)
+			step("pause")
+			exchange(now)
+			step("answer")
+			pick("survival").Survived(now, []uint64{soundPart})
+			step("report")
+			for _, tr := range trackers {
+				must.False(t, isBlocked(tr, now, soundPart), must.Sprint(fmt.Sprintf("crash %d", i)))
+			}
+			exchange(now)
+		}
+		now = now.Add(settleTime)
+		for _, tr := range trackers {
+			must.True(t, isBlocked(tr, now, deadPart))
+		}
+	})
+}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
+	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
@@ -73,6 +74,8 @@
 	Uses []holder.Use `json:"p,omitempty"`
 	// Crashes counts crashes of upstreams by the fingerprint of the request that they ran.
 	Crashes map[string]int `json:"x,omitempty"`
+	// Parts is what the sender knows, also from others, of prompt parts that crash upstreams.
+	Parts []fatal.PartReport `json:"m,omitempty"`
 }
 
 // Announcement is an announced version of a model's weights.
