Keep the blocked prompt parts in the platform's store

Instances hold the parts that crash upstreams in memory and tell each other. When all of them restart, they had to lose as many engines again. The instance of rank 0 now keeps a row for each blocked part in the store, and every instance reads them when it joins; rows of parts that are cleared or expired are removed, and written again after a restore of the store. A request that reached no upstream is refused rather than failed when one of its parts is blocked meanwhile.

TestCrashingPartIsRefusedAfterAllInstancesRestarted failed before (502, a further crash) and passes now; TestRowsOfBlockedParts covers expired, invalid, cleared and restored rows.

--- /dev/null
+++ b/internal/app/edge/blocks.go
@@ -0,0 +1,147 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
+	"github.com/skylarkquay/skylarkquay/platform"
+)
+
+const (
+	// blocksTable holds a row for each prompt part that is refused because it crashes upstreams, so that it still is after a
+	// restart of all instances. The key is the hexadecimal identity of the part.
+	blocksTable = "blocked"
+	// blocksInterval is the interval between checks whether parts have been blocked or cleared.
+	blocksInterval = 200 * time.Millisecond
+)
+
+// blockRow is the store's row of a blocked part.
+type blockRow struct {
+	// SinceMs is the store's clock, in milliseconds, when the part was blocked.
+	SinceMs int64 `json:"since"`
+}
+
+// blockKeeper keeps the blocked parts in the store, on behalf of all instances while this one has rank 0.
+type blockKeeper struct {
+	edge *Edge
+	// logged are the parts that were blocked at the last check.
+	logged map[uint64]time.Time
+	// stored are the parts that the store has rows of, in its epoch.
+	stored map[uint64]bool
+	epoch  int64
+}
+
+// loadBlocks reads the blocked parts from the store and returns the parts that it has rows of.
+func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]bool, error) {
+	rows, err := e.readTable(ctx, blocksTable)
+	if err != nil {
+		return nil, err
+	}
+	stored := make(map[uint64]bool)
+	e.storeClockOffset.Store(int64(rows.Clock - clock.SinceBoot()))
+	now := time.Now()
+	for _, row := range rows.Rows {
+		id, err := strconv.ParseUint(row.Key, 16, 64)
+		var r blockRow
+		if err == nil {
+			err = json.Unmarshal(row.Value, &r)
+		}
+		if err != nil {
+			e.log.Info("crash: cannot decode the row of a blocked prompt part", "key", row.Key, "error", err.Error())
+			continue
+		}
+		stored[id] = true
+		age := max(0, rows.Clock-time.Duration(r.SinceMs)*time.Millisecond)
+		e.parts.Block(now, id, now.Add(-age))
+	}
+	return stored, nil
+}
+
+// keepBlocks logs changes of the blocked parts and keeps them in the store until the context ends.
+func (e *Edge) keepBlocks(ctx context.Context) {
+	k := &blockKeeper{edge: e, epoch: unknownEpoch}
+	outage := storeOutage{edge: e, purpose: "blocked prompt parts"}
+	for sleep.For(ctx, blocksInterval) == nil {
+		now := time.Now()
+		blocked := e.parts.AllBlocked(now)
+		k.log(blocked)
+		if e.joined.Load() == 0 || e.ranks.Rank(now) != 0 {
+			continue
+		}
+		if err := k.write(ctx, now, blocked); err != nil {
+			outage.recordFailure(err)
+			if !waitRetry(ctx, outage.failures) {
+				return
+			}
+			continue
+		}
+		outage.recordSuccess()
+	}
+}
+
+// log logs the parts that have been blocked or cleared since the last check.
+func (k *blockKeeper) log(blocked map[uint64]time.Time) {
+	for id := range blocked {
+		if _, ok := k.logged[id]; !ok {
+			k.edge.log.Info("crash: prompt part blocked", "part", strconv.FormatUint(id, 16), "blocked", len(blocked))
+			k.edge.exchange.TriggerSend()
+		}
+	}
+	for id := range k.logged {
+		if _, ok := blocked[id]; !ok {
+			k.edge.log.Info("crash: prompt part no longer blocked", "part", strconv.FormatUint(id, 16), "blocked", len(blocked))
+		}
+	}
+	k.logged = blocked
+}
+
+// write writes the rows of parts that are blocked and removes those of parts that no longer are.
+func (k *blockKeeper) write(ctx context.Context, now time.Time, blocked map[uint64]time.Time) error {
+	if epoch, _ := k.edge.epochs.get(); epoch != k.epoch {
+		// A restored store may lack rows.
+		stored, err := k.edge.loadBlocks(ctx)
+		if err != nil {
+			return err
+		}
+		k.epoch, k.stored = epoch, stored
+	}
+	for id, since := range blocked {
+		if k.stored[id] {
+			continue
+		}
+		if err := k.put(ctx, id, now.Sub(since)); err != nil {
+			return err
+		}
+		k.stored[id] = true
+	}
+	for id := range k.stored {
+		if _, ok := blocked[id]; ok {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := k.edge.store.Delete(callCtx, platform.Row{Table: blocksTable, Key: strconv.FormatUint(id, 16)})
+		cancel()
+		if err != nil {
+			return err
+		}
+		delete(k.stored, id)
+	}
+	return nil
+}
+
+// put writes the row of a part that was blocked for a time. Other instances write the same, so the write is unconditional.
+func (k *blockKeeper) put(ctx context.Context, id uint64, age time.Duration) error {
+	since := clock.SinceBoot() + time.Duration(k.edge.storeClockOffset.Load()) - age
+	value, err := json.Marshal(blockRow{SinceMs: since.Milliseconds()})
+	if err != nil {
+		return err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = k.edge.store.Put(callCtx, platform.Row{Table: blocksTable, Key: strconv.FormatUint(id, 16), Value: value, Version: -1})
+	return err
+}
--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -116,3 +116,59 @@
 		})
 	}
 }
+
+// Instances that all restarted forgot which part crashes engines, and lost as many engines again.
+func TestCrashingPartIsRefusedAfterAllInstancesRestarted(t *testing.T) {
+	c := startCrashSite(t, 6, 2)
+	call := func() fake.Call {
+		call := newPromptCall(fake.BriefPath + "1")
+		call.Parts = [2]string{"a1", crashingPart}
+		return call
+	}
+	eventually(t, "the part is refused by both", func() bool {
+		return c.routers[0].send(t, call()).Status == http.StatusServiceUnavailable &&
+			c.routers[1].send(t, call()).Status == http.StatusServiceUnavailable
+	})
+	time.Sleep(time.Second)
+	_, before := c.lateRuns()
+	for _, r := range c.routers {
+		r.stopAndWait(t)
+	}
+	for range 2 {
+		r := startRouter(t, testSettings(t, c.Site))
+		eventually(t, "ready", r.isReady)
+		must.Eq(t, http.StatusServiceUnavailable, r.send(t, call()).Status)
+	}
+	_, after := c.lateRuns()
+	must.Eq(t, before, after)
+}
+
+// Rows of parts that are no longer blocked, and rows that cannot be decoded, leave the store or do no harm.
+func TestRowsOfBlockedParts(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.Store.Put(blocksTable, "no number", blockRow{})
+	s.Store.PutRaw(blocksTable, "1", []byte("{"))
+	s.Store.Put(blocksTable, "2", blockRow{SinceMs: -time.Hour.Milliseconds()})
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "ready", r.isReady)
+	rows := func() []string {
+		rows, err := r.readTable(context.Background(), blocksTable)
+		must.NoError(t, err)
+		var keys []string
+		for _, row := range rows.Rows {
+			keys = append(keys, row.Key)
+		}
+		return keys
+	}
+	eventually(t, "the expired row is removed", func() bool { return !slices.Contains(rows(), "2") })
+	r.parts.Block(time.Now(), 3, time.Now())
+	eventually(t, "a blocked part is written", func() bool { return slices.Contains(rows(), "3") })
+	c := s.Store.Copy()
+	r.parts.Block(time.Now(), 4, time.Now())
+	eventually(t, "another one is written", func() bool { return slices.Contains(rows(), "4") })
+	s.Store.Restore(c)
+	eventually(t, "it is written again after a restore", func() bool { return slices.Contains(rows(), "4") })
+	r.parts.Survived(time.Now(), []uint64{3})
+	eventually(t, "a cleared part is removed", func() bool { return !slices.Contains(rows(), "3") })
+	must.Eq(t, http.StatusOK, r.send(t, newPromptCall(fake.BriefPath+"1")).Status)
+}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -105,6 +105,8 @@
 	following atomic.Bool
 	// joined is when this instance joined the others, in nanoseconds of clock.SinceBoot; zero before.
 	joined atomic.Int64
+	// storeClockOffset is the store's clock minus clock.SinceBoot, in nanoseconds, when the blocked prompt parts were read.
+	storeClockOffset atomic.Int64
 	// kvStorePoller reports whether this instance polls the KV stores.
 	kvStorePoller atomic.Bool
 }
@@ -201,6 +203,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
+		e.keepBlocks,
 	} {
 		start(loop)
 	}
--- a/internal/app/edge/member.go
+++ b/internal/app/edge/member.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// registerAndMeet writes the instance's row and reads the rows of the others. Every other instance either reads this one's row or
+// registerAndMeet writes the instance's row and reads the rows of the others and the blocked prompt parts. Every other instance either reads this one's row or
 // first receives a message from it, because each reads the rows after it has written its own.
 func (e *Edge) registerAndMeet(ctx context.Context) {
 	outage := storeOutage{edge: e, purpose: "instances"}
@@ -40,6 +40,9 @@
 		if err == nil {
 			rows, err = e.readTable(ctx, instancesTable)
 		}
+		if err == nil {
+			_, err = e.loadBlocks(ctx)
+		}
 		if err != nil {
 			outage.recordFailure(err)
 			if !waitRetry(ctx, outage.failures) {
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -17,8 +17,8 @@
 
 // PartTracker finds prompt parts that crash upstreams.
 type PartTracker interface {
-	// Blocked reports whether requests with one of the parts are refused, and returns the number of crashes.
-	Blocked(now time.Time, parts []uint64) (crashes int, blocked bool)
+	// Blocked reports whether requests with one of the parts are refused.
+	Blocked(now time.Time, parts []uint64) bool
 	// Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
 	Crashed(now time.Time, parts []uint64, upstream uint64, sent time.Time)
 	// Survived records that an upstream outlived a request with the parts.
@@ -65,12 +65,9 @@
 	return d.Sum64()
 }
 
-// partsBlocked returns the number of upstreams that a part of the prompt has crashed, if requests with it are refused.
-func (x *exchange) partsBlocked(now time.Time) (crashes int, blocked bool) {
-	if len(x.parts) == 0 {
-		return 0, false
-	}
-	return x.Parts.Blocked(now, x.parts)
+// crashesUpstreams reports whether a part of the prompt is known to crash upstreams.
+func (x *exchange) crashesUpstreams(now time.Time) bool {
+	return len(x.parts) > 0 && x.Parts.Blocked(now, x.parts)
 }
 
 // recordSurvival records that an upstream has outlived the request.
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -71,7 +71,10 @@
 		return fail
 	}
 	now := time.Now()
-	if _, blocked := x.partsBlocked(now); blocked && r != answered && r != failed {
+	if r != answered && r != failed && x.crashesUpstreams(now) {
+		if x.counts.Ran == 0 {
+			return refuse
+		}
 		return fail
 	}
 	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool { return x.spendRetry(now) })
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -196,8 +196,8 @@
 		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams died of this request", crashes)
 	}
 	x.parts = x.info.partHashes()
-	if crashes, blocked := x.partsBlocked(x.started); blocked {
-		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams crashed while running requests with a part of the prompt", crashes)
+	if x.crashesUpstreams(x.started) {
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "upstreams crash while running requests with a part of the prompt")
 	}
 	return x.chargeQuota(boot)
 }
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -91,7 +91,7 @@
 	if !x.counts.canSend(x.deadline.Sub(now)) || x.counts.Ran >= x.route.Attempts {
 		return errNoAttempt
 	}
-	if _, blocked := x.partsBlocked(now); blocked {
+	if x.crashesUpstreams(now) {
 		return errNoAttempt
 	}
 	choice, ok := x.place(now)
--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -109,8 +109,8 @@
 // NewPartTracker returns an empty PartTracker.
 func NewPartTracker() *PartTracker { return &PartTracker{parts: make(map[uint64]*part)} }
 
-// Blocked reports whether requests with one of the parts are refused, and returns the number of crashes.
-func (tr *PartTracker) Blocked(now time.Time, parts []uint64) (crashes int, blocked bool) {
+// Blocked reports whether requests with one of the parts are refused.
+func (tr *PartTracker) Blocked(now time.Time, parts []uint64) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for _, id := range parts {
@@ -119,10 +119,39 @@
 			continue
 		}
 		if p.update(now); !p.blockedAt.IsZero() {
-			return len(p.crashes), true
+			return true
 		}
 	}
-	return 0, false
+	return false
+}
+
+// AllBlocked returns the parts that are refused, with the time since when.
+func (tr *PartTracker) AllBlocked(now time.Time) map[uint64]time.Time {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	all := make(map[uint64]time.Time)
+	for id, p := range tr.parts {
+		if p.update(now); !p.blockedAt.IsZero() {
+			all[id] = p.blockedAt
+		}
+	}
+	return all
+}
+
+// Block records that a part is refused since a time, as kept from an earlier run.
+func (tr *PartTracker) Block(now time.Time, id uint64, since time.Time) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	if p := tr.getOrCreate(now, id); p != nil {
+		p.block(now, since)
+	}
+}
+
+// block sets blockedAt, unless a request has survived since or the time is over.
+func (p *part) block(now, since time.Time) {
+	if since.After(p.survived) && p.blockedAt.IsZero() && now.Sub(since) <= blockTTL {
+		p.blockedAt = since
+	}
 }
 
 // Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
@@ -278,8 +307,8 @@
 	if survived := timeOf(now, r.Survived); survived.After(p.survived) {
 		p.survived = survived
 	}
-	if blocked := timeOf(now, r.Blocked); blocked.After(p.survived) && p.blockedAt.IsZero() && now.Sub(blocked) <= blockTTL {
-		p.blockedAt = blocked
+	if r.Blocked > 0 {
+		p.block(now, timeOf(now, r.Blocked))
 	}
 	p.update(now)
 }
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -24,8 +24,7 @@
 }
 
 func isBlocked(tr *PartTracker, now time.Time, id uint64) bool {
-	_, blocked := tr.Blocked(now, []uint64{id})
-	return blocked
+	return tr.Blocked(now, []uint64{id})
 }
 
 func TestPartIsBlockedAfterSeveralCrashes(t *testing.T) {
@@ -35,8 +34,8 @@
 	at = crashSome(tr, at, deadPart, 1)
 	must.True(t, isBlocked(tr, at, deadPart))
 	must.False(t, isBlocked(tr, at, soundPart))
-	crashes, _ := tr.Blocked(at, []uint64{soundPart, deadPart})
-	must.Eq(t, minPartCrashes, crashes)
+	must.True(t, tr.Blocked(at, []uint64{soundPart, deadPart}))
+	must.Eq(t, map[uint64]time.Time{deadPart: at}, tr.AllBlocked(at))
 }
 
 // Upstreams that end at the same moment ran requests with all popular parts.
@@ -102,6 +101,20 @@
 	must.False(t, isBlocked(c, at.Add(time.Second), deadPart))
 }
 
+// A block that was kept from an earlier run lasts no longer than any other and does not outlive a survival.
+func TestKeptBlock(t *testing.T) {
+	tr := NewPartTracker()
+	tr.Block(start, deadPart, start.Add(-time.Minute))
+	must.True(t, isBlocked(tr, start, deadPart))
+	must.SliceLen(t, 1, tr.Report(start))
+	must.False(t, isBlocked(tr, start.Add(blockTTL), deadPart))
+	tr.Block(start, soundPart, start.Add(-blockTTL-time.Second))
+	must.False(t, isBlocked(tr, start, soundPart))
+	tr.Survived(start, []uint64{soundPart})
+	tr.Block(start, soundPart, start.Add(-time.Second))
+	must.False(t, isBlocked(tr, start, soundPart))
+}
+
 func TestInvalidPartReportsAreIgnored(t *testing.T) {
 	tr := NewPartTracker()
 	tr.Merge(start, []PartReport{
