--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -203,7 +203,7 @@
 // Delimited reports whether the response shows where its body ends. The end of any other body cannot be told from a connection that
 // the upstream closed early.
 func (r *Response) Delimited() bool {
-	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0
+	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 || r.raw.Body == http.NoBody
 }
 
 // Done returns the connection to the pool after the body has been read to EOF.
