Judge crashes of prompt parts once reports have reached all instances of a large site

Crashes were judged 700 ms after the first one. In a site of 343 instances a survival takes up to 1.14 s to be reported to all, so that a sound part could have been refused by those that had not heard of it. Reports name the crashes since the last survival only, and fewer of them, which bounds a message's share at about 8 KB.

--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -53,6 +53,7 @@
 	}
 	e.fleet.SetPeerLoads(now, m.Address, m.Loads)
 	e.crashes.Merge(now, m.Address, m.Crashes)
+	e.parts.SetReportDelay(e.exchange.PropagationDelay())
 	e.parts.Merge(now, m.Parts)
 	e.holders.Merge(now, m.Uses)
 	e.budget.SetInstances(e.exchange.Count())
--- a/internal/app/edge/member.go
+++ b/internal/app/edge/member.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// registerAndMeet writes the instance's row and reads the rows of the others and the blocked prompt parts. Every other instance either reads this one's row or
-// first receives a message from it, because each reads the rows after it has written its own.
+// registerAndMeet writes the instance's row and reads the rows of the others and the blocked prompt parts. Every other instance
+// either reads this one's row or first receives a message from it, because each reads the rows after it has written its own.
 func (e *Edge) registerAndMeet(ctx context.Context) {
 	outage := storeOutage{edge: e, purpose: "instances"}
 	for ctx.Err() == nil {
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -32,7 +32,7 @@
 	cancel context.CancelFunc
 }
 
-// isStream reports whether the response is a stream of events. Engines send the head before they prefill.
+// isStream reports whether the response is a stream of events.
 func (c *call) isStream(r result, route *policy.Route) bool {
 	return r == answered && route.Kind == policy.Streaming && c.resp.Status < http.StatusMultipleChoices
 }
--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -12,8 +12,8 @@
 	// minPartCrashes is the number of crashes from which requests with a part are refused. Two may have a rare part in common
 	// by chance.
 	minPartCrashes = 3
-	// settleTime is the age of the first of these crashes from which they are judged. Until then, other instances may not have
-	// reported that requests with the part survive.
+	// settleTime is the least age of the first of these crashes from which they are judged. Until then, other instances may not
+	// have reported that requests with the part survive.
 	settleTime = 700 * time.Millisecond
 	// blockTTL is how long requests with a part are refused. After that, one crash is enough to refuse them again.
 	blockTTL = 10 * time.Minute
@@ -23,9 +23,9 @@
 	clearedReportTTL = 5 * time.Second
 	// maxParts limits the parts that are tracked, maxPartReports those in one message.
 	maxParts       = 4096
-	maxPartReports = 48
+	maxPartReports = 32
 	// maxPartCrashes limits the crashes that are kept of one part.
-	maxPartCrashes = 8
+	maxPartCrashes = 5
 )
 
 // partCrash is the end of an upstream while it ran a request with a part.
@@ -64,8 +64,8 @@
 	return n, first
 }
 
-// update sets blockedAt as of now.
-func (p *part) update(now time.Time) {
+// update sets blockedAt as of now. Crashes are judged once the first one has reached the age settle.
+func (p *part) update(now time.Time, settle time.Duration) {
 	n, first := p.count()
 	switch {
 	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
@@ -73,7 +73,7 @@
 	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
 		p.blockedAt = time.Time{}
 		p.crashes = p.crashes[max(0, len(p.crashes)-minPartCrashes+1):]
-	case p.blockedAt.IsZero() && n >= minPartCrashes && now.Sub(first) >= settleTime:
+	case p.blockedAt.IsZero() && n >= minPartCrashes && now.Sub(first) >= settle:
 		p.blockedAt = now
 	}
 }
@@ -104,10 +104,21 @@
 type PartTracker struct {
 	mu    sync.Mutex
 	parts map[uint64]*part
+	// settle is settleTime, or the time in which reports reach all instances if that is longer.
+	settle time.Duration
 }
 
 // NewPartTracker returns an empty PartTracker.
-func NewPartTracker() *PartTracker { return &PartTracker{parts: make(map[uint64]*part)} }
+func NewPartTracker() *PartTracker {
+	return &PartTracker{parts: make(map[uint64]*part), settle: settleTime}
+}
+
+// SetReportDelay sets the time in which reports reach all instances.
+func (tr *PartTracker) SetReportDelay(delay time.Duration) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.settle = max(settleTime, delay)
+}
 
 // Blocked reports whether requests with one of the parts are refused.
 func (tr *PartTracker) Blocked(now time.Time, parts []uint64) bool {
@@ -118,7 +129,7 @@
 		if !ok {
 			continue
 		}
-		if p.update(now); !p.blockedAt.IsZero() {
+		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
 			return true
 		}
 	}
@@ -131,7 +142,7 @@
 	defer tr.mu.Unlock()
 	all := make(map[uint64]time.Time)
 	for id, p := range tr.parts {
-		if p.update(now); !p.blockedAt.IsZero() {
+		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
 			all[id] = p.blockedAt
 		}
 	}
@@ -193,7 +204,7 @@
 
 func (tr *PartTracker) removeExpired(now time.Time) {
 	for id, p := range tr.parts {
-		if p.update(now); !p.blockedAt.IsZero() {
+		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
 			continue
 		}
 		ttl := partTTL
@@ -260,6 +271,9 @@
 func (p *part) report(now time.Time, id uint64) PartReport {
 	r := PartReport{Part: strconv.FormatUint(id, 16), Survived: ageOf(now, p.survived), Blocked: ageOf(now, p.blockedAt)}
 	for _, c := range p.crashes {
+		if !c.at.After(p.survived) {
+			continue
+		}
 		r.Crashes = append(r.Crashes, CrashReport{strconv.FormatUint(c.upstream, 16), now.Sub(c.sent).Milliseconds(), now.Sub(c.at).Milliseconds()})
 	}
 	return r
@@ -292,6 +306,7 @@
 		}
 		if p := tr.getOrCreate(now, id); p != nil {
 			p.merge(now, r)
+			p.update(now, tr.settle)
 		}
 	}
 }
@@ -310,5 +325,4 @@
 	if r.Blocked > 0 {
 		p.block(now, timeOf(now, r.Blocked))
 	}
-	p.update(now)
 }
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -52,8 +52,18 @@
 	for i := range time.Duration(minPartCrashes) {
 		tr.Crashed(start.Add(i*100*time.Millisecond), []uint64{deadPart}, uint64(i), start.Add(i*100*time.Millisecond-time.Millisecond))
 	}
-	must.False(t, isBlocked(tr, start.Add(settleTime-time.Millisecond), deadPart))
+	early := start.Add(settleTime - time.Millisecond)
+	must.False(t, isBlocked(tr, early, deadPart))
+	reports := tr.Report(early)
 	must.True(t, isBlocked(tr, start.Add(settleTime), deadPart))
+
+	slow := NewPartTracker()
+	slow.SetReportDelay(2 * settleTime)
+	slow.Merge(early, reports)
+	must.False(t, isBlocked(slow, start.Add(2*settleTime-time.Millisecond), deadPart))
+	must.True(t, isBlocked(slow, start.Add(2*settleTime), deadPart))
+	slow.SetReportDelay(0)
+	must.Eq(t, settleTime, slow.settle)
 }
 
 func TestSurvivalClearsAPart(t *testing.T) {
