Count the crashes of an outage half

A crash at the time of which three or more upstreams end now counts half, so that a part that crashes engines very fast is still found.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -12,6 +12,13 @@
 	// minPartCrashes is the number of crashes from which requests with a part are refused. Two may have a rare part in common
 	// by chance.
 	minPartCrashes = 3
+	// singleWeight and outageWeight are what a crash counts by itself and as part of an outage. An outage hits many requests at
+	// once, so that outages are likely to have a rare part in common; but frequent requests with one part may look like one.
+	singleWeight = 2
+	outageWeight = 1
+	// minOutageUpstreams is the number of upstreams that end within about outageTime before or after a crash in an outage.
+	minOutageUpstreams = 3
+	outageTime         = 50 * time.Millisecond
 	// settleTime is the least age of the first of these crashes from which they are judged. Until then, other instances may not
 	// have reported that requests with the part survive.
 	settleTime = 700 * time.Millisecond
@@ -25,7 +32,7 @@
 	maxParts       = 4096
 	maxPartReports = 32
 	// maxPartCrashes limits the crashes that are kept of one part.
-	maxPartCrashes = 5
+	maxPartCrashes = 8
 )
 
 // partCrash is the end of an upstream while it ran a request with a part.
@@ -47,37 +54,6 @@
 	blockedAt time.Time
 }
 
-// count returns the number of crashes since a request last survived, and the time of the first one. Of crashes that hit requests
-// at the same time only one counts, so that an outage of many upstreams does not count for the parts that were in use. A later
-// request must have been sent after the crash before.
-func (p *part) count() (n int, first time.Time) {
-	var last time.Time
-	for _, c := range p.crashes {
-		if !c.at.After(p.survived) || n > 0 && !c.sent.After(last) {
-			continue
-		}
-		if n == 0 {
-			first = c.at
-		}
-		n, last = n+1, c.at
-	}
-	return n, first
-}
-
-// update sets blockedAt as of now. Crashes are judged once the first one has reached the age settle.
-func (p *part) update(now time.Time, settle time.Duration) {
-	n, first := p.count()
-	switch {
-	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
-		p.blockedAt = time.Time{}
-	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
-		p.blockedAt = time.Time{}
-		p.crashes = p.crashes[max(0, len(p.crashes)-minPartCrashes+1):]
-	case p.blockedAt.IsZero() && n >= minPartCrashes && now.Sub(first) >= settle:
-		p.blockedAt = now
-	}
-}
-
 // add adds a crash, unless one of the same upstream is known.
 func (p *part) add(c partCrash) {
 	if slices.ContainsFunc(p.crashes, func(o partCrash) bool { return o.upstream == c.upstream }) {
@@ -104,13 +80,17 @@
 type PartTracker struct {
 	mu    sync.Mutex
 	parts map[uint64]*part
+	// ends are the times of the crashes by upstream. endCounts are their numbers by interval of outageTime since base.
+	ends      map[uint64]time.Time
+	endCounts map[time.Duration]int
+	base      time.Time
 	// settle is settleTime, or the time in which reports reach all instances if that is longer.
 	settle time.Duration
 }
 
 // NewPartTracker returns an empty PartTracker.
 func NewPartTracker() *PartTracker {
-	return &PartTracker{parts: make(map[uint64]*part), settle: settleTime}
+	return &PartTracker{parts: make(map[uint64]*part), ends: make(map[uint64]time.Time), endCounts: make(map[time.Duration]int), settle: settleTime}
 }
 
 // SetReportDelay sets the time in which reports reach all instances.
@@ -120,6 +100,69 @@
 	tr.settle = max(settleTime, delay)
 }
 
+// weight returns the weight of a part's crashes since a request last survived, and the time of the first one. Of crashes that hit
+// requests at the same time only one counts: a later request must have been sent after the crash before.
+func (tr *PartTracker) weight(p *part) (sum int, first time.Time) {
+	var last time.Time
+	for _, c := range p.crashes {
+		if !c.at.After(p.survived) || sum > 0 && !c.sent.After(last) {
+			continue
+		}
+		if sum == 0 {
+			first = c.at
+		}
+		last = c.at
+		if tr.isOutage(c.at) {
+			sum += outageWeight
+		} else {
+			sum += singleWeight
+		}
+	}
+	return sum, first
+}
+
+// interval returns the interval of endCounts that a time is in.
+func (tr *PartTracker) interval(at time.Time) time.Duration {
+	return at.Sub(tr.base).Truncate(outageTime)
+}
+
+// isOutage reports whether several upstreams ended at about that time.
+func (tr *PartTracker) isOutage(at time.Time) bool {
+	i := tr.interval(at)
+	return tr.endCounts[i-outageTime]+tr.endCounts[i]+tr.endCounts[i+outageTime] >= minOutageUpstreams
+}
+
+// update sets blockedAt as of now.
+func (tr *PartTracker) update(now time.Time, p *part) {
+	const limit = minPartCrashes * singleWeight
+	sum, first := tr.weight(p)
+	switch {
+	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
+		p.blockedAt = time.Time{}
+	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
+		p.blockedAt = time.Time{}
+		for ; sum >= limit; sum, _ = tr.weight(p) {
+			p.crashes = p.crashes[1:]
+		}
+	case p.blockedAt.IsZero() && sum >= limit && now.Sub(first) >= tr.settle:
+		p.blockedAt = now
+	}
+}
+
+// add records a crash of a part.
+func (tr *PartTracker) add(p *part, c partCrash) {
+	p.add(c)
+	if _, ok := tr.ends[c.upstream]; ok {
+		return
+	}
+	if tr.base.IsZero() {
+		// Earlier times would share the interval around zero with later ones.
+		tr.base = c.at.Add(-partTTL)
+	}
+	tr.ends[c.upstream] = c.at
+	tr.endCounts[tr.interval(c.at)]++
+}
+
 // Blocked reports whether requests with one of the parts are refused.
 func (tr *PartTracker) Blocked(now time.Time, parts []uint64) bool {
 	tr.mu.Lock()
@@ -129,7 +172,7 @@
 		if !ok {
 			continue
 		}
-		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
+		if tr.update(now, p); !p.blockedAt.IsZero() {
 			return true
 		}
 	}
@@ -142,7 +185,7 @@
 	defer tr.mu.Unlock()
 	all := make(map[uint64]time.Time)
 	for id, p := range tr.parts {
-		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
+		if tr.update(now, p); !p.blockedAt.IsZero() {
 			all[id] = p.blockedAt
 		}
 	}
@@ -171,7 +214,7 @@
 	defer tr.mu.Unlock()
 	for _, id := range parts {
 		if p := tr.getOrCreate(now, id); p != nil {
-			p.add(partCrash{upstream, sent, now})
+			tr.add(p, partCrash{upstream, sent, now})
 		}
 	}
 }
@@ -204,17 +247,30 @@
 
 func (tr *PartTracker) removeExpired(now time.Time) {
 	for id, p := range tr.parts {
-		if p.update(now, tr.settle); !p.blockedAt.IsZero() {
+		if tr.update(now, p); !p.blockedAt.IsZero() {
 			continue
 		}
 		ttl := partTTL
-		if n, _ := p.count(); n == 0 {
+		if sum, _ := tr.weight(p); sum == 0 {
 			ttl = clearedReportTTL
 		}
 		if now.Sub(p.lastCrash()) > ttl {
 			delete(tr.parts, id)
 		}
 	}
+	for upstream, end := range tr.ends {
+		if now.Sub(end) > partTTL {
+			delete(tr.ends, upstream)
+			tr.removeEnd(end)
+		}
+	}
+}
+
+func (tr *PartTracker) removeEnd(end time.Time) {
+	i := tr.interval(end)
+	if tr.endCounts[i]--; tr.endCounts[i] <= 0 {
+		delete(tr.endCounts, i)
+	}
 }
 
 // PartReport is what an instance knows of one prompt part. Ages are in milliseconds.
@@ -305,19 +361,19 @@
 			continue
 		}
 		if p := tr.getOrCreate(now, id); p != nil {
-			p.merge(now, r)
-			p.update(now, tr.settle)
+			tr.merge(now, p, r)
+			tr.update(now, p)
 		}
 	}
 }
 
-func (p *part) merge(now time.Time, r PartReport) {
+func (tr *PartTracker) merge(now time.Time, p *part, r PartReport) {
 	for _, c := range r.Crashes {
 		upstream, err := strconv.ParseUint(c.Upstream, 16, 64)
 		if err != nil || c.Age < 0 || c.Sent < c.Age || c.Sent > partTTL.Milliseconds() {
 			continue
 		}
-		p.add(partCrash{upstream, now.Add(-time.Duration(c.Sent) * time.Millisecond), now.Add(-time.Duration(c.Age) * time.Millisecond)})
+		tr.add(p, partCrash{upstream, now.Add(-time.Duration(c.Sent) * time.Millisecond), now.Add(-time.Duration(c.Age) * time.Millisecond)})
 	}
 	if survived := timeOf(now, r.Survived); survived.After(p.survived) {
 		p.survived = survived
