Give up a silent engine only after another one has accepted its request

Callers of skylarkquay saw a stream end early with an error event, or got 502, although their engine had only paused or was slow. The idle timer canceled the attempt first and another engine was looked for then. If there was none, or the others failed, nothing was left that could answer.

Evidence: TestPausedEngineKeepsItsStreamWithoutReplacement (five cases) and TestSlowEngineKeepsItsRequestWithoutReplacement (streamed and buffered) failed on ("all engines that were tried failed; the last one: no_upstream", 502) and pass now. The tests of silent engines that are replaced pass before and after.

An attempt is read in a goroutine of its own. When the idle timer expires, the request goes to others for 250 ms at most; the silent engine is ended once one of them has sent a valid header. If it goes on first, the other attempt is dropped. An attempt that was dropped is no failure of its engine; a silent engine counts as failed only when it is given up, and never as crashed.

Other engines may need longer than 250 ms for the header, as the stand-in does, which sends it after prefill. A silent engine is therefore given up after three idle timeouts in a row in any case (chosen, not measured), and the next one has the full time, as before. Such a request waits longer: TestSilentEngineIsReplacedBySlowOne took 2.4 s before and 4.4 s now at a timeout of 1 s. An engine that pauses for longer still loses its stream.

Test of the tests: without the limit of three timeouts TestSilentEngineIsReplacedBySlowOne fails; with 900 ms instead of 250 ms, or with the late attempt left running, TestSlowReplacementIsDropped does. Not noticed by a test: the other attempt left running until its deadline after the first engine has gone on.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -39,6 +39,11 @@
 	NoEvents bool `json:"empty"`
 	// Hang stops the progress of all new requests.
 	Hang bool `json:"freeze"`
+	// PauseAfter and Pause make each stream send nothing for a time after that many events, and then go on.
+	PauseAfter int           `json:"pause_after"`
+	Pause      time.Duration `json:"pause"`
+	// Fail answers each request with status 500.
+	Fail bool `json:"fail"`
 	// WrongID returns the ID of another request.
 	WrongID bool `json:"cross"`
 	// HangOldConns blocks requests on connections that were opened before the fault was set; later connections work.
@@ -217,6 +222,10 @@
 	}
 	j := e.accept(r, in)
 	defer e.finish()
+	if j.faults.Fail {
+		http.Error(w, "injected failure", http.StatusInternalServerError)
+		return
+	}
 	if j.faults.Poison != "" && strings.Contains(string(j.prompt), j.faults.Poison) {
 		e.restart()
 	}
--- a/internal/fake/engine/output.go
+++ b/internal/fake/engine/output.go
@@ -62,7 +62,11 @@
 		if j.faults.CutAfter > 0 && i > j.faults.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
-		if !wait(ctx, j, e.settings.PerEvent) {
+		delay := e.settings.PerEvent
+		if j.faults.Pause > 0 && i == j.faults.PauseAfter+1 {
+			delay = j.faults.Pause
+		}
+		if !wait(ctx, j, delay) {
 			panic(http.ErrAbortHandler)
 		}
 		data, _ := json.Marshal(e.chunk(j, i, total))
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -5,14 +5,17 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/plat/runner"
 	"github.com/skylarkquay/skylarkquay/internal/route/placer"
@@ -30,59 +33,124 @@
 // errMismatch is returned for a response to another request, or one computed with other model weights.
 var errMismatch = errors.New("the answer belongs to another request or to other weights")
 
-// attempt is one try of a request on one engine.
+// attempt is one try of a request on one engine. A goroutine reads what the engine sends until the attempt ends.
 type attempt struct {
 	choice placer.Choice
 	view   status.View
-	res    *http.Response
 	cancel context.CancelFunc
 	// idleTimer cancels the attempt when the engine sends nothing within the timeout.
-	idleTimer *time.Timer
-	timedOut  chan struct{}
+	idleTimer    *time.Timer
+	markTimedOut func()
+	timedOut     chan struct{}
 	// reused reports whether the request was sent over a connection that had carried others.
-	reused bool
+	reused atomic.Bool
+	// silent reports whether an idle timeout has passed.
+	silent bool
+	// header receives nil once a valid response header has arrived, or else the error.
+	header chan error
+	// events is closed when the engine sends no more. The fields below may be read only then.
+	events chan relay.Event
+	res    *http.Response
+	// sent reports whether a part of the request may have reached the engine.
+	sent bool
+	err  error
 }
 
 // newAttempt starts an attempt that is canceled when the engine sends nothing within timeout.
 func newAttempt(c placer.Choice, v status.View, cancel context.CancelFunc, timeout time.Duration) *attempt {
 	a := &attempt{choice: c, view: v, cancel: cancel, timedOut: make(chan struct{})}
 	// The timer fires again if an event that was read before the first firing resets it.
-	markTimedOut := sync.OnceFunc(func() { close(a.timedOut) })
+	a.markTimedOut = sync.OnceFunc(func() { close(a.timedOut) })
 	a.idleTimer = time.AfterFunc(timeout, func() {
-		markTimedOut()
+		a.markTimedOut()
 		cancel()
 	})
 	return a
 }
 
-// send sends the request to an engine and returns once a valid response header has arrived.
-func (h *Handler) send(ctx context.Context, j *job, offset int64) (*attempt, error) {
+// start chooses an engine and starts to send it the request.
+func (h *Handler) start(ctx context.Context, j *job, offset int64) (*attempt, error) {
 	c, v, err := h.chooseWithFallback(ctx, j)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	a := newAttempt(c, v, cancel, h.FirstTokenTimeout)
 	req, err := newRequest(ctx, j, v.Address, offset)
 	if err != nil {
-		a.end()
 		return nil, err
 	}
-	a.res, err = h.Pool.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(c httptrace.GotConnInfo) { a.reused = c.Reused },
-	})))
-	if !relay.NotSent(err) {
-		j.mayHaveRun = true
-	}
-	if err == nil {
-		err = checkResponse(j, a.res)
+	ctx, cancel := context.WithCancel(ctx)
+	a := newAttempt(c, v, cancel, maxIdlePeriods*h.FirstTokenTimeout)
+	a.header = make(chan error, 1)
+	a.events = make(chan relay.Event)
+	j.attempts++
+	go func() {
+		defer close(a.events)
+		a.err = h.runAttempt(ctx, j, a, req)
+	}()
+	return a, nil
+}
+
+// runAttempt sends the request and delivers what the engine answers. It uses only those fields of the job that do not change.
+func (h *Handler) runAttempt(ctx context.Context, j *job, a *attempt, req *http.Request) error {
+	err := h.send(ctx, j, a, req)
+	a.header <- err
+	if err != nil {
+		return err
 	}
+	defer func() { _ = a.res.Body.Close() }()
+	return a.read(ctx, j.req.Stream)
+}
+
+// send sends the request to the engine and returns once a valid response header has arrived.
+func (h *Handler) send(ctx context.Context, j *job, a *attempt, req *http.Request) error {
+	res, err := h.Pool.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) { a.reused.Store(c.Reused) },
+	})))
+	a.sent = !relay.NotSent(err)
 	if err != nil {
-		a.end()
-		return a, err
+		return err
+	}
+	a.res = res
+	if err := checkResponse(j, res); err != nil {
+		_ = res.Body.Close()
+		return err
 	}
 	h.recordResponse(j, a)
-	return a, nil
+	return nil
+}
+
+// read reads the events of a stream, or a whole response as one event.
+func (a *attempt) read(ctx context.Context, stream bool) error {
+	if !stream {
+		body, err := io.ReadAll(bound.Reader(a.res.Body, maxResponseBytes))
+		if err != nil {
+			return err
+		}
+		if !json.Valid(body) {
+			return relay.ErrTruncated
+		}
+		return a.deliver(ctx, relay.Event{Data: body})
+	}
+	events := relay.NewEventReader(a.res.Body)
+	for {
+		e, err := events.Next()
+		if err != nil {
+			return err
+		}
+		if err := a.deliver(ctx, e); err != nil || e.Done() {
+			return err
+		}
+	}
+}
+
+// deliver hands an event to the reader of the attempt's events.
+func (a *attempt) deliver(ctx context.Context, e relay.Event) error {
+	select {
+	case a.events <- e:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // chooseWithFallback chooses an engine. When there is none, it chooses once more with the fallback engines allowed.
@@ -98,15 +166,40 @@
 	return h.choose(ctx, j)
 }
 
-// end stops the timer, cancels the request and closes the response body.
+// end stops the timer, cancels the request and waits until the response body is closed.
 func (a *attempt) end() {
 	a.idleTimer.Stop()
 	a.cancel()
-	if a.res != nil {
-		_ = a.res.Body.Close()
+	if a.events == nil {
+		return
+	}
+	for range a.events {
 	}
 }
 
+// end ends an attempt and records whether its engine may have started the request.
+func (j *job) end(a *attempt) {
+	a.end()
+	if a.sent {
+		j.mayHaveRun = true
+	}
+}
+
+// avoidSilent avoids the engine of a silent attempt. If the connection was reused, the engine may be healthy.
+func (j *job) avoidSilent(a *attempt) {
+	j.avoid[a.choice.Engine] = true
+	if a.reused.Load() && !a.silent {
+		j.fallback = append(j.fallback, a.choice.Engine)
+	}
+	a.silent = true
+}
+
+// avoidSlow avoids an engine that may have been too slow only for a replacement.
+func (j *job) avoidSlow(a *attempt) {
+	j.avoid[a.choice.Engine] = true
+	j.fallback = append(j.fallback, a.choice.Engine)
+}
+
 func newRequest(ctx context.Context, j *job, address string, offset int64) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+j.path, bytes.NewReader(j.req.Body))
 	if err != nil {
@@ -149,9 +242,6 @@
 
 // recordFailure records an engine's failure and whether the engine crashed while running the request.
 func (h *Handler) recordFailure(ctx context.Context, j *job, a *attempt, err error) {
-	if a == nil {
-		return
-	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -159,11 +249,11 @@
 		h.Pool.CloseIdle(a.view.Address)
 	}
 	j.avoid[a.choice.Engine] = true
-	if a.idleTimedOut() && a.reused {
+	if a.idleTimedOut() && a.reused.Load() {
 		// A reused connection may be broken while the engine is healthy. The failure is not counted against the engine, and
 		// the engine is tried again over a new connection when there is no other.
 		h.Log.Info("route: reused connection timed out without data", "request", j.id, "engine", a.choice.Engine)
-		j.fallback = append(j.fallback, a.choice.Engine)
+		j.avoidSilent(a)
 		return
 	}
 	h.Log.Info("route: engine failed", "request", j.id, "engine", a.choice.Engine, "reason", err.Error())
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -44,7 +44,8 @@
 	Zone string
 	// DefaultMaxTokens bounds the output of a request that sets no bound.
 	DefaultMaxTokens int64
-	// FirstTokenTimeout bounds the wait for the first event, TokenIdleTimeout the time between two events.
+	// FirstTokenTimeout is the wait for the first event, TokenIdleTimeout the time between two events, after which another
+	// engine may take over.
 	FirstTokenTimeout time.Duration
 	TokenIdleTimeout  time.Duration
 	// WriteTimeout bounds one write to a slow caller.
@@ -66,6 +67,8 @@
 	avoid        map[string]bool
 	// fallback lists avoided engines that may be healthy, tried again when there is no other.
 	fallback []string
+	// attempts is the number of attempts started.
+	attempts int
 	// crashedUpstream reports whether an upstream crashed recently while running a request with this fingerprint.
 	crashedUpstream bool
 	// mayHaveRun reports whether an engine may have started the request.
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -5,11 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 )
@@ -27,68 +25,17 @@
 // It returns the tokens used.
 func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, j *job) int64 {
 	out := &eventWriter{w: w, control: http.NewResponseController(w), timeout: h.WriteTimeout}
-	var lastErr error
-	for range maxAttempts {
-		if ctx.Err() != nil {
-			break
-		}
-		a, err := h.send(ctx, j, out.sent)
-		if err == nil {
-			err = h.copyEvents(j, a, out)
-			a.end()
-		}
-		if err == nil {
-			h.recordSuccess(j, out.sent)
-			return j.promptTokens + out.sent
-		}
-		lastErr = err
-		if a == nil || errors.Is(err, errCallerWrite) {
-			break
-		}
-		h.recordFailure(ctx, j, a, err)
-		if err := h.Crashes.Check(time.Now(), j.fingerprint); err != nil {
-			lastErr = err
-			break
+	if err := h.relayAnswer(ctx, j, out); err != nil {
+		h.writeFailure(ctx, w, j, out, err)
+		if !j.mayHaveRun {
+			return 0
 		}
+		return j.promptTokens + out.sent
 	}
-	h.writeFailure(ctx, w, j, out, lastErr)
-	if !j.mayHaveRun {
-		return 0
-	}
+	h.recordSuccess(j, out.sent)
 	return j.promptTokens + out.sent
 }
 
-// copyEvents copies one engine's events to the caller and skips those already sent.
-func (h *Handler) copyEvents(j *job, a *attempt, out *eventWriter) error {
-	events := relay.NewEventReader(a.res.Body)
-	first := true
-	for {
-		e, err := events.Next()
-		if err != nil {
-			return err
-		}
-		a.idleTimer.Reset(h.TokenIdleTimeout)
-		if first {
-			first = false
-			if out.sent == 0 {
-				h.Metrics.Timer("first_token").Record(time.Since(j.start))
-			}
-		}
-		if e.Done() {
-			return out.writeDone()
-		}
-		if e.ID != 0 && e.ID <= out.sent {
-			continue
-		}
-		if e.ID != 0 && e.ID != out.sent+1 {
-			return errMissingEvent
-		}
-		if err := out.writeEvent(e); err != nil {
-			return err
-		}
-	}
-}
-
 // recordSuccess records a completed request.
 func (h *Handler) recordSuccess(j *job, events int64) {
 	h.Metrics.Counter("completed").Inc(1)
@@ -115,49 +62,37 @@
 	if errors.As(lastErr, &known) && !j.mayHaveRun {
 		return known
 	}
-	if lastErr == nil {
-		lastErr = context.Canceled
-	}
 	return fault.New(fault.UpstreamFailed, "all engines that were tried failed; the last one: %s", lastErr.Error())
 }
 
 // serveBuffered serves a request that is not streamed, and retries on another engine after a failure. It returns the tokens used.
 func (h *Handler) serveBuffered(ctx context.Context, w http.ResponseWriter, j *job) int64 {
-	var lastErr error
-	for range maxAttempts {
-		if ctx.Err() != nil {
-			break
+	out := &responseBuffer{}
+	if err := h.relayAnswer(ctx, j, out); err != nil {
+		h.refuse(w, j.caller.Workspace, cancelCause(ctx, h.finalError(j, err)))
+		if !j.mayHaveRun {
+			return 0
 		}
-		a, err := h.send(ctx, j, 0)
-		if err == nil {
-			var body []byte
-			body, err = io.ReadAll(bound.Reader(a.res.Body, maxResponseBytes))
-			if err == nil && !json.Valid(body) {
-				err = relay.ErrTruncated
-			}
-			a.end()
-			if err == nil {
-				h.recordSuccess(j, 1)
-				w.Header().Set("Content-Type", "application/json")
-				_, _ = w.Write(body)
-				return j.promptTokens + completionTokens(body, j.req.MaxTokens)
-			}
-		}
-		lastErr = err
-		if a == nil {
-			break
-		}
-		h.recordFailure(ctx, j, a, err)
-		if err := h.Crashes.Check(time.Now(), j.fingerprint); err != nil {
-			lastErr = err
-			break
-		}
-	}
-	h.refuse(w, j.caller.Workspace, cancelCause(ctx, h.finalError(j, lastErr)))
-	if !j.mayHaveRun {
-		return 0
+		return j.promptTokens
 	}
-	return j.promptTokens
+	h.recordSuccess(j, 1)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(out.body)
+	return j.promptTokens + completionTokens(out.body, j.req.MaxTokens)
+}
+
+// responseBuffer holds the response to a request that is not streamed.
+type responseBuffer struct {
+	body []byte
+}
+
+// offset implements output.
+func (*responseBuffer) offset() int64 { return 0 }
+
+// receive implements output.
+func (o *responseBuffer) receive(e relay.Event) (bool, error) {
+	o.body = e.Data
+	return true, nil
 }
 
 // usage is the part of a response body that reports the tokens used.
@@ -186,6 +121,23 @@
 	sent int64
 }
 
+// offset implements output.
+func (o *eventWriter) offset() int64 { return o.sent }
+
+// receive implements output. It skips events that were already sent.
+func (o *eventWriter) receive(e relay.Event) (bool, error) {
+	if e.Done() {
+		return true, o.writeDone()
+	}
+	if e.ID != 0 && e.ID <= o.sent {
+		return false, nil
+	}
+	if e.ID != 0 && e.ID != o.sent+1 {
+		return false, errMissingEvent
+	}
+	return false, o.writeEvent(e)
+}
+
 func (o *eventWriter) writeEvent(e relay.Event) error {
 	o.writeHeader()
 	if err := o.write("data: %s\n\n", e.Data); err != nil {
