--- /dev/null
+++ b/internal/app/edge/crash_test.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/platform/fake"
+)
+
+const (
+	crashingPart = "dead"
+	// learnTime is the time after the fifth crash from which at most maxLateRuns requests with the part may reach engines.
+	learnTime   = 3 * time.Second
+	maxLateRuns = 3
+)
+
+// crashSite is a site with several routers and engines that a prompt part crashes.
+type crashSite struct {
+	*fake.Site
+	routers []*router
+}
+
+func startCrashSite(t *testing.T, engines, routers int) *crashSite {
+	t.Helper()
+	c := &crashSite{Site: newSite(t, engines, 1)}
+	for _, u := range c.Engines {
+		u.SetFaults(fake.Faults{CrashingPart: crashingPart})
+	}
+	for range routers {
+		c.routers = append(c.routers, startRouter(t, testSettings(t, c.Site)))
+	}
+	for _, r := range c.routers {
+		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == routers })
+	}
+	return c
+}
+
+// send sends prompts with the shared parts that parts returns, at an interval to each router in turn, until the context ends. It
+// returns how many were sent and answered.
+func (c *crashSite) send(ctx context.Context, path string, interval time.Duration, parts func(i int) [2]string) (sent, answered int64) {
+	var good atomic.Int64
+	var calls sync.WaitGroup
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			calls.Wait()
+			return int64(i), good.Load()
+		case <-ticker.C:
+		}
+		calls.Go(func() {
+			call := newPromptCall(path)
+			call.Parts = parts(i)
+			reply, err := fake.Send(context.Background(), c.routers[i%len(c.routers)].settings.Listen, call)
+			if err == nil && reply.Status == http.StatusOK && reply.Complete {
+				good.Add(1)
+			}
+		})
+	}
+}
+
+// lateRuns returns how many requests with the crashing part reached engines later than learnTime after the fifth crash.
+func (c *crashSite) lateRuns() (late, crashes int) {
+	var ends []time.Time
+	for _, u := range c.Engines {
+		ends = append(ends, u.Crashes()...)
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	if len(ends) < 5 {
+		return 0, len(ends)
+	}
+	for _, at := range ends {
+		if at.Sub(ends[4]) > learnTime {
+			late++
+		}
+	}
+	return late, len(ends)
+}
+
+// Requests that shared nothing but one prompt part crashed engine after engine, because crashes were counted by request only.
+func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
+	for _, position := range []int{0, 1} {
+		t.Run(fmt.Sprint("part ", position), func(t *testing.T) {
+			t.Parallel()
+			c := startCrashSite(t, 6, 3)
+			ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
+			defer cancel()
+			var senders sync.WaitGroup
+			senders.Go(func() {
+				c.send(ctx, fake.BriefPath+"1", 200*time.Millisecond, func(i int) [2]string {
+					parts := [2]string{fmt.Sprint("a", i%4), fmt.Sprint("b", i%20)}
+					parts[position] = crashingPart
+					return parts
+				})
+			})
+			var sent, answered int64
+			senders.Go(func() {
+				sent, answered = c.send(ctx, fake.BriefPath+"1", 40*time.Millisecond, func(i int) [2]string {
+					return [2]string{fmt.Sprint("a", i%4), fmt.Sprint("b", i%20)}
+				})
+			})
+			senders.Wait()
+			late, crashes := c.lateRuns()
+			t.Logf("%d crashes, %d late; %d of %d sound requests answered", crashes, late, answered, sent)
+			must.LessEq(t, maxLateRuns, late)
+			must.GreaterEq(t, sent/2, answered)
+		})
+	}
+}
+
+// Instances that all restarted forgot which part crashes engines, and lost as many engines again.
+func TestCrashingPartIsRefusedAfterAllInstancesRestarted(t *testing.T) {
+	c := startCrashSite(t, 6, 2)
+	call := func() fake.Call {
+		call := newPromptCall(fake.BriefPath + "1")
+		call.Parts = [2]string{"a1", crashingPart}
+		return call
+	}
+	eventually(t, "the part is refused by both", func() bool {
+		return c.routers[0].send(t, call()).Status == http.StatusServiceUnavailable &&
+			c.routers[1].send(t, call()).Status == http.StatusServiceUnavailable
+	})
+	time.Sleep(time.Second)
+	_, before := c.lateRuns()
+	for _, r := range c.routers {
+		r.stopAndWait(t)
+	}
+	for range 2 {
+		r := startRouter(t, testSettings(t, c.Site))
+		eventually(t, "ready", r.isReady)
+		must.Eq(t, http.StatusServiceUnavailable, r.send(t, call()).Status)
+	}
+	_, after := c.lateRuns()
+	must.Eq(t, before, after)
+}
+
+// Rows of parts that are no longer blocked, and rows that cannot be decoded, leave the store or do no harm.
+func TestRowsOfBlockedParts(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.Store.Put(blocksTable, "no number", blockRow{})
+	s.Store.PutRaw(blocksTable, "1", []byte("{"))
+	s.Store.Put(blocksTable, "2", blockRow{SinceMs: -time.Hour.Milliseconds()})
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "ready", r.isReady)
+	rows := func() []string {
+		rows, err := r.readTable(context.Background(), blocksTable)
+		must.NoError(t, err)
+		var keys []string
+		for _, row := range rows.Rows {
+			keys = append(keys, row.Key)
+		}
+		return keys
+	}
+	eventually(t, "the expired row is removed", func() bool { return !slices.Contains(rows(), "2") })
+	r.parts.Block(time.Now(), 3, time.Now())
+	eventually(t, "a blocked part is written", func() bool { return slices.Contains(rows(), "3") })
+	c := s.Store.Copy()
+	r.parts.Block(time.Now(), 4, time.Now())
+	eventually(t, "another one is written", func() bool { return slices.Contains(rows(), "4") })
+	s.Store.Restore(c)
+	eventually(t, "it is written again after a restore", func() bool { return slices.Contains(rows(), "4") })
+	r.parts.Survived(time.Now(), []uint64{3})
+	eventually(t, "a cleared part is removed", func() bool { return !slices.Contains(rows(), "3") })
+	must.Eq(t, http.StatusOK, r.send(t, newPromptCall(fake.BriefPath+"1")).Status)
+}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -23,6 +22,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/meter"
+	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/front/serve"
@@ -79,6 +79,7 @@
 	quota        *quota.Limiter
 	budget       *budget.Budget
 	crashes      *fatal.Tracker
+	parts        *fatal.PartTracker
 	holders      *holder.Tracker
 	handler      *serve.Handler
 	exchange     *gossip.Exchange
@@ -88,6 +89,8 @@
 	closeMetrics func() error
 	socket       *net.UDPConn
 	listeners    []net.Listener
+	// openConns counts the open connections of callers.
+	openConns atomic.Int64
 	// newerDocument queues the address of an instance that has a newer routing document.
 	newerDocument chan string
 	// documentRow is the row of the routing document in force.
@@ -102,6 +105,8 @@
 	following atomic.Bool
 	// joined is when this instance joined the others, in nanoseconds of clock.SinceBoot; zero before.
 	joined atomic.Int64
+	// storeClockOffset is the store's clock minus clock.SinceBoot, in nanoseconds, when the blocked prompt parts were read.
+	storeClockOffset atomic.Int64
 	// kvStorePoller reports whether this instance polls the KV stores.
 	kvStorePoller atomic.Bool
 }
@@ -113,7 +118,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryLimitFraction))
 	e := &Edge{
 		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
-		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(),
+		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
 		holders: holder.NewTracker(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
 		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
@@ -130,10 +135,11 @@
 			SupersededLimit: millis(s.Weights) - weightsMargin,
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
-		Holders: e.holders, CrashCounter: e.crashes, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
+		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor),
 	}
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
+	e.handler.ReportCrash = func() { e.exchange.TriggerSend() }
 	e.rollout = newRollout(e)
 	if err := e.listen(); err != nil {
 		return nil, err
@@ -197,6 +203,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
+		e.keepBlocks,
 	} {
 		start(loop)
 	}
@@ -206,6 +213,7 @@
 		{Handler: e.handler}, {Handler: http.HandlerFunc(e.handleReady)}, {Handler: e.metricsHandler()}, {Handler: e.peerHandler()},
 	}
 	front := servers[0]
+	front.ConnState = e.countConn
 	for i, s := range servers {
 		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
 		go func() { serveErrs <- s.Serve(e.listeners[i]) }()
@@ -246,12 +254,38 @@
 	remaining := seconds(e.settings.Grace) - shutdownMargin - time.Since(started)
 	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
 	defer cancel()
-	if err := front.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		e.log.Info("edge: server did not shut down cleanly", "error", err.Error())
-	}
+	e.closeConnections(ctx, front)
 	e.exchange.Send()
 }
 
+// connCheckInterval is the interval at which a stopping instance closes idle connections.
+const connCheckInterval = 50 * time.Millisecond
+
+// closeConnections stops listening and closes connections when they become idle, until none is left or the context ends. Requests
+// that still arrive on open connections are refused; http.Server.Shutdown would close these without an answer.
+func (e *Edge) closeConnections(ctx context.Context, front *http.Server) {
+	e.handler.Closed.Store(true)
+	// The listener is not used again, so an error does not matter.
+	_ = e.listeners[0].Close()
+	for e.openConns.Load() > 0 {
+		front.SetKeepAlivesEnabled(false)
+		if sleep.For(ctx, connCheckInterval) != nil {
+			e.log.Info("edge: connections are still open", "open", e.openConns.Load(), "requests", e.handler.OpenRequests.Load())
+			return
+		}
+	}
+}
+
+// countConn counts the open connections of callers.
+func (e *Edge) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		e.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		e.openConns.Add(-1)
+	}
+}
+
 // handleReady responds to the readiness polls of the load balancer.
 func (e *Edge) handleReady(w http.ResponseWriter, _ *http.Request) {
 	now := clock.SinceBoot()
--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"errors"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -10,6 +12,9 @@
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
+// maxCrashes is the number of crashes from which a request is refused.
+const maxCrashes = 3
+
 // startPausedSite starts a site whose first engine pauses each stream after two events. New requests go to that engine; the
 // others have the given faults.
 func startPausedSite(t *testing.T, engines int, pause time.Duration, others fake.Faults, change func(*Settings)) (*fake.Site, *router) {
@@ -41,6 +46,7 @@
 		{name: "other upstreams decline", engines: 3, others: fake.Faults{Shed: true}},
 		{name: "other upstreams fail", engines: 3, others: fake.Faults{Fail: true}},
 		{name: "other upstreams do not respond", engines: 3, others: fake.Faults{Hang: true}},
+		{name: "other upstreams end before the first event", engines: 3, others: fake.Faults{NoLength: true, NoEvents: true}},
 		{name: "no retry left", engines: 2, spent: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -117,3 +123,37 @@
 	reply := r.send(t, newPromptCall(fake.BriefPath+"1"))
 	must.Eq(t, http.StatusBadGateway, reply.Status)
 }
+
+// Callers that resumed a stream without further events were refused after three times, as if their request crashed upstreams.
+func TestEmptyResumptionIsNoCrash(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	s.Engines[0].SetFaults(fake.Faults{NoLength: true, NoEvents: true})
+	for range maxCrashes + 1 {
+		c := newPromptCall(fake.QuotePath + "1")
+		c.ID, c.Header = "thesameprompt", http.Header{"Last-Event-Id": {"5"}}
+		must.Eq(t, http.StatusBadGateway, r.send(t, c).Status)
+	}
+}
+
+// brokenWriter is a response that the caller does not read.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// Streams whose callers disconnected counted as running at their upstream for good.
+func TestStreamsOfDisconnectedCallersAreNotCountedAsRunning(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	for range 3 {
+		req := httptest.NewRequest(http.MethodPost, fake.QuotePath+"1", nil)
+		req.Host = fake.Host
+		req.Header.Set(fake.HeaderID, newCall(http.MethodPost, "").ID)
+		req.Header.Set("Authorization", "Token "+fake.Key)
+		req.Header.Set("X-Model", fake.Model)
+		req.Header.Set("X-Token-Usage", "1000,10")
+		func() {
+			defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
+			r.handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, req)
+		}()
+	}
+	must.Eq(t, 0, r.fleet.Loads(time.Now())[s.Engines[0].ID].Running)
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -72,6 +71,12 @@
 		return fail
 	}
 	now := time.Now()
+	if r != answered && r != failed && x.crashesUpstreams(now) {
+		if x.counts.Ran == 0 {
+			return refuse
+		}
+		return fail
+	}
 	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool { return x.spendRetry(now) })
 }
 
@@ -227,9 +232,7 @@
 		return
 	}
 	x.Fleet.Failed(now, c.choice.ID)
-	if !errors.Is(err, bound.ErrTooLong) {
-		x.CrashCounter.Crashed(now, x.fingerprint)
-	}
+	x.recordCrash(ctx, now, c, err)
 	x.Pool.CloseIdle(c.choice.Address)
 }
 
@@ -258,6 +261,7 @@
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
+	x.recordSurvival(time.Now())
 	x.respond(resp.Status, resp.Header, body, answered)
 	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -34,6 +34,8 @@
 	// retryAfterNotCurrent is the Retry-After while this instance's document is missing or outdated. Other instances may
 	// serve the request.
 	retryAfterNotCurrent = 500 * time.Millisecond
+	// retryAfterDraining is the Retry-After while this instance stops. Other instances serve the request at once.
+	retryAfterDraining = 100 * time.Millisecond
 	// freshAge is the document age up to which an unknown route or key is reported as unknown. The site allows 2 s or more
 	// until a new document is in force.
 	freshAge = 1800 * time.Millisecond
@@ -68,7 +70,10 @@
 	Budget       *budget.Budget
 	Holders      *holder.Tracker
 	CrashCounter CrashCounter
-	Costs        place.Costs
+	Parts        PartTracker
+	// ReportCrash makes the instance report a crash to the others at once.
+	ReportCrash func()
+	Costs       place.Costs
 	// PrefillRate measures the rate of prompt tokens that this instance sends to engines.
 	PrefillRate place.PrefillRate
 	// Peers returns how many other instances place prompts, and how long the report of a placement takes to reach them.
@@ -77,8 +82,9 @@
 	Metrics tallies.Scope
 	// Boot returns the time since boot, including suspension.
 	Boot func() time.Duration
-	// Draining reports whether the instance is about to stop.
+	// Draining reports whether the instance is about to stop, Closed whether it accepts no more requests.
 	Draining atomic.Bool
+	Closed   atomic.Bool
 	// Memory is the memory for responses that are buffered.
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
@@ -104,6 +110,9 @@
 	// docAge is the time since the document was last confirmed.
 	docAge      time.Duration
 	fingerprint uint64
+	// parts identifies the prompt's shared parts. survived reports whether an upstream has outlived the request.
+	parts    []uint64
+	survived bool
 	// units is the quota charged for the request.
 	units  float64
 	counts sendCounts
@@ -152,6 +161,9 @@
 	if x.info, err = x.Dialect.ParseRequest(x.r); err != nil {
 		return fault.New(fault.BadRequest, "%s", err)
 	}
+	if x.Closed.Load() {
+		return fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance is about to stop")
+	}
 	if x.doc == nil {
 		return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "this instance has no routing document yet")
 	}
@@ -181,11 +193,18 @@
 	x.deadline = x.started.Add(x.timeout())
 	x.fingerprint = x.requestHash()
 	if crashes := x.CrashCounter.Count(x.started, x.fingerprint); crashes >= maxCrashes {
-		return fault.NewRetryAfter(fault.NoUpstream, 5*time.Second, "%d upstreams died of this request", crashes)
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams died of this request", crashes)
+	}
+	x.parts = x.info.partHashes()
+	if x.crashesUpstreams(x.started) {
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "upstreams crash while running requests with a part of the prompt")
 	}
 	return x.chargeQuota(boot)
 }
 
+// retryAfterCrashes is the Retry-After of requests that crash upstreams.
+const retryAfterCrashes = 5 * time.Second
+
 // maxCrashes is the number of upstreams that may crash while running a request before it is rejected.
 const maxCrashes = 3
 
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -21,46 +21,42 @@
 // relayStream forwards the events of a call, and of those that replace it while its upstream is silent. If the last stream ends
 // early, the result is broken and another upstream may resume it after the last forwarded event.
 func (x *exchange) relayStream(ctx context.Context, c *call) (result, error) {
+	// Deferred, because relayEvents panics when the caller disconnects.
+	defer func() { x.end(c) }()
 	for {
 		next, r, err := x.relayEvents(ctx, c)
-		x.end(c)
 		if next == nil {
 			return r, err
 		}
+		x.end(c)
 		c = next
 	}
 }
 
 // relayEvents forwards complete events of one call as they arrive. It returns the call that replaces it, if any.
 func (x *exchange) relayEvents(ctx context.Context, c *call) (*call, result, error) {
-	events := newEventReader(c.resp.Body, x.Memory)
-	defer events.release()
-	var replacement *call
-	if timeout := x.idleTimeout(); timeout > 0 {
-		c.resp.WatchIdle(ctx, timeout, func() bool {
-			replacement = x.replaceSilent(ctx, c)
-			return replacement == nil
-		})
+	if c.events == nil {
+		c.events = newEventReader(c.resp.Body, x.Memory)
+	}
+	defer c.events.release()
+	other := &standby{x: x, ctx: ctx, silent: c, timeout: x.idleTimeout()}
+	defer other.stop()
+	if other.timeout > 0 {
+		c.resp.WatchIdle(ctx, other.timeout, other.onIdle)
 	}
 	first := true
 	for {
-		ev, rest, err := events.next()
-		if replacement != nil {
+		ev, rest, err := c.next()
+		if other.replacement != nil {
 			c.resp.Abort()
-			return replacement, broken, nil
+			return other.replacement, broken, nil
 		}
-		if errors.Is(err, io.EOF) {
-			switch {
-			case len(rest) > 0:
-				err = errUnfinished
-			case first && !c.resp.Delimited():
-				err = errNoEvent
-			default:
+		other.stop()
+		if err != nil {
+			if err = c.streamError(err, rest, first); err == nil {
 				r, err := x.finishStream(c)
 				return nil, r, err
 			}
-		}
-		if err != nil {
 			c.resp.Abort()
 			x.recordBroken(ctx, c, err)
 			return nil, broken, err
@@ -73,6 +69,9 @@
 			x.sendHead(c.resp)
 			x.recordHolders(time.Now(), c)
 		}
+		if now := time.Now(); now.Sub(c.headAt) > crashSuspectTime {
+			x.recordSurvival(now)
+		}
 		if !x.isNewEvent(ev.id) {
 			continue
 		}
@@ -86,6 +85,30 @@
 	}
 }
 
+// next returns the next event of a stream.
+func (c *call) next() (ev event, rest []byte, err error) {
+	if c.first != nil {
+		ev, c.first = *c.first, nil
+		return ev, nil, nil
+	}
+	return c.events.next()
+}
+
+// streamError returns why a stream that ended with err is not complete, or nil if it is. Rest is what followed the last event,
+// first reports whether there was none.
+func (c *call) streamError(err error, rest []byte, first bool) error {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case len(rest) > 0:
+		return errUnfinished
+	case first && !c.resp.Delimited():
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 // writeEvent writes and flushes an event; it reports whether that succeeded.
 func (x *exchange) writeEvent(raw []byte) bool {
 	if _, err := x.w.Write(raw); err != nil {
@@ -122,6 +145,7 @@
 	x.sendHead(c.resp)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
+	x.recordSurvival(time.Now())
 	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
 	return answered, nil
 }
