Replace a silent engine when another one sends the next event first

A header also proves little.

Change: when the idle timer expires, one other attempt is started and both go on. The one that sends the next event of the answer first wins, for buffered requests the one that completes first, and the other one is ended at once. Skipped events do not win. If the other attempt fails, a further engine is tried at once; if it is silent for its own first-token timeout, a further engine takes its place. If none is left, both are kept. A silent engine is given up after three idle timeouts in a row only when no other engine has taken over and none is at work; the count starts again with the other engine's end.

An attempt that is dropped because the silent engine went on gives its place among the four back, and its engine is not avoided. A stream that pauses often may so cost one prefill elsewhere for each idle timeout. A silent engine that is given up counts as failed, as before, and never as crashed; a request whose prompt is refused meanwhile loses the other attempt only when an engine fails, not when it is replaced.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -64,6 +64,10 @@
 	cacheUses   uint64
 	queued      int64
 	running     int
+	// disconnected is the number of requests whose connection ended before their handler.
+	disconnected int
+	// resumed is closed to end the pauses of streams.
+	resumed chan struct{}
 	// ended is closed when the incarnation ends.
 	ended chan struct{}
 	// prefillSlot admits one prefill at a time.
@@ -74,7 +78,7 @@
 
 // NewServer returns an engine with an empty cache.
 func NewServer(s Settings) *Server {
-	e := &Server{settings: s, prefillSlot: make(chan struct{}, 1)}
+	e := &Server{settings: s, prefillSlot: make(chan struct{}, 1), resumed: make(chan struct{})}
 	e.restart()
 	return e
 }
@@ -119,6 +123,18 @@
 	return e.running
 }
 
+// Disconnected returns the number of requests whose connection ended before their handler.
+func (e *Server) Disconnected() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.disconnected
+}
+
+// Resume ends the pauses of all streams. It may be called once.
+func (e *Server) Resume() {
+	close(e.resumed)
+}
+
 // SeenCount is the JSON response of GET /seen: how many received values contain the text.
 type SeenCount struct {
 	Count int `json:"count"`
@@ -221,7 +237,7 @@
 		return
 	}
 	j := e.accept(r, in)
-	defer e.finish()
+	defer e.finish(r.Context())
 	if j.faults.Fail {
 		http.Error(w, "injected failure", http.StatusInternalServerError)
 		return
@@ -278,10 +294,13 @@
 	return cached
 }
 
-func (e *Server) finish() {
+func (e *Server) finish(ctx context.Context) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.running--
+	if ctx.Err() != nil {
+		e.disconnected++
+	}
 }
 
 func (e *Server) writeHeader(w http.ResponseWriter, j *job) {
@@ -350,6 +369,11 @@
 
 // wait returns true after d, or false when the request or the incarnation ends first. With the Hang fault it never returns true.
 func wait(ctx context.Context, j *job, d time.Duration) bool {
+	return waitOrResume(ctx, j, d, nil)
+}
+
+// waitOrResume is like wait, but also returns true when resumed is closed.
+func waitOrResume(ctx context.Context, j *job, d time.Duration, resumed <-chan struct{}) bool {
 	var ready <-chan time.Time
 	if !j.faults.Hang {
 		ready = time.After(d)
@@ -357,6 +381,8 @@
 	select {
 	case <-ready:
 		return true
+	case <-resumed:
+		return true
 	case <-ctx.Done():
 		return false
 	case <-j.ended:
--- a/internal/fake/engine/output.go
+++ b/internal/fake/engine/output.go
@@ -62,11 +62,7 @@
 		if j.faults.CutAfter > 0 && i > j.faults.CutAfter {
 			panic(http.ErrAbortHandler)
 		}
-		delay := e.settings.PerEvent
-		if j.faults.Pause > 0 && i == j.faults.PauseAfter+1 {
-			delay = j.faults.Pause
-		}
-		if !wait(ctx, j, delay) {
+		if !e.waitForEvent(ctx, j, i) {
 			panic(http.ErrAbortHandler)
 		}
 		data, _ := json.Marshal(e.chunk(j, i, total))
@@ -76,6 +72,14 @@
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
+// waitForEvent waits until the event with the given number is due, or returns false like wait.
+func (e *Server) waitForEvent(ctx context.Context, j *job, number int) bool {
+	if j.faults.Pause > 0 && number == j.faults.PauseAfter+1 {
+		return waitOrResume(ctx, j, j.faults.Pause, e.resumed)
+	}
+	return wait(ctx, j, e.settings.PerEvent)
+}
+
 func (e *Server) chunk(j *job, number, total int) chunk {
 	c := chunk{ID: j.id, Object: "chat.completion.chunk", Model: j.in.Model}
 	out := choice{Delta: &message{Content: EventText(j.prompt, number)}}
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// maxAttempts is the maximum number of engines that one request is tried on.
+	// maxAttempts is the maximum number of engines that one request is tried on, without those that were dropped because
+	// another one went on.
 	maxAttempts  = 4
 	probeTimeout = 500 * time.Millisecond
 	// priorityLanguage is the value of the priority header for language requests.
@@ -38,6 +39,8 @@
 	choice placer.Choice
 	view   status.View
 	cancel context.CancelFunc
+	// idleTimeout is the time without an event after which another engine is tried.
+	idleTimeout time.Duration
 	// idleTimer cancels the attempt when the engine sends nothing within the timeout.
 	idleTimer    *time.Timer
 	markTimedOut func()
@@ -46,8 +49,8 @@
 	reused atomic.Bool
 	// silent reports whether an idle timeout has passed.
 	silent bool
-	// header receives nil once a valid response header has arrived, or else the error.
-	header chan error
+	// unbounded reports whether idleTimer is stopped because another engine is at work on the request.
+	unbounded bool
 	// events is closed when the engine sends no more. The fields below may be read only then.
 	events chan relay.Event
 	res    *http.Response
@@ -80,9 +83,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	a := newAttempt(c, v, cancel, maxIdlePeriods*h.FirstTokenTimeout)
-	a.header = make(chan error, 1)
+	a.idleTimeout = h.FirstTokenTimeout
 	a.events = make(chan relay.Event)
-	j.attempts++
 	go func() {
 		defer close(a.events)
 		a.err = h.runAttempt(ctx, j, a, req)
@@ -92,9 +94,7 @@
 
 // runAttempt sends the request and delivers what the engine answers. It uses only those fields of the job that do not change.
 func (h *Handler) runAttempt(ctx context.Context, j *job, a *attempt, req *http.Request) error {
-	err := h.send(ctx, j, a, req)
-	a.header <- err
-	if err != nil {
+	if err := h.send(ctx, j, a, req); err != nil {
 		return err
 	}
 	defer func() { _ = a.res.Body.Close() }()
@@ -194,12 +194,6 @@
 	a.silent = true
 }
 
-// avoidSlow avoids an engine that may have been too slow only for a replacement.
-func (j *job) avoidSlow(a *attempt) {
-	j.avoid[a.choice.Engine] = true
-	j.fallback = append(j.fallback, a.choice.Engine)
-}
-
 func newRequest(ctx context.Context, j *job, address string, offset int64) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+j.path, bytes.NewReader(j.req.Body))
 	if err != nil {
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -67,7 +67,7 @@
 	avoid        map[string]bool
 	// fallback lists avoided engines that may be healthy, tried again when there is no other.
 	fallback []string
-	// attempts is the number of attempts started.
+	// attempts is the number of attempts started, without those that were dropped because another one went on.
 	attempts int
 	// crashedUpstream reports whether an upstream crashed recently while running a request with this fingerprint.
 	crashedUpstream bool
--- a/internal/trial/site/silence_test.go
+++ b/internal/trial/site/silence_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/conf/option"
+	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/fake/engine"
 	"github.com/skylarkquay/skylarkquay/internal/route/prefix"
 )
@@ -105,7 +109,7 @@
 	}
 }
 
-// A stream whose engine stays silent moves to an engine that accepts it.
+// A stream whose engine stays silent moves to an engine that sends an event.
 func TestSilentEngineIsReplaced(t *testing.T) {
 	s := startSite(t, Options{Routers: 1, Engines: 2})
 	got, err := streamPaused(t, s, time.Hour, engine.Faults{})
@@ -114,7 +118,7 @@
 	waitIdle(t, s)
 }
 
-// A stream whose engine stays silent moves to an engine that needs longer to accept it than two engines may work on it.
+// A stream whose engine stays silent moves to an engine that needs longer for its first event.
 func TestSilentEngineIsReplacedBySlowOne(t *testing.T) {
 	tokens := prefix.Tokens([]byte(`[{"content":"paused","role":"user"}]`))
 	s := startSite(t, Options{Routers: 1, Engines: 2, Engine: engine.Settings{PerToken: 600 * time.Millisecond / time.Duration(tokens)}})
@@ -124,6 +128,127 @@
 	waitIdle(t, s)
 }
 
+// lineCount counts the log lines that contain a text.
+type lineCount struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (c *lineCount) add(_, args string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lines = append(c.lines, args)
+}
+
+func (c *lineCount) containing(text string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, line := range c.lines {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// startLogged starts a site of two engines and one router whose log lines are counted. Only the idle timeout within a stream is
+// short.
+func startLogged(t *testing.T, e engine.Settings) (*Site, *lineCount) {
+	t.Helper()
+	count := &lineCount{}
+	e.PerEvent = time.Millisecond
+	s, err := Start(Options{
+		Routers: 1,
+		Engines: 2,
+		Engine:  e,
+		Rates:   map[string]rules.Rate{"acme": highRate},
+		Log:     funcr.New(count.add, funcr.Options{}),
+		Adjust: func(settings *option.Settings) {
+			settings.FirstToken, settings.TokenIdle = time.Hour, time.Second
+		},
+	})
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	return s, count
+}
+
+// A silent engine is replaced within one idle timeout and the time that the other one needs. Every further idle timeout would
+// start another attempt or log that the silent engine is kept.
+func TestSilentEngineIsReplacedWithinOneIdleTimeout(t *testing.T) {
+	tokens := prefix.Tokens([]byte(`[{"content":"paused","role":"user"}]`))
+	s, log := startLogged(t, engine.Settings{PerToken: 600 * time.Millisecond / time.Duration(tokens)})
+	got, err := streamPaused(t, s, time.Hour, engine.Faults{})
+	must.NoError(t, err)
+	must.Eq(t, wantText("paused", 8), got)
+	must.Eq(t, 2, log.containing("route: chose engine"))
+	must.Eq(t, 0, log.containing("route: kept silent engine"))
+	waitIdle(t, s)
+}
+
+// A paused engine that goes on before the other one has sent an event keeps its stream, and the other one is disconnected.
+func TestPausedEngineGoesOnFirst(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others engine.Faults
+	}{
+		{"other engine does not respond", engine.Faults{Hang: true}},
+		{"other engine sends only its header", engine.Faults{PauseAfter: 2, Pause: time.Hour}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s, log := startLogged(t, engine.Settings{})
+			tried := make(chan *engine.Server, 1)
+			go resumeWhenBothRun(t.Context(), s.Engines[0], s.Engines[1], tried)
+			got, err := streamPaused(t, s, time.Hour, c.others)
+			must.NoError(t, err)
+			must.Eq(t, wantText("paused", 8), got)
+			waitIdle(t, s)
+			must.Eq(t, 1, (<-tried).Disconnected())
+			must.Eq(t, 1, log.containing("the engine went on"))
+			must.Eq(t, 0, log.containing("route: engine failed"))
+			must.Eq(t, 2, log.containing("route: chose engine"))
+		})
+	}
+}
+
+// resumeWhenBothRun ends the pause of the engine that runs a request first when the other one runs it too. It sends the other one
+// to tried.
+func resumeWhenBothRun(ctx context.Context, first, second *engine.Server, tried chan<- *engine.Server) {
+	if !poll(ctx, func() bool { return first.Running()+second.Running() > 0 }) {
+		return
+	}
+	if second.Running() > 0 {
+		first, second = second, first
+	}
+	if poll(ctx, func() bool { return second.Running() > 0 }) {
+		first.Resume()
+		tried <- second
+	}
+}
+
+// A buffered request whose engine is frozen is answered by another one. The first one is disconnected.
+func TestFrozenEngineLosesBufferedRequest(t *testing.T) {
+	s := startSite(t, Options{Routers: 1, Engines: 2})
+	for _, e := range s.Engines {
+		e.SetFaults(engine.Faults{Hang: true})
+	}
+	healed := make(chan struct{})
+	go func() {
+		defer close(healed)
+		running := func() bool { return s.Engines[0].Running()+s.Engines[1].Running() > 0 }
+		if poll(t.Context(), running) {
+			setFaultsOfIdle(s, engine.Faults{})
+		}
+	}()
+	client := openAIClient(s.Routers[0], s.Keys["acme"])
+	response, err := client.Chat.Completions.New(t.Context(), chatParams("frozen", 4))
+	must.NoError(t, err)
+	must.Eq(t, wantText("frozen", 4), response.Choices[0].Message.Content)
+	<-healed
+	waitIdle(t, s)
+}
+
 // poll waits until a condition holds, or returns false when the context ends.
 func poll(ctx context.Context, condition func() bool) bool {
 	for !condition() {
