--- a/internal/app/edge/stream_test.go
+++ b/internal/app/edge/stream_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -144,12 +145,9 @@
 func TestStreamsOfDisconnectedCallersAreNotCountedAsRunning(t *testing.T) {
 	s, r := startSite(t, 1, 1)
 	for range 3 {
-		req := httptest.NewRequest(http.MethodPost, fake.QuotePath+"1", nil)
-		req.Host = fake.Host
-		req.Header.Set(fake.HeaderID, newCall(http.MethodPost, "").ID)
-		req.Header.Set("Authorization", "Token "+fake.Key)
-		req.Header.Set("X-Model", fake.Model)
-		req.Header.Set("X-Token-Usage", "1000,10")
+		req, err := newPromptCall(fake.QuotePath+"1").NewRequest(context.Background(), r.settings.Listen)
+		must.NoError(t, err)
+		req.RequestURI = fake.QuotePath + "1"
 		func() {
 			defer func() { must.Eq(t, any(http.ErrAbortHandler), recover()) }()
 			r.handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, req)
