Keep the crashes of a prompt part that follow one another

Of a part's crashes the latest eight were kept, and those whose requests were under way at the crash before do not count. When requests wait for longer than eight crashes take, two at most were left that count, and the part was never refused. Crashes that do not count are now dropped first.

TestOverlappingRequestsDoNotHideTheirCrashes failed before and passes now.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -62,10 +62,22 @@
 	p.crashes = append(p.crashes, c)
 	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
 	if len(p.crashes) > maxPartCrashes {
-		p.crashes = p.crashes[1:]
+		p.trim()
 	}
 }
 
+// trim removes the latest crash that is not part of the chain, or else the first crash.
+func (p *part) trim() {
+	chain := p.chain()
+	for i := len(p.crashes) - 1; i >= 0; i-- {
+		if !slices.Contains(chain, p.crashes[i]) {
+			p.crashes = slices.Delete(p.crashes, i, i+1)
+			return
+		}
+	}
+	p.crashes = p.crashes[1:]
+}
+
 // lastCrash returns the time of the latest crash.
 func (p *part) lastCrash() time.Time {
 	if len(p.crashes) == 0 {
@@ -100,24 +112,31 @@
 	tr.settle = max(settleTime, delay)
 }
 
-// weight returns the weight of a part's crashes since a request last survived, and the time of the first one. Of crashes that hit
-// requests at the same time only one counts: a later request must have been sent after the crash before.
-func (tr *PartTracker) weight(p *part) (sum int, first time.Time) {
-	var last time.Time
+// chain returns the crashes since a request last survived that did not hit requests at the same time: each request was sent after
+// the crash before. Crashes at the same time may have a common cause.
+func (p *part) chain() []partCrash {
+	var chain []partCrash
 	for _, c := range p.crashes {
-		if !c.at.After(p.survived) || sum > 0 && !c.sent.After(last) {
-			continue
+		if c.at.After(p.survived) && (len(chain) == 0 || c.sent.After(chain[len(chain)-1].at)) {
+			chain = append(chain, c)
 		}
-		if sum == 0 {
-			first = c.at
-		}
-		last = c.at
+	}
+	return chain
+}
+
+// weight returns the weight of a part's crashes and the time of the first one.
+func (tr *PartTracker) weight(p *part) (sum int, first time.Time) {
+	chain := p.chain()
+	for _, c := range chain {
 		if tr.isOutage(c.at) {
 			sum += outageWeight
 		} else {
 			sum += singleWeight
 		}
 	}
+	if len(chain) > 0 {
+		first = chain[0].at
+	}
 	return sum, first
 }
 
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -72,6 +72,18 @@
 	must.True(t, isBlocked(tr, outage(99, at), soundPart))
 }
 
+// Requests that wait for long, so that many are under way when an upstream ends, hid the crashes that follow one another.
+func TestOverlappingRequestsDoNotHideTheirCrashes(t *testing.T) {
+	const delay, gap = 2 * time.Second, 100 * time.Millisecond
+	tr := NewPartTracker()
+	at := start
+	for i := range 70 {
+		at = at.Add(gap)
+		tr.Crashed(at, []uint64{deadPart}, uint64(i), at.Add(-delay))
+	}
+	must.True(t, isBlocked(tr, at, deadPart))
+}
+
 func TestPartIsJudgedOnceOthersHaveReported(t *testing.T) {
 	tr := NewPartTracker()
 	for i := range time.Duration(minPartCrashes) {
