Take only ends of upstreams under other parts for an outage

A crash at the time of which three upstreams end counts half, since outages have rare parts in common by chance. Requests with one part that arrive fast end several upstreams within 100 ms themselves, so that twice as many crashes were needed. Found by a review. Ends under requests with the part itself no longer count for that.

TestFrequentCrashesOfOnePartAreNoOutage failed before and passes now; TestRarePartInSeveralOutagesIsNotBlocked still passes.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -13,10 +13,10 @@
 	// by chance.
 	minPartCrashes = 3
 	// singleWeight and outageWeight are what a crash counts by itself and as part of an outage. An outage hits many requests at
-	// once, so that outages are likely to have a rare part in common; but frequent requests with one part may look like one.
+	// once, so that outages are likely to have a rare part in common.
 	singleWeight = 2
 	outageWeight = 1
-	// minOutageUpstreams is the number of upstreams that end within about outageTime before or after a crash in an outage.
+	// minOutageUpstreams is the number of upstreams that end in an outage, within one to two outageTime of each other.
 	minOutageUpstreams = 3
 	outageTime         = 50 * time.Millisecond
 	// settleTime is the least age of the first of these crashes from which they are judged. Until then, other instances may not
@@ -128,7 +128,7 @@
 func (tr *PartTracker) weight(p *part) (sum int, first time.Time) {
 	chain := p.chain()
 	for _, c := range chain {
-		if tr.isOutage(c.at) {
+		if tr.isOutage(p, c.at) {
 			sum += outageWeight
 		} else {
 			sum += singleWeight
@@ -145,10 +145,16 @@
 	return at.Sub(tr.base).Truncate(outageTime)
 }
 
-// isOutage reports whether several upstreams ended at about that time.
-func (tr *PartTracker) isOutage(at time.Time) bool {
+// isOutage reports whether several upstreams ended at about that time, most of them without a request with the part.
+func (tr *PartTracker) isOutage(p *part, at time.Time) bool {
 	i := tr.interval(at)
-	return tr.endCounts[i-outageTime]+tr.endCounts[i]+tr.endCounts[i+outageTime] >= minOutageUpstreams
+	others := tr.endCounts[i-outageTime] + tr.endCounts[i] + tr.endCounts[i+outageTime]
+	for _, c := range p.crashes {
+		if d := tr.interval(c.at) - i; d.Abs() <= outageTime {
+			others--
+		}
+	}
+	return others >= minOutageUpstreams-1
 }
 
 // update sets blockedAt as of now.
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -84,6 +84,17 @@
 	must.True(t, isBlocked(tr, at, deadPart))
 }
 
+// Frequent requests with one part looked like an outage, so that twice as many crashes were needed.
+func TestFrequentCrashesOfOnePartAreNoOutage(t *testing.T) {
+	tr := NewPartTracker()
+	at := start
+	for i := range minPartCrashes {
+		at = at.Add(20 * time.Millisecond)
+		tr.Crashed(at, []uint64{deadPart, uint64(1000 + i)}, uint64(i), at.Add(-10*time.Millisecond))
+	}
+	must.True(t, isBlocked(tr, at.Add(settleTime), deadPart))
+}
+
 func TestPartIsJudgedOnceOthersHaveReported(t *testing.T) {
 	tr := NewPartTracker()
 	for i := range time.Duration(minPartCrashes) {
