Count later crashes of an upstream under the same incarnation

An upstream that crashes and starts again is another incarnation, but the list that says so may be late or the store away. Only its first crash counted then, so that few upstreams were never enough to refuse a part. A request that was sent after a known crash now belongs to another one; of several that break off with one crash the latest sent counts.

TestUpstreamsThatStartAgainCountAgain failed before and passes now.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -46,7 +46,7 @@
 
 // part holds what is known of requests with one prompt part.
 type part struct {
-	// crashes are in order of time, with one entry an upstream.
+	// crashes are in order of time.
 	crashes []partCrash
 	// survived is when an upstream last outlived a request with the part.
 	survived time.Time
@@ -54,10 +54,17 @@
 	blockedAt time.Time
 }
 
-// add adds a crash, unless one of the same upstream is known.
+// add adds a crash. Several requests may break off with one crash; the latest sent is kept. A request that was sent after the
+// crash belongs to another one: the upstream may have started again before the list shows its new incarnation.
 func (p *part) add(c partCrash) {
-	if slices.ContainsFunc(p.crashes, func(o partCrash) bool { return o.upstream == c.upstream }) {
-		return
+	for i := range p.crashes {
+		o := &p.crashes[i]
+		if o.upstream == c.upstream && !c.sent.After(o.at) && !o.sent.After(c.at) {
+			if c.sent.After(o.sent) {
+				o.sent = c.sent
+			}
+			return
+		}
 	}
 	p.crashes = append(p.crashes, c)
 	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
@@ -177,8 +184,11 @@
 // add records a crash of a part.
 func (tr *PartTracker) add(p *part, c partCrash) {
 	p.add(c)
-	if _, ok := tr.ends[c.upstream]; ok {
-		return
+	if last, ok := tr.ends[c.upstream]; ok {
+		if !c.sent.After(last) {
+			return
+		}
+		tr.removeEnd(last)
 	}
 	if tr.base.IsZero() {
 		// Earlier times would share the interval around zero with later ones.
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -95,6 +95,20 @@
 	must.True(t, isBlocked(tr, at.Add(settleTime), deadPart))
 }
 
+// While the list of upstreams was out of date, only the first crash of each upstream counted.
+func TestUpstreamsThatStartAgainCountAgain(t *testing.T) {
+	tr := NewPartTracker()
+	at := start
+	for i := range uint64(minPartCrashes) {
+		at = at.Add(time.Second)
+		tr.Crashed(at, []uint64{deadPart}, i%2, at.Add(-50*time.Millisecond))
+		// Another request that broke off with the same crash, and was sent earlier.
+		tr.Crashed(at.Add(time.Millisecond), []uint64{deadPart}, i%2, at.Add(-200*time.Millisecond))
+	}
+	must.True(t, isBlocked(tr, at, deadPart))
+	must.SliceLen(t, minPartCrashes, tr.parts[deadPart].crashes)
+}
+
 func TestPartIsJudgedOnceOthersHaveReported(t *testing.T) {
 	tr := NewPartTracker()
 	for i := range time.Duration(minPartCrashes) {
