Track new prompt parts when the table is full

An outage under many prompts with rare parts may fill the table of tracked parts for 20 minutes; a part that crashed upstreams afterwards was not tracked. The part with the least weight now gives way.

TestFullTableTracksNewParts failed before and passes now.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -231,9 +231,7 @@
 func (tr *PartTracker) Block(now time.Time, id uint64, since time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if p := tr.getOrCreate(now, id); p != nil {
-		p.block(now, since)
-	}
+	tr.getOrCreate(now, id).block(now, since)
 }
 
 // block sets blockedAt, unless a request has survived since or the time is over.
@@ -248,9 +246,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for _, id := range parts {
-		if p := tr.getOrCreate(now, id); p != nil {
-			tr.add(p, partCrash{upstream, sent, now})
-		}
+		tr.add(tr.getOrCreate(now, id), partCrash{upstream, sent, now})
 	}
 }
 
@@ -273,13 +269,31 @@
 		tr.removeExpired(now)
 	}
 	if len(tr.parts) >= maxParts {
-		return nil
+		tr.evict()
 	}
 	p := &part{}
 	tr.parts[id] = p
 	return p
 }
 
+// evict removes the part with the least weight, of several the one whose last crash is the oldest. Blocked parts stay.
+func (tr *PartTracker) evict() {
+	var victim uint64
+	found, least, oldest := false, 0, time.Time{}
+	for id, p := range tr.parts {
+		if !p.blockedAt.IsZero() {
+			continue
+		}
+		sum, _ := tr.weight(p)
+		if !found || sum < least || sum == least && p.lastCrash().Before(oldest) {
+			victim, found, least, oldest = id, true, sum, p.lastCrash()
+		}
+	}
+	if found {
+		delete(tr.parts, victim)
+	}
+}
+
 func (tr *PartTracker) removeExpired(now time.Time) {
 	for id, p := range tr.parts {
 		if tr.update(now, p); !p.blockedAt.IsZero() {
@@ -395,10 +409,9 @@
 		if err != nil {
 			continue
 		}
-		if p := tr.getOrCreate(now, id); p != nil {
-			tr.merge(now, p, r)
-			tr.update(now, p)
-		}
+		p := tr.getOrCreate(now, id)
+		tr.merge(now, p, r)
+		tr.update(now, p)
 	}
 }
 
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -109,6 +109,17 @@
 	must.SliceLen(t, minPartCrashes, tr.parts[deadPart].crashes)
 }
 
+// An outage with many rare parts filled the table, and other parts were not tracked for 20 minutes.
+func TestFullTableTracksNewParts(t *testing.T) {
+	tr := NewPartTracker()
+	for i := range uint64(maxParts) {
+		tr.Crashed(start, []uint64{1000 + i}, i%100, start.Add(-time.Millisecond))
+	}
+	at := crashSome(tr, start, deadPart, minPartCrashes)
+	must.True(t, isBlocked(tr, at, deadPart))
+	must.MapLen(t, maxParts, tr.parts)
+}
+
 func TestPartIsJudgedOnceOthersHaveReported(t *testing.T) {
 	tr := NewPartTracker()
 	for i := range time.Duration(minPartCrashes) {
