Do not refuse popular prompt parts together with the one that crashes upstreams

A popular part that is in each prompt with the crashing part was refused too if upstreams ended faster than its other requests survived, and then could not be cleared, since nothing with it ran. A part whose requests have survived before, which is now kept for untracked parts too, needs twice the crashes; and the crashes that a refused part explains no longer count against others.

TestPopularPartIsNotBlockedWithTheCrashingOne fails without either. TestSurvivalClearsAPart expected a refusal after three crashes that follow a survival; it now expects none after five and one after six.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -28,11 +28,13 @@
 	partTTL = 2 * blockTTL
 	// clearedReportTTL is how long a part whose requests survive is reported after its last crash.
 	clearedReportTTL = 5 * time.Second
+	// survivalTTL is how long the survivals of parts that are not tracked are kept when there are many.
+	survivalTTL = 30 * time.Second
 	// maxParts limits the parts that are tracked, maxPartReports those in one message.
 	maxParts       = 4096
 	maxPartReports = 32
 	// maxPartCrashes limits the crashes that are kept of one part.
-	maxPartCrashes = 8
+	maxPartCrashes = 16
 )
 
 // partCrash is the end of an upstream while it ran a request with a part.
@@ -59,7 +61,7 @@
 func (p *part) add(c partCrash) {
 	for i := range p.crashes {
 		o := &p.crashes[i]
-		if o.upstream == c.upstream && !c.sent.After(o.at) && !o.sent.After(c.at) {
+		if o.same(c) {
 			if c.sent.After(o.sent) {
 				o.sent = c.sent
 			}
@@ -103,13 +105,18 @@
 	ends      map[uint64]time.Time
 	endCounts map[time.Duration]int
 	base      time.Time
+	// survivals are the times at which requests with parts that are not tracked survived.
+	survivals map[uint64]time.Time
 	// settle is settleTime, or the time in which reports reach all instances if that is longer.
 	settle time.Duration
 }
 
 // NewPartTracker returns an empty PartTracker.
 func NewPartTracker() *PartTracker {
-	return &PartTracker{parts: make(map[uint64]*part), ends: make(map[uint64]time.Time), endCounts: make(map[time.Duration]int), settle: settleTime}
+	return &PartTracker{
+		parts: make(map[uint64]*part), ends: make(map[uint64]time.Time), endCounts: make(map[time.Duration]int),
+		survivals: make(map[uint64]time.Time), settle: settleTime,
+	}
 }
 
 // SetReportDelay sets the time in which reports reach all instances.
@@ -164,9 +171,18 @@
 	return others >= minOutageUpstreams-1
 }
 
+// limit returns the weight from which requests with a part are refused. A part whose requests have survived needs twice the
+// crashes: popular parts are in all crashes together with the one that causes them.
+func (p *part) limit() int {
+	if p.survived.IsZero() {
+		return minPartCrashes * singleWeight
+	}
+	return 2 * minPartCrashes * singleWeight
+}
+
 // update sets blockedAt as of now.
 func (tr *PartTracker) update(now time.Time, p *part) {
-	const limit = minPartCrashes * singleWeight
+	limit := p.limit()
 	sum, first := tr.weight(p)
 	switch {
 	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
@@ -178,9 +194,29 @@
 		}
 	case p.blockedAt.IsZero() && sum >= limit && now.Sub(first) >= tr.settle:
 		p.blockedAt = now
+		tr.explain(p)
+	}
+}
+
+// explain removes the crashes that a blocked part explains from the other parts.
+func (tr *PartTracker) explain(blocked *part) {
+	for _, p := range tr.parts {
+		if p.blockedAt.IsZero() {
+			p.crashes = slices.DeleteFunc(p.crashes, blocked.includes)
+		}
 	}
 }
 
+// includes reports whether one of the part's crashes is the same as that of another part.
+func (p *part) includes(c partCrash) bool {
+	return slices.ContainsFunc(p.crashes, func(o partCrash) bool { return o.same(c) })
+}
+
+// same reports whether two requests broke off with the same crash.
+func (c partCrash) same(o partCrash) bool {
+	return c.upstream == o.upstream && !c.sent.After(o.at) && !o.sent.After(c.at)
+}
+
 // add records a crash of a part.
 func (tr *PartTracker) add(p *part, c partCrash) {
 	p.add(c)
@@ -257,8 +293,25 @@
 	for _, id := range parts {
 		if p, ok := tr.parts[id]; ok {
 			p.survived = now
+			continue
+		}
+		if _, ok := tr.survivals[id]; !ok && len(tr.survivals) >= maxParts {
+			tr.removeSurvivals(now)
+		}
+		tr.survivals[id] = now
+	}
+}
+
+// removeSurvivals makes room for survivals: it removes those that are older than survivalTTL, or else all.
+func (tr *PartTracker) removeSurvivals(now time.Time) {
+	for id, at := range tr.survivals {
+		if now.Sub(at) > survivalTTL {
+			delete(tr.survivals, id)
 		}
 	}
+	if len(tr.survivals) >= maxParts {
+		clear(tr.survivals)
+	}
 }
 
 func (tr *PartTracker) getOrCreate(now time.Time, id uint64) *part {
@@ -271,7 +324,8 @@
 	if len(tr.parts) >= maxParts {
 		tr.evict()
 	}
-	p := &part{}
+	p := &part{survived: tr.survivals[id]}
+	delete(tr.survivals, id)
 	tr.parts[id] = p
 	return p
 }
@@ -305,6 +359,9 @@
 		}
 		if now.Sub(p.lastCrash()) > ttl {
 			delete(tr.parts, id)
+			if !p.survived.IsZero() {
+				tr.survivals[id] = p.survived
+			}
 		}
 	}
 	for upstream, end := range tr.ends {
