Responses without output do not clear a prompt part

An upstream that refuses a request with a client error, or ends a stream without an event, has not begun to write. Such a response cleared the parts of the request, so that a part that crashes upstreams had to crash as many again. Found by a review.

TestResponsesWithoutOutputDoNotClearAPart failed before for 403 and for a stream without events and passes now.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/platform/fake"
@@ -143,6 +144,29 @@
 	must.Eq(t, before, after)
 }
 
+// Responses without output, which an upstream gives before it begins to write, cleared a part.
+func TestResponsesWithoutOutputDoNotClearAPart(t *testing.T) {
+	for name, faults := range map[string]fake.Faults{"client error": {Deny: true}, "no event": {NoEvents: true}} {
+		t.Run(name, func(t *testing.T) {
+			s, r := startSite(t, 1, 1)
+			call := newPromptCall(fake.BriefPath + "1")
+			call.Parts = [2]string{"a1", crashingPart}
+			parts := []uint64{xxhash.Sum64String(crashingPart)}
+			crash := func(upstream uint64, ago time.Duration) {
+				at := time.Now().Add(-ago)
+				r.parts.Crashed(at, parts, upstream, at.Add(-time.Millisecond))
+			}
+			crash(1, 3*time.Second)
+			crash(2, 2*time.Second)
+			s.Engines[0].SetFaults(faults)
+			r.send(t, call)
+			must.SliceLen(t, 1, s.Engines[0].Runs())
+			crash(3, 0)
+			must.True(t, r.parts.Blocked(time.Now(), parts))
+		})
+	}
+}
+
 // Rows of parts that are no longer blocked, and rows that cannot be decoded, leave the store or do no harm.
 func TestRowsOfBlockedParts(t *testing.T) {
 	s := newSite(t, 1, 1)
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -70,7 +70,7 @@
 	return len(x.parts) > 0 && x.Parts.Blocked(now, x.parts)
 }
 
-// recordSurvival records that an upstream has outlived the request.
+// recordSurvival records that an upstream has outlived the request. Responses without output prove nothing.
 func (x *exchange) recordSurvival(now time.Time) {
 	if len(x.parts) > 0 && !x.survived {
 		x.survived = true
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -261,7 +261,9 @@
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
-	x.recordSurvival(time.Now())
+	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
+		x.recordSurvival(time.Now())
+	}
 	x.respond(resp.Status, resp.Header, body, answered)
 	return answered, nil
 }
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -54,6 +54,9 @@
 		other.stop()
 		if err != nil {
 			if err = c.streamError(err, rest, first); err == nil {
+				if !first {
+					x.recordSurvival(time.Now())
+				}
 				r, err := x.finishStream(c)
 				return nil, r, err
 			}
@@ -145,7 +148,6 @@
 	x.sendHead(c.resp)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
-	x.recordSurvival(time.Now())
 	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
 	return answered, nil
 }
