Revise a block of a prompt part when older survivals become known

A block was lifted only by a survival after it, and taken over by other instances without their own judgement. A survival before the last crash that was reported late did not lift it, so that a sound part could be refused for 10 minutes; the same for an instance that had been cut off. Found by a review. A block now stands as long as the known crashes reach the limit, and goes to others with these crashes; only blocks that were kept from an earlier run, in the store, come without.

TestBlockIsRevisedByLateReports failed before and passes now.

--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -54,6 +54,8 @@
 	survived time.Time
 	// blockedAt is when requests with the part began to be refused; zero while they are not.
 	blockedAt time.Time
+	// kept reports whether the block comes from an earlier run, whose crashes are no longer known.
+	kept bool
 }
 
 // add adds a crash. Several requests may break off with one crash; the latest sent is kept. A request that was sent after the
@@ -185,10 +187,11 @@
 	limit := p.limit()
 	sum, first := tr.weight(p)
 	switch {
-	case !p.blockedAt.IsZero() && p.survived.After(p.blockedAt):
-		p.blockedAt = time.Time{}
+	case !p.blockedAt.IsZero() && (p.survived.After(p.blockedAt) || !p.kept && sum < limit):
+		// What has become known since may be older than the block.
+		p.blockedAt, p.kept = time.Time{}, false
 	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
-		p.blockedAt = time.Time{}
+		p.blockedAt, p.kept = time.Time{}, false
 		for ; sum >= limit; sum, _ = tr.weight(p) {
 			p.crashes = p.crashes[1:]
 		}
@@ -267,13 +270,13 @@
 func (tr *PartTracker) Block(now time.Time, id uint64, since time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.getOrCreate(now, id).block(now, since)
+	tr.getOrCreate(now, id).keep(now, since)
 }
 
-// block sets blockedAt, unless a request has survived since or the time is over.
-func (p *part) block(now, since time.Time) {
+// keep blocks a part without its crashes, unless a request has survived since or the time is over.
+func (p *part) keep(now, since time.Time) {
 	if since.After(p.survived) && p.blockedAt.IsZero() && now.Sub(since) <= blockTTL {
-		p.blockedAt = since
+		p.blockedAt, p.kept = since, true
 	}
 }
 
@@ -388,6 +391,8 @@
 	Survived int64 `json:"s,omitempty"`
 	// Blocked is the time since requests with the part began to be refused, plus one; zero if they are not.
 	Blocked int64 `json:"b,omitempty"`
+	// Kept reports whether the block comes from an earlier run; otherwise the crashes show it.
+	Kept bool `json:"k,omitempty"`
 }
 
 // CrashReport is one crash in a PartReport.
@@ -431,7 +436,7 @@
 }
 
 func (p *part) report(now time.Time, id uint64) PartReport {
-	r := PartReport{Part: strconv.FormatUint(id, 16), Survived: ageOf(now, p.survived), Blocked: ageOf(now, p.blockedAt)}
+	r := PartReport{Part: strconv.FormatUint(id, 16), Survived: ageOf(now, p.survived), Blocked: ageOf(now, p.blockedAt), Kept: p.kept}
 	for _, c := range p.crashes {
 		if !c.at.After(p.survived) {
 			continue
@@ -483,7 +488,7 @@
 	if survived := timeOf(now, r.Survived); survived.After(p.survived) {
 		p.survived = survived
 	}
-	if r.Blocked > 0 {
-		p.block(now, timeOf(now, r.Blocked))
+	if r.Blocked > 0 && r.Kept {
+		p.keep(now, timeOf(now, r.Blocked))
 	}
 }
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -144,6 +144,21 @@
 	must.True(t, isBlocked(tr, crashSome(tr, at, deadPart, 1), deadPart))
 }
 
+// A block was kept although a survival before its last crash became known afterwards, and taken over by others.
+func TestBlockIsRevisedByLateReports(t *testing.T) {
+	a, b := NewPartTracker(), NewPartTracker()
+	at := crashSome(a, start, soundPart, minPartCrashes-1)
+	b.Merge(at, a.Report(at))
+	b.Survived(at.Add(900*time.Millisecond), []uint64{soundPart})
+	at = crashSome(a, at, soundPart, 1)
+	must.True(t, isBlocked(a, at, soundPart))
+	blocked := a.Report(at)
+	b.Merge(at, blocked)
+	must.False(t, isBlocked(b, at, soundPart))
+	a.Merge(at, b.Report(at))
+	must.False(t, isBlocked(a, at, soundPart))
+}
+
 func TestSurvivalsAreLimited(t *testing.T) {
 	tr := NewPartTracker()
 	for i := range uint64(maxParts) {
