Keep rows of blocked prompt parts that were just read

The instance of rank 0 compared the rows that it had just read with the blocked parts as they were before, and removed rows of a restored store for 200 ms; a restart of all in that time would have lost them. It also kept what it knew of the rows while another instance had rank 0, and did not write a part again that was blocked anew. Found by a review.

TestRowsOfBlockedParts with a row that only the copy has failed before (the row was gone) and passes now.

--- a/internal/app/edge/blocks.go
+++ b/internal/app/edge/blocks.go
@@ -17,6 +17,8 @@
 	blocksTable = "blocked"
 	// blocksInterval is the interval between checks whether parts have been blocked or cleared.
 	blocksInterval = 200 * time.Millisecond
+	// blockRowTolerance is how much later than in its row a part may have been blocked; a part that is blocked again is written again.
+	blockRowTolerance = time.Minute
 )
 
 // blockRow is the store's row of a blocked part.
@@ -30,18 +32,19 @@
 	edge *Edge
 	// logged are the parts that were blocked at the last check.
 	logged map[uint64]time.Time
-	// stored are the parts that the store has rows of, in its epoch.
-	stored map[uint64]bool
+	// stored are the parts that the store has rows of, in an epoch, with the time since when. It is nil unless this instance has
+	// read them since it has rank 0.
+	stored map[uint64]time.Time
 	epoch  int64
 }
 
-// loadBlocks reads the blocked parts from the store and returns the parts that it has rows of.
-func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]bool, error) {
+// loadBlocks reads the blocked parts from the store. It returns the parts that the store has rows of, with the time since when.
+func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]time.Time, error) {
 	rows, err := e.readTable(ctx, blocksTable)
 	if err != nil {
 		return nil, err
 	}
-	stored := make(map[uint64]bool)
+	stored := make(map[uint64]time.Time)
 	e.storeClockOffset.Store(int64(rows.Clock - clock.SinceBoot()))
 	now := time.Now()
 	for _, row := range rows.Rows {
@@ -54,25 +57,24 @@
 			e.log.Info("crash: cannot decode the row of a blocked prompt part", "key", row.Key, "error", err.Error())
 			continue
 		}
-		stored[id] = true
-		age := max(0, rows.Clock-time.Duration(r.SinceMs)*time.Millisecond)
-		e.parts.Block(now, id, now.Add(-age))
+		stored[id] = now.Add(-max(0, rows.Clock-time.Duration(r.SinceMs)*time.Millisecond))
+		e.parts.Block(now, id, stored[id])
 	}
 	return stored, nil
 }
 
 // keepBlocks logs changes of the blocked parts and keeps them in the store until the context ends.
 func (e *Edge) keepBlocks(ctx context.Context) {
-	k := &blockKeeper{edge: e, epoch: unknownEpoch}
+	k := &blockKeeper{edge: e}
 	outage := storeOutage{edge: e, purpose: "blocked prompt parts"}
 	for sleep.For(ctx, blocksInterval) == nil {
 		now := time.Now()
-		blocked := e.parts.AllBlocked(now)
-		k.log(blocked)
+		k.log(e.parts.AllBlocked(now))
 		if e.joined.Load() == 0 || e.ranks.Rank(now) != 0 {
+			k.stored = nil
 			continue
 		}
-		if err := k.write(ctx, now, blocked); err != nil {
+		if err := k.write(ctx, now); err != nil {
 			outage.recordFailure(err)
 			if !waitRetry(ctx, outage.failures) {
 				return
@@ -100,23 +102,24 @@
 }
 
 // write writes the rows of parts that are blocked and removes those of parts that no longer are.
-func (k *blockKeeper) write(ctx context.Context, now time.Time, blocked map[uint64]time.Time) error {
-	if epoch, _ := k.edge.epochs.get(); epoch != k.epoch {
-		// A restored store may lack rows.
+func (k *blockKeeper) write(ctx context.Context, now time.Time) error {
+	if epoch, _ := k.edge.epochs.get(); epoch != k.epoch || k.stored == nil {
+		// A restored store may lack rows, or have some that this instance does not know.
 		stored, err := k.edge.loadBlocks(ctx)
 		if err != nil {
 			return err
 		}
 		k.epoch, k.stored = epoch, stored
 	}
+	blocked := k.edge.parts.AllBlocked(now)
 	for id, since := range blocked {
-		if k.stored[id] {
+		if at, ok := k.stored[id]; ok && since.Sub(at) < blockRowTolerance {
 			continue
 		}
 		if err := k.put(ctx, id, now.Sub(since)); err != nil {
 			return err
 		}
-		k.stored[id] = true
+		k.stored[id] = since
 	}
 	for id := range k.stored {
 		if _, ok := blocked[id]; ok {
--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -192,6 +192,14 @@
 	eventually(t, "another one is written", func() bool { return slices.Contains(rows(), "4") })
 	s.Store.Restore(c)
 	eventually(t, "it is written again after a restore", func() bool { return slices.Contains(rows(), "4") })
+	s.Store.Put(blocksTable, "5", blockRow{})
+	restored := s.Store.Copy()
+	s.Store.Restore(restored)
+	eventually(t, "a row of the copy is read", func() bool { return r.parts.Blocked(time.Now(), []uint64{5}) })
+	for range 20 {
+		must.SliceContains(t, rows(), "5")
+		time.Sleep(20 * time.Millisecond)
+	}
 	r.parts.Survived(time.Now(), []uint64{3})
 	eventually(t, "a cleared part is removed", func() bool { return !slices.Contains(rows(), "3") })
 	must.Eq(t, http.StatusOK, r.send(t, newPromptCall(fake.BriefPath+"1")).Status)
