Merge an urgent message before it is forwarded

The head of a zone was told to forward an urgent message before the message had been merged, so that a crash of an upstream could reach the other zones an interval later. Found by a review. TestUrgentMessageIsMergedBeforeItIsForwarded failed before and passes now.

--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -348,10 +348,12 @@
 	echo := int64(binary.LittleEndian.Uint64(packet))
 	since := int64(binary.LittleEndian.Uint64(packet[8:]))
 	e.AddPeer(Instance{m.Address, m.Zone, m.Size})
-	if e.record(now, m) {
+	forward := e.record(now, m)
+	e.Sink.Receive(now, m, time.Duration(echo+since), echo != 0 && echo <= int64(now))
+	if forward {
+		// After Receive, so that the message contains what it has merged.
 		e.TriggerSend()
 	}
-	e.Sink.Receive(now, m, time.Duration(echo+since), echo != 0 && echo <= int64(now))
 }
 
 // record stores a message and reports whether it must be forwarded at once.
--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"testing"
@@ -184,3 +185,28 @@
 		must.Eq(t, 40, known)
 	}
 }
+
+// pendingSink records whether a message was to be forwarded when it was received.
+type pendingSink struct {
+	e       *Exchange
+	pending int
+}
+
+func (s *pendingSink) Receive(time.Duration, *Message, time.Duration, bool) { s.pending = len(s.e.sendNow) }
+
+// The head of a zone could forward an urgent message before it had merged it, without what it said.
+func TestUrgentMessageIsMergedBeforeItIsForwarded(t *testing.T) {
+	sink := &pendingSink{}
+	e := New(Settings{
+		Instance: Instance{Address: "127.0.0.1:1", Zone: "a", Size: 2}, Clock: func() time.Duration { return time.Second }, Sink: sink, Log: logr.Discard(),
+	})
+	sink.e = e
+	for port := range maxMeshSize {
+		e.AddPeer(Instance{Address: fmt.Sprintf("127.0.0.1:%d", port+2), Zone: "a", Size: 1})
+	}
+	body, err := json.Marshal(Message{Address: "127.0.0.1:2", Zone: "a", Size: 1, Urgent: true})
+	must.NoError(t, err)
+	e.receive(append(make([]byte, headerBytes), body...))
+	must.Eq(t, 0, sink.pending)
+	must.Eq(t, 1, len(e.sendNow))
+}
