--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -192,7 +192,9 @@
 	pending int
 }
 
-func (s *pendingSink) Receive(time.Duration, *Message, time.Duration, bool) { s.pending = len(s.e.sendNow) }
+func (s *pendingSink) Receive(time.Duration, *Message, time.Duration, bool) {
+	s.pending = len(s.e.sendNow)
+}
 
 // The head of a zone could forward an urgent message before it had merged it, without what it said.
 func TestUrgentMessageIsMergedBeforeItIsForwarded(t *testing.T) {
