Do not renew a block of a prompt part by the reports of others

When a block is over, the instance dropped some of the crashes, but took them again from the report of an instance whose block was over later, and blocked the part for another 10 minutes; that went on between two instances for good. The crashes are kept now, and another block needs one after the end of the last.

TestReportsDoNotRenewABlock failed before and passes now.

--- a/internal/once/fatal/judge.go
+++ b/internal/once/fatal/judge.go
@@ -47,11 +47,8 @@
 		// What has become known since may be older than the block.
 		p.blockedAt, p.kept = time.Time{}, false
 	case !p.blockedAt.IsZero() && now.Sub(p.blockedAt) > blockTTL:
-		p.blockedAt, p.kept = time.Time{}, false
-		for ; sum >= limit; sum, _ = tr.weight(p) {
-			p.crashes = p.crashes[1:]
-		}
-	case p.blockedAt.IsZero() && sum >= limit && now.Sub(first) >= tr.settle:
+		p.blockedAt, p.kept, p.retriedAt = time.Time{}, false, now
+	case p.blockedAt.IsZero() && sum >= limit && now.Sub(first) >= tr.settle && !p.lastCrash().Before(p.retriedAt):
 		p.blockedAt = now
 		tr.explain(p)
 	}
--- a/internal/once/fatal/part.go
+++ b/internal/once/fatal/part.go
@@ -22,6 +22,8 @@
 	survived time.Time
 	// blockedAt is when requests with the part began to be refused; zero while they are not.
 	blockedAt time.Time
+	// retriedAt is when the last block was over. Another one needs a later crash.
+	retriedAt time.Time
 	// kept reports whether the block comes from an earlier run, whose crashes are no longer known.
 	kept bool
 }
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -215,6 +215,26 @@
 	must.SliceEmpty(t, tr.Report(at.Add(partTTL)))
 }
 
+// Instances whose blocks were over renewed them by the reports of others.
+func TestReportsDoNotRenewABlock(t *testing.T) {
+	a, b := NewPartTracker(), NewPartTracker()
+	at := crashSome(a, start, deadPart, minPartCrashes)
+	must.True(t, isBlocked(a, at, deadPart))
+	at = at.Add(time.Second)
+	b.Merge(at, a.Report(at))
+	must.True(t, isBlocked(b, at, deadPart))
+	for at = at.Add(blockTTL - 2*time.Second); at.Before(start.Add(blockTTL + time.Minute)); at = at.Add(250 * time.Millisecond) {
+		a.Merge(at, b.Report(at))
+		b.Merge(at, a.Report(at))
+	}
+	must.False(t, isBlocked(a, at, deadPart))
+	must.False(t, isBlocked(b, at, deadPart))
+	at = crashSome(a, at, deadPart, 1)
+	b.Merge(at, a.Report(at))
+	must.True(t, isBlocked(a, at, deadPart))
+	must.True(t, isBlocked(b, at, deadPart))
+}
+
 // An instance that has just started learns of all crashes, also of those that another instance saw before it restarted itself.
 func TestReportsPassOnWhatOthersReported(t *testing.T) {
 	a, b, c := NewPartTracker(), NewPartTracker(), NewPartTracker()
