Reports of prompt parts that are repeated add nothing

An upstream does not crash twice within a second, and a survival that is reported counts only if it is later than the known one by more than the time that a report takes. TestReportsThatAreRepeatedAddNothing (16 crashes instead of one) and TestRequestsToADeadUpstreamCountOnce failed before and pass now.

--- a/internal/once/fatal/judge.go
+++ b/internal/once/fatal/judge.go
@@ -67,7 +67,7 @@
 func (tr *PartTracker) add(p *part, c partCrash) {
 	p.add(c)
 	if last, ok := tr.ends[c.upstream]; ok {
-		if !c.sent.After(last) {
+		if c.at.Sub(last) < minRestartTime {
 			return
 		}
 		tr.removeEnd(last)
--- a/internal/once/fatal/part.go
+++ b/internal/once/fatal/part.go
@@ -28,17 +28,11 @@
 	kept bool
 }
 
-// add adds a crash. Several requests may break off with one crash; the latest sent is kept. A request that was sent after the
-// crash belongs to another one: the upstream may have started again before the list shows its new incarnation.
+// add adds a crash. Several requests may break off with one crash, and others fail that are sent until it is known. The upstream may
+// start again before the list shows its new incarnation.
 func (p *part) add(c partCrash) {
-	for i := range p.crashes {
-		o := &p.crashes[i]
-		if o.same(c) {
-			if c.sent.After(o.sent) {
-				o.sent = c.sent
-			}
-			return
-		}
+	if p.includes(c) {
+		return
 	}
 	p.crashes = append(p.crashes, c)
 	slices.SortFunc(p.crashes, func(a, b partCrash) int { return a.at.Compare(b.at) })
@@ -95,7 +89,7 @@
 
 // same reports whether two requests broke off with the same crash.
 func (c partCrash) same(o partCrash) bool {
-	return c.upstream == o.upstream && !c.sent.After(o.at) && !o.sent.After(c.at)
+	return c.upstream == o.upstream && c.at.Sub(o.at).Abs() < minRestartTime
 }
 
 // keep blocks a part without its crashes, unless a request has survived since or the time is over.
--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -16,6 +16,11 @@
 	// minOutageUpstreams is the number of upstreams that end in an outage, within one to two outageTime of each other.
 	minOutageUpstreams = 3
 	outageTime         = 50 * time.Millisecond
+	// minRestartTime is the time within which an upstream does not crash twice.
+	minRestartTime = time.Second
+	// reportTolerance is more than the time that a report usually takes. Reports carry ages, so that each one dates what it says
+	// later by that time; it must not add up when instances report to each other what they have heard.
+	reportTolerance = 100 * time.Millisecond
 	// settleTime is the least age of the first of these crashes from which they are judged. Until then, other instances may not
 	// have reported that requests with the part survive.
 	settleTime = 700 * time.Millisecond
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -235,6 +235,43 @@
 	must.True(t, isBlocked(b, at, deadPart))
 }
 
+// Reports that instances passed on to each other multiplied crashes and moved survivals, since each one dates them a little later.
+func TestReportsThatAreRepeatedAddNothing(t *testing.T) {
+	const latency = 20 * time.Millisecond
+	trackers := []*PartTracker{NewPartTracker(), NewPartTracker(), NewPartTracker()}
+	trackers[0].Crashed(start, []uint64{deadPart, soundPart}, 1, start.Add(-3*time.Millisecond))
+	survived := start.Add(100 * time.Millisecond)
+	trackers[0].Survived(survived, []uint64{soundPart})
+	now := survived
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		for i, from := range trackers {
+			trackers[(i+1)%3].Merge(now.Add(latency), from.Report(now))
+			trackers[(i+2)%3].Merge(now.Add(latency), from.Report(now))
+		}
+	}
+	for _, tr := range trackers {
+		must.SliceLen(t, 1, tr.parts[deadPart].crashes)
+		must.LessEq(t, 2*latency+time.Millisecond, tr.parts[deadPart].crashes[0].at.Sub(start))
+		last := tr.survivals[soundPart]
+		if p, ok := tr.parts[soundPart]; ok {
+			last = p.survived
+		}
+		must.LessEq(t, 2*latency+time.Millisecond, last.Sub(survived))
+	}
+}
+
+// Requests that are sent to an upstream until its crash is known counted as further crashes.
+func TestRequestsToADeadUpstreamCountOnce(t *testing.T) {
+	tr := NewPartTracker()
+	for i := range 20 {
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		tr.Crashed(at, []uint64{soundPart}, 1, at.Add(-time.Millisecond))
+	}
+	must.SliceLen(t, 1, tr.parts[soundPart].crashes)
+	must.False(t, isBlocked(tr, start.Add(time.Minute), soundPart))
+}
+
 // An instance that has just started learns of all crashes, also of those that another instance saw before it restarted itself.
 func TestReportsPassOnWhatOthersReported(t *testing.T) {
 	a, b, c := NewPartTracker(), NewPartTracker(), NewPartTracker()
--- a/internal/once/fatal/report.go
+++ b/internal/once/fatal/report.go
@@ -110,7 +110,7 @@
 		}
 		tr.add(p, partCrash{upstream, now.Add(-time.Duration(c.Sent) * time.Millisecond), now.Add(-time.Duration(c.Age) * time.Millisecond)})
 	}
-	if survived := timeOf(now, r.Survived); survived.After(p.survived) {
+	if survived := timeOf(now, r.Survived); survived.Sub(p.survived) > reportTolerance {
 		p.survived = survived
 	}
 	if r.Blocked > 0 && r.Kept {
