Log the limits that upstreams name in their responses

Neither log nor metrics showed that an upstream had named a limit on its requests (Server-Limit), so that an instance that ignores it could not be told from one that keeps to it by itself. The header is parsed, logged with request, upstream and rate, and counted (responses_with_limit). Placement does not use it yet.

--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -198,6 +198,10 @@
 		x.Log.Info("route: upstream announced that it stops", "id", x.info.ID, "upstream", choice.ID, "status", status)
 		x.Pool.CloseIdle(choice.Address)
 	}
+	if v.Limit != nil {
+		x.Log.Info("route: upstream names a limit", "id", x.info.ID, "upstream", choice.ID, "status", status, "per_second", *v.Limit)
+		x.Metrics.Counter("responses_with_limit").Inc(1)
+	}
 	if status == http.StatusServiceUnavailable && v.RetryAfter > 0 {
 		x.Fleet.PauseUntil(now, choice.ID, choice.Born, now.Add(v.RetryAfter))
 		x.Log.Info("route: upstream accepts no requests for a time", "id", x.info.ID, "upstream", choice.ID, "wait_ms", v.RetryAfter.Milliseconds())
--- a/internal/front/serve/types.go
+++ b/internal/front/serve/types.go
@@ -75,6 +75,8 @@
 	Leaving bool
 	// RetryAfter is how long the upstream wants no requests of this instance; zero if it did not say.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the upstream takes from all instances together; nil if it names none.
+	Limit *float64
 }
 
 // Dialect reads and writes the platform's headers.
