Log the software versions of upstreams and what attempts resume

The logs could not tell whether a stream went on at an upstream of another software version within one answer or over two attempts of its caller. Placement does not use them yet.

--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -157,7 +157,7 @@
 	if !e.fleet.Put(*c.Entry) {
 		return false
 	}
-	e.log.Info("list: upstream changed", "upstream", c.ID, "service", c.Entry.Service, "state", string(c.Entry.State),
+	e.log.Info("list: upstream changed", "upstream", c.ID, "service", c.Entry.Service, "build", c.Entry.Build, "state", string(c.Entry.State),
 		"weights", c.Entry.Weights, "row", c.Version)
 	return true
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -346,6 +346,9 @@
 		"confirmed_ms", x.docAge.Milliseconds(), "upstream", x.lastChoice.ID, "weights", x.lastChoice.Version, "sends", x.counts.Sends,
 		"ran", x.counts.Ran, "left_ms", x.remaining().Milliseconds(), "took_ms", took.Milliseconds(),
 	}
+	if x.info.Resumes != "" {
+		fields = append(fields, "resumes", x.info.Resumes)
+	}
 	x.Log.Info(message, append(fields, more...)...)
 	scope := x.Metrics.Tagged(map[string]string{"outcome": outcome, "kind": kind})
 	scope.Counter("requests").Inc(1)
--- a/internal/front/serve/types.go
+++ b/internal/front/serve/types.go
@@ -29,6 +29,8 @@
 	Parts []PromptPart
 	// LastEventID is the id of the last event that the caller received, or "".
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller takes up, or "".
+	Resumes string
 }
 
 // SharedParts returns the parts of the prompt that other requests may share.
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Slots   int
 	// Weights is the loaded weights version by model.
 	Weights map[string]int64
+	// Build is the version of its software, "" if unknown. Streams of different builds do not fit together.
+	Build string `json:",omitempty"`
 	// Born distinguishes incarnations with the same ID.
 	Born int64
 	// Cold is the remaining time during which the upstream is slow after its start.
