Tests that streams keep to the build that began them (known red)

On the code as it is, streams that callers take up go on at engines of another build at the same instance, at another one, after the first has ended and after a restart; broken streams do so within one answer; and a stream of an unknown build goes anywhere.

--- /dev/null
+++ b/internal/app/edge/build_test.go
@@ -0,0 +1,149 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/platform/fake"
+)
+
+// startMixedSite starts a site with engines of the given builds and two routers that know each other.
+func startMixedSite(t *testing.T, builds ...string) (*fake.Site, []*router) {
+	t.Helper()
+	s := newSite(t, len(builds), 1)
+	for i, build := range builds {
+		s.Engines[i].Build = build
+		s.Register(s.Engines[i], "ready")
+	}
+	routers := []*router{startRouter(t, testSettings(t, s)), startRouter(t, testSettings(t, s))}
+	for _, r := range routers {
+		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == len(routers) })
+		eventually(t, "builds known", func() bool {
+			for _, u := range s.Engines {
+				if v, ok := r.fleet.View(time.Now(), u.ID); !ok || v.Build != u.Build {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	return s, routers
+}
+
+// resume returns the call with which a caller takes up a stream after its second event.
+func resume(first fake.Call) fake.Call {
+	c := newUnsharedCall()
+	c.Header = http.Header{fake.HeaderResumes: {first.ID}, "Last-Event-Id": {"2"}}
+	return c
+}
+
+// buildOf returns the build of the engine that ran a request last; "" if none did.
+func buildOf(s *fake.Site, id string) string {
+	var last time.Time
+	build := ""
+	for _, u := range s.Engines {
+		for _, run := range u.Runs() {
+			if run.ID == id && run.At.After(last) {
+				last, build = run.At, u.Build
+			}
+		}
+	}
+	return build
+}
+
+// A stream goes on only at the build that began it, wherever its caller comes back.
+func TestStreamsGoOnAtTheBuildThatBeganThem(t *testing.T) {
+	const streams = 12
+	for _, c := range []struct {
+		name string
+		// comeBack returns the router to which the callers come back.
+		comeBack func(t *testing.T, s *fake.Site, routers []*router) *router
+	}{
+		{"the same instance", func(_ *testing.T, _ *fake.Site, routers []*router) *router { return routers[0] }},
+		{"another instance", func(_ *testing.T, _ *fake.Site, routers []*router) *router { return routers[1] }},
+		{"another instance after the first one has ended", func(t *testing.T, _ *fake.Site, routers []*router) *router {
+			time.Sleep(time.Second)
+			routers[0].stopAndWait(t)
+			return routers[1]
+		}},
+		{"an instance that has restarted", func(t *testing.T, _ *fake.Site, routers []*router) *router {
+			time.Sleep(time.Second)
+			routers[0].stopAndWait(t)
+			r := startRouter(t, routers[0].settings)
+			eventually(t, "ready", r.isReady)
+			return r
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s, routers := startMixedSite(t, "v1", "v1", "v2", "v2")
+			var calls []fake.Call
+			for range streams {
+				call := newUnsharedCall()
+				must.Eq(t, events(1, 5), routers[0].send(t, call).Body)
+				calls = append(calls, call)
+			}
+			r := c.comeBack(t, s, routers)
+			for _, first := range calls {
+				call := resume(first)
+				reply := r.send(t, call)
+				must.Eq(t, http.StatusOK, reply.Status)
+				must.Eq(t, events(3, 5), reply.Body)
+				must.Eq(t, buildOf(s, first.ID), buildOf(s, call.ID))
+			}
+		})
+	}
+}
+
+// A stream whose upstream breaks off goes on at another upstream of its build, and ends if there is none.
+func TestBrokenStreamsDoNotGoOnAtAnotherBuild(t *testing.T) {
+	const streams = 8
+	for _, c := range []struct {
+		name     string
+		builds   []string
+		complete bool
+	}{
+		{"another upstream of the build", []string{"v1", "v2", "v2", "v1"}, true},
+		{"none", []string{"v1", "v2", "v2"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s, routers := startMixedSite(t, c.builds...)
+			s.Engines[0].SetFaults(fake.Faults{CutAfter: 2})
+			for range streams {
+				call := newUnsharedCall()
+				for _, u := range s.Engines[1:] {
+					routers[0].fleet.SetSwitching(u.ID, time.Now().Add(50*time.Millisecond))
+				}
+				reply := routers[0].send(t, call)
+				began := false
+				for _, run := range s.Engines[0].Runs() {
+					began = began || run.ID == call.ID
+				}
+				if began {
+					must.Eq(t, "v1", buildOf(s, call.ID))
+					must.Eq(t, c.complete, reply.Complete)
+				}
+			}
+			must.SliceNotEmpty(t, s.Engines[0].Runs())
+		})
+	}
+}
+
+// A stream of an unknown build goes on if only one build serves, and is refused otherwise.
+func TestStreamsOfUnknownBuildsAreNotMixed(t *testing.T) {
+	_, routers := startMixedSite(t, "v1", "v1")
+	reply := routers[0].send(t, resume(fake.Call{ID: "feedfeed"}))
+	must.Eq(t, http.StatusOK, reply.Status)
+	s, routers := startMixedSite(t, "v1", "v2")
+	for range 6 {
+		call := resume(fake.Call{ID: "feedfeed"})
+		reply := routers[0].send(t, call)
+		must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+		must.Positive(t, reply.RetryAfter)
+		must.Eq(t, "", buildOf(s, call.ID))
+	}
+}
