Let streams go on only at the build that began them

What callers saw: streams with events of two software versions, which do not fit together, in one answer or over two attempts. Cause: the version of an upstream was not read, and no instance knew at which one a stream had begun. Class of fault: a choice of an upstream that ignores what an earlier choice for the same stream decided.

Change: the first event binds a request to the build of its upstream; what is placed after that, retries and the second attempt on silence included, goes to upstreams of that build or nowhere. A caller that takes a stream up is bound by the record of the attempt it names. Instances record the attempts whose first event they forward, and report them while upstreams of several builds serve, also those that began before. One that has no record asks another one; a service that had a single build lately needs no record. If the build stays unknown, the request is refused at once as not run, because no upstream is sure to fit.

Why it works: TestStreamsGoOnAtTheBuildThatBeganThem (same instance, another one, after the first has ended, after a restart), TestBrokenStreamsDoNotGoOnAtAnotherBuild, TestStreamsOfUnknownBuildsAreNotMixed, TestStreamIsPlacedAtItsBuild.

--- a/internal/app/edge/build_test.go
+++ b/internal/app/edge/build_test.go
@@ -20,7 +20,10 @@
 	}
 	routers := []*router{startRouter(t, testSettings(t, s)), startRouter(t, testSettings(t, s))}
 	for _, r := range routers {
-		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == len(routers) })
+		eventually(t, "ready", func() bool {
+			_, heard := r.exchange.FirstLive()
+			return r.isReady() && heard
+		})
 		eventually(t, "builds known", func() bool {
 			for _, u := range s.Engines {
 				if v, ok := r.fleet.View(time.Now(), u.ID); !ok || v.Build != u.Build {
@@ -90,7 +93,7 @@
 			for _, first := range calls {
 				call := resume(first)
 				reply := r.send(t, call)
-				must.Eq(t, http.StatusOK, reply.Status)
+				must.Eq(t, http.StatusOK, reply.Status, must.Sprint(reply.Body))
 				must.Eq(t, events(3, 5), reply.Body)
 				must.Eq(t, buildOf(s, first.ID), buildOf(s, call.ID))
 			}
--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -36,11 +36,13 @@
 	Entries []fleet.Entry `json:"entries"`
 }
 
-// peerHandler serves the routing document and the list to instances that cannot reach the store or that avoid reading it.
+// peerHandler serves the routing document and the list to instances that cannot reach the store or that avoid reading it, and what
+// this one knows of streams.
 func (e *Edge) peerHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/document", e.serveDocument).Methods(http.MethodGet)
 	m.HandleFunc("/list", e.serveList).Methods(http.MethodGet)
+	m.HandleFunc("/origin", e.serveOrigin).Methods(http.MethodGet)
 	return m
 }
 
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
@@ -81,6 +82,8 @@
 	crashes      *fatal.Tracker
 	parts        *fatal.PartTracker
 	holders      *holder.Tracker
+	origins      *origin.Tracker
+	startedAt    time.Time
 	handler      *serve.Handler
 	exchange     *gossip.Exchange
 	rollout      *rollout
@@ -119,7 +122,7 @@
 	e := &Edge{
 		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
-		holders: holder.NewTracker(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
+		holders: holder.NewTracker(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
 		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
@@ -138,6 +141,7 @@
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor),
 	}
+	e.handler.Origins = e
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
 	e.handler.ReportCrash = func() { e.exchange.TriggerSend() }
 	e.rollout = newRollout(e)
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -29,6 +29,7 @@
 	for _, w := range e.replica.RecentAnnouncements(boot - supersededReportTTL) {
 		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
 	}
+	m.Streams = e.origins.Report(now, func(service string) bool { return e.isMixed(now, service) })
 	m.Departures = e.fleet.Departures(now)
 	m.Limits = e.fleet.Limits(now)
 	e.rollout.report(now, m)
@@ -57,6 +58,7 @@
 	e.parts.SetReportDelay(e.exchange.PropagationDelay())
 	e.parts.Merge(now, m.Parts)
 	e.holders.Merge(now, m.Uses)
+	e.origins.Merge(now, m.Streams)
 	e.budget.SetInstances(e.exchange.Count())
 	e.fleet.SetInstances(e.exchange.Count(), e.exchange.PropagationDelay())
 	for _, a := range m.Announcements {
--- /dev/null
+++ b/internal/app/edge/origins.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/route/origin"
+)
+
+// originTimeout bounds a question to another instance, which responds from memory. The caller's request waits meanwhile.
+const originTimeout = 150 * time.Millisecond
+
+// originAnswer is what an instance knows of a stream.
+type originAnswer struct {
+	// Build began the stream, if Known is true.
+	Build string `json:"build"`
+	Known bool   `json:"known"`
+	// Builds are those that have lately served in the stream's service.
+	Builds []string `json:"builds"`
+}
+
+// Began implements serve.Origins.
+func (e *Edge) Began(now time.Time, service, id, build string) {
+	e.origins.Began(now, service, id, build)
+}
+
+// Build implements serve.Origins. A stream without a record is of the only build that has served lately, if there is only one.
+// An instance that has just started asks another one.
+func (e *Edge) Build(ctx context.Context, now time.Time, service, id string) (string, bool) {
+	own := e.originOf(now, service, id)
+	if own.Known {
+		return own.Build, true
+	}
+	if len(own.Builds) == 1 && now.Sub(e.startedAt) >= origin.Memory {
+		return own.Builds[0], true
+	}
+	from, answer, err := e.askOrigin(ctx, service, id)
+	if err == nil && answer.Known {
+		own.Build, own.Known = answer.Build, true
+	} else if builds := union(own.Builds, answer.Builds); len(builds) == 1 {
+		own.Build, own.Known = builds[0], true
+	}
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	e.log.Info("route: build of a stream asked for", "resumes", id, "from", from, "known", own.Known, "build", own.Build,
+		"builds", own.Builds, "error", reason)
+	return own.Build, own.Known
+}
+
+func (e *Edge) originOf(now time.Time, service, id string) originAnswer {
+	build, known := e.origins.Build(now, id)
+	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service)}
+}
+
+// askOrigin asks the instance that has heard of most streams.
+func (e *Edge) askOrigin(ctx context.Context, service, id string) (string, originAnswer, error) {
+	var answer originAnswer
+	from, ok := e.exchange.FirstLive()
+	if !ok {
+		return "", answer, nil
+	}
+	body, _, err := e.fetchFromPeer(ctx, from, "/origin?"+url.Values{"service": {service}, "id": {id}}.Encode(), originTimeout)
+	if err == nil {
+		err = json.Unmarshal(body, &answer)
+	}
+	return from, answer, err
+}
+
+func (e *Edge) serveOrigin(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	// The requester may have disconnected.
+	_ = json.NewEncoder(w).Encode(e.originOf(time.Now(), query.Get("service"), query.Get("id")))
+}
+
+// isMixed reports whether upstreams of several builds serve in a service, or did lately.
+func (e *Edge) isMixed(now time.Time, service string) bool {
+	return len(e.fleet.Builds(now, service)) > 1
+}
+
+// union returns the elements of both slices, each once.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -24,7 +24,7 @@
 
 // place chooses the upstream for the next send.
 func (x *exchange) place(now time.Time) (place.Choice, bool) {
-	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.info.ID), OwnTokens: x.info.PromptTokens}
+	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.info.ID), OwnTokens: x.info.PromptTokens, Build: x.build}
 	if x.route.Language && x.info.Model != "" {
 		latest := x.Feed.Weights(x.info.Model)
 		q.Model, q.Version = x.info.Model, latest.Version
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
@@ -33,6 +34,10 @@
 func (x *exchange) run() {
 	ctx, cancel := x.context()
 	defer cancel()
+	if err := x.bindBuild(ctx); err != nil {
+		x.respondError(err)
+		return
+	}
 	x.Budget.Earn(x.started, x.service)
 	for {
 		choice, ok := x.place(time.Now())
@@ -61,6 +66,20 @@
 	}
 }
 
+// bindBuild binds a request that takes up a stream to the build that began it. What two builds write does not fit together, and
+// upstreams do not check it.
+func (x *exchange) bindBuild(ctx context.Context) error {
+	if x.route.Kind != policy.Streaming || x.info.LastEventID == "" {
+		return nil
+	}
+	build, ok := x.Origins.Build(ctx, x.started, x.service, x.info.Resumes)
+	if !ok {
+		return fault.NewRetryAfter(fault.NoUpstream, minRetryAfter, "the software version of the upstream that began the stream is unknown")
+	}
+	x.build = &build
+	return nil
+}
+
 // decide returns the step after a send.
 func (x *exchange) decide(ctx context.Context, r result) step {
 	switch {
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -49,6 +49,14 @@
 	Crashed(now time.Time, fingerprint uint64)
 }
 
+// Origins tracks at which build of the upstreams' software streams began.
+type Origins interface {
+	// Began records the build that sent the first event of an attempt's stream.
+	Began(now time.Time, service, id, build string)
+	// Build returns the build that began the stream of an attempt, or false if it is unknown.
+	Build(ctx context.Context, now time.Time, service, id string) (string, bool)
+}
+
 // Settings holds this instance's zone and the limits on the age of the data that it serves from.
 type Settings struct {
 	// Zone is the availability zone of this instance.
@@ -71,6 +79,7 @@
 	Holders      *holder.Tracker
 	CrashCounter CrashCounter
 	Parts        PartTracker
+	Origins      Origins
 	// ReportCrash makes the instance report a crash to the others at once.
 	ReportCrash func()
 	Costs       place.Costs
@@ -121,6 +130,8 @@
 	chains map[int64][]uint64
 	// lastChoice is the latest placement, for the log.
 	lastChoice place.Choice
+	// build is the build that began the stream and the only one that may go on with it; nil before.
+	build *string
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
 	// streaming reports whether the head of a streamed response has been sent to the caller.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
 
 var (
@@ -69,7 +67,7 @@
 			x.Fleet.Prefilled(c.choice.ID, c.pendingTokens)
 			c.pendingTokens = 0
 			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
-			x.sendHead(c.resp)
+			x.sendHead(time.Now(), c)
 			x.recordHolders(time.Now(), c)
 		}
 		if now := time.Now(); now.Sub(c.headAt) > crashSuspectTime {
@@ -121,15 +119,17 @@
 }
 
 // sendHead sends the head of the response. A resumed stream keeps the head of its first upstream.
-func (x *exchange) sendHead(resp *link.Response) {
+func (x *exchange) sendHead(now time.Time, c *call) {
 	if x.streaming {
 		return
 	}
 	x.streaming = true
-	x.copyHeader(resp.Header)
+	x.build = &c.choice.Build
+	x.Origins.Began(now, x.service, x.info.ID, c.choice.Build)
+	x.copyHeader(c.resp.Header)
 	x.w.Header().Del("Content-Length")
-	x.w.WriteHeader(resp.Status)
-	x.headDelay = time.Since(x.started)
+	x.w.WriteHeader(c.resp.Status)
+	x.headDelay = now.Sub(x.started)
 }
 
 // isNewEvent reports whether an event follows the last forwarded one. An upstream that resumes a stream may repeat
@@ -145,7 +145,7 @@
 
 // finishStream completes a stream that ended properly.
 func (x *exchange) finishStream(c *call) (result, error) {
-	x.sendHead(c.resp)
+	x.sendHead(time.Now(), c)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
 	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
 
 // Kind is the set of instances whose state a message holds.
@@ -74,6 +75,8 @@
 	KVStores map[string]bool `json:"k,omitempty"`
 	// Uses are the prompts that engines have recently processed for the sender.
 	Uses []holder.Use `json:"p,omitempty"`
+	// Streams are the streams that have recently begun in services with upstreams of several builds.
+	Streams origin.Streams `json:"st,omitempty"`
 	// Crashes counts crashes of upstreams by the fingerprint of the request that they ran.
 	Crashes map[string]int `json:"x,omitempty"`
 	// Parts is what the sender knows, also from others, of prompt parts that crash upstreams.
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -190,6 +190,9 @@
 	}
 	if p.receivedAt > e.lastSent {
 		m.Uses = append(m.Uses, p.last.Uses...)
+		if len(p.last.Streams) > 0 {
+			m.Streams = m.Streams.Plus(p.last.Streams)
+		}
 	}
 }
 
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -142,6 +142,8 @@
 	listed  bool
 	// storeUnreachableAt is when the store was last found unreachable.
 	storeUnreachableAt time.Time
+	// builds maps services to builds and when an upstream of each was last listed.
+	builds map[string]map[string]time.Time
 	// instances share the limits of upstreams; reports among them take reportDelay.
 	instances   int
 	reportDelay time.Duration
@@ -153,7 +155,7 @@
 func New() *Fleet {
 	return &Fleet{
 		upstreams: make(map[string]*upstream), notices: make(map[string]*notice), peers: make(map[string]peerLoads),
-		instances: 1, reportDelay: defaultReportDelay, random: uniform,
+		builds: make(map[string]map[string]time.Time), instances: 1, reportDelay: defaultReportDelay, random: uniform,
 	}
 }
 
@@ -172,7 +174,7 @@
 		f.upstreams[e.ID] = &upstream{entry: e, confirmed: make(map[string]int64)}
 		return true
 	}
-	changed := u.entry.State != e.State || !u.delistedAt.IsZero() || (u.entry.Cold > 0) != (e.Cold > 0)
+	changed := u.entry.State != e.State || u.entry.Build != e.Build || !u.delistedAt.IsZero() || (u.entry.Cold > 0) != (e.Cold > 0)
 	for model, version := range e.Weights {
 		changed = changed || u.entry.Weights[model] != version
 	}
@@ -364,6 +366,7 @@
 func (f *Fleet) Loads(now time.Time) map[string]Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.markBuilds(now)
 	loads := make(map[string]Load)
 	for id, u := range f.upstreams {
 		l := Load{Running: u.local.running, PendingTokens: u.local.tokens}
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -68,6 +68,8 @@
 	StalePenalty time.Duration
 	// MinVersion is the oldest version on which the request may start.
 	MinVersion int64
+	// Build is the only build of the upstreams' software that may run the request; nil for any.
+	Build *string
 	// Avoid holds the upstreams that already received this request.
 	Avoid map[string]bool
 	// Seed seeds the random tie-breaking.
@@ -145,7 +147,7 @@
 // eligible reports whether an upstream may run the request.
 func (q *Query) eligible(v *fleet.View) bool {
 	version := v.Weights[q.Model]
-	return v.State == fleet.Ready && v.RetryAt.IsZero() && !v.Limited && !q.Avoid[v.ID] && version >= q.MinVersion && (q.Model == "" || version > 0)
+	return v.State == fleet.Ready && v.RetryAt.IsZero() && !v.Limited && !q.Avoid[v.ID] && (q.Build == nil || v.Build == *q.Build) && version >= q.MinVersion && (q.Model == "" || version > 0)
 }
 
 // queueWaits returns the waits at the upstreams that other instances are likely to choose.
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -41,6 +41,24 @@
 	must.Eq(t, "", choice.Source)
 }
 
+// A stream goes on at its build only, also if another engine holds the prompt.
+func TestStreamIsPlacedAtItsBuild(t *testing.T) {
+	views := engines(6, 1)
+	for i := range views {
+		views[i].Build = []string{"v1", "v2"}[i%2]
+	}
+	q := newQuery(map[string]int{"e03": 2})
+	build := "v1"
+	q.Build = &build
+	choice, ok := Choose(q, views, DefaultCosts())
+	must.True(t, ok)
+	must.Eq(t, "v1", choice.Build)
+	must.Eq(t, 3, choice.Considered)
+	build = "v3"
+	_, ok = Choose(q, views, DefaultCosts())
+	must.False(t, ok)
+}
+
 // An engine may have evicted what it is assumed to hold, so another holder is given as the source.
 func TestSourceIsSetForEngineWithFullDepth(t *testing.T) {
 	choice, _ := Choose(newQuery(map[string]int{"e03": 2, "e04": 2}), engines(6, 1), DefaultCosts())
