--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -11,8 +11,12 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
 
-// originTimeout bounds a question to another instance, which responds from memory. The caller's request waits meanwhile.
-const originTimeout = 150 * time.Millisecond
+const (
+	// originTimeout bounds a question to another instance, which responds from memory. The caller's request waits meanwhile.
+	originTimeout = 150 * time.Millisecond
+	// maxOriginAsked is how many instances are asked if the first one does not respond; it may have ended.
+	maxOriginAsked = 2
+)
 
 // originAnswer is what an instance knows of a stream.
 type originAnswer struct {
@@ -58,18 +62,19 @@
 	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service)}
 }
 
-// askOrigin asks the instance that has heard of most streams.
-func (e *Edge) askOrigin(ctx context.Context, service, id string) (string, originAnswer, error) {
-	var answer originAnswer
-	from, ok := e.exchange.FirstLive()
-	if !ok {
-		return "", answer, nil
-	}
-	body, _, err := e.fetchFromPeer(ctx, from, "/origin?"+url.Values{"service": {service}, "id": {id}}.Encode(), originTimeout)
-	if err == nil {
-		err = json.Unmarshal(body, &answer)
+// askOrigin asks the instances that have heard of most streams, one after the other until one responds.
+func (e *Edge) askOrigin(ctx context.Context, service, id string) (from string, answer originAnswer, err error) {
+	for _, from = range e.exchange.Live(maxOriginAsked) {
+		var body []byte
+		body, _, err = e.fetchFromPeer(ctx, from, "/origin?"+url.Values{"service": {service}, "id": {id}}.Encode(), originTimeout)
+		if err == nil {
+			err = json.Unmarshal(body, &answer)
+		}
+		if err == nil {
+			return from, answer, nil
+		}
 	}
-	return from, answer, err
+	return from, originAnswer{}, err
 }
 
 func (e *Edge) serveOrigin(w http.ResponseWriter, r *http.Request) {
--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,19 +143,35 @@
 // FirstLive returns the address of the first peer in order of precedence whose last message is less than
 // unresponsiveTimeout/4 old.
 func (e *Exchange) FirstLive() (string, bool) {
+	live := e.Live(1)
+	if len(live) == 0 {
+		return "", false
+	}
+	return live[0], true
+}
+
+// Live returns the addresses of at most that many such peers in order of precedence.
+func (e *Exchange) Live(most int) []string {
 	now := e.Clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var first *peer
+	var live []*peer
 	for _, p := range e.peers {
-		if p.stamp != 0 && now-p.receivedAt < unresponsiveTimeout/4 && (first == nil || p.precedes(first.Instance)) {
-			first = p
+		if p.stamp != 0 && now-p.receivedAt < unresponsiveTimeout/4 {
+			live = append(live, p)
 		}
 	}
-	if first == nil {
-		return "", false
+	slices.SortFunc(live, func(p, q *peer) int {
+		if p.precedes(q.Instance) {
+			return -1
+		}
+		return 1
+	})
+	var addresses []string
+	for _, p := range live[:min(most, len(live))] {
+		addresses = append(addresses, p.Address)
 	}
-	return first.Address, true
+	return addresses
 }
 
 // large reports whether messages go through the heads of availability zones. The caller holds the lock.
