Install the handler of SIGHUP before anything else

Cause: the handler was installed after the listeners; before that, SIGHUP has its default effect. It was also removed before the process ended. Now Main installs it first, and nothing removes it.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -7,11 +7,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -69,6 +67,8 @@
 type Edge struct {
 	settings     Settings
 	settingsPath string
+	// hup receives SIGHUP; nil if the process does not handle it.
+	hup          <-chan os.Signal
 	log          logr.Logger
 	droppedLines func() int64
 	incarnation  int64
@@ -336,14 +336,11 @@
 // watchSettings logs changes of the settings file on SIGHUP. They apply at the next start: addresses need one, and the
 // platform does not change the other settings of a running process.
 func (e *Edge) watchSettings(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-e.hup:
 		}
 		s, err := LoadSettings(e.settingsPath)
 		if err != nil {
--- a/internal/app/edge/main.go
+++ b/internal/app/edge/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -30,6 +31,9 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// Without a handler, SIGHUP ends the process. It may come at any time after the start.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	var o options
 	parser := flags.NewNamedParser("skylarkedge", flags.HelpFlag|flags.PassDoubleDash)
 	parser.Usage = "[run | check] --config FILE"
@@ -58,7 +62,7 @@
 	}
 	switch command {
 	case "run":
-		return run(settings, o.Config, stdout)
+		return run(settings, o.Config, hup, stdout)
 	case "check":
 		_, _ = fmt.Fprintln(stdout, "settings are good")
 		return exitOK
@@ -68,7 +72,7 @@
 	}
 }
 
-func run(s Settings, path string, stdout io.Writer) int {
+func run(s Settings, path string, hup <-chan os.Signal, stdout io.Writer) int {
 	out := logger.NewAsyncWriter(stdout, logQueueSize)
 	defer out.Close()
 	log := logger.New(s.Level, out)
@@ -77,6 +81,7 @@
 		log.Error(err, "edge: cannot start")
 		return exitFailure
 	}
+	e.hup = hup
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := e.Run(ctx); err != nil {
