Take streams up in the service that began them

A route with weights divides requests by their ID. An attempt that takes a stream up has another ID, and could go to another service, whose build of the same name does not fit. The ID of the attempt that began the stream chooses the service now.

--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -200,7 +200,7 @@
 			return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "keys were last confirmed %s ago", age.Round(time.Millisecond))
 		}
 	}
-	x.service = x.route.ServiceFor(x.info.ID)
+	x.service = x.route.ServiceFor(x.info.streamID())
 	x.deadline = x.started.Add(x.timeout())
 	x.fingerprint = x.requestHash()
 	if crashes := x.CrashCounter.Count(x.started, x.fingerprint); crashes >= maxCrashes {
--- a/internal/front/serve/types.go
+++ b/internal/front/serve/types.go
@@ -41,6 +41,14 @@
 	return r.Parts[:len(r.Parts)-1]
 }
 
+// streamID returns the ID of the attempt that began the stream: this one, unless the caller takes up another one's.
+func (r *RequestInfo) streamID() string {
+	if r.LastEventID != "" && r.Resumes != "" {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // ForwardInfo is the metadata that the router adds to a request for an upstream.
 type ForwardInfo struct {
 	// Upstream is the id of the only upstream that may run the request.
