--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -144,6 +144,8 @@
 	storeUnreachableAt time.Time
 	// builds maps services to builds and when an upstream of each was last listed.
 	builds map[string]map[string]time.Time
+	// limitsSeen reports whether any upstream has named a limit.
+	limitsSeen bool
 	// instances share the limits of upstreams; reports among them take reportDelay.
 	instances   int
 	reportDelay time.Duration
--- a/internal/route/fleet/limit.go
+++ b/internal/route/fleet/limit.go
@@ -133,6 +133,7 @@
 	if !at.After(n.limitAt) {
 		return false
 	}
+	f.limitsSeen = true
 	previous := n.limit
 	n.limit, n.limitAt, n.limitSeen = l.Rate, at, time.Time{}
 	if own {
@@ -156,6 +157,9 @@
 
 // limitOf returns the usable rate of an upstream's limit, or false if none is in force. The caller holds the lock.
 func (f *Fleet) limitOf(e *Entry) (float64, bool) {
+	if !f.limitsSeen {
+		return 0, false
+	}
 	n, ok := f.notices[e.ID]
 	if !ok || n.born != e.Born || n.limit == nil {
 		return 0, false
@@ -193,6 +197,9 @@
 func (f *Fleet) Want(now time.Time, service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.limitsSeen {
+		return
+	}
 	for _, u := range f.upstreams {
 		if _, limited := f.limitOf(&u.entry); limited && u.entry.Service == service {
 			u.shared.want(now, f.reportDelay)
