--- a/internal/app/edge/limit_test.go
+++ b/internal/app/edge/limit_test.go
@@ -48,9 +48,25 @@
 	return c
 }
 
-// callAll sends calls through each router, 50 ms after the response to the last one, and returns how many were served and refused.
-func callAll(t *testing.T, routers []*router, during time.Duration, call func() fake.Call) (served, refused int64) {
-	var ok, no atomic.Int64
+// startRouters starts that many routers of a site that know each other.
+func startRouters(t *testing.T, s *fake.Site, count int) []*router {
+	t.Helper()
+	var routers []*router
+	for range count {
+		settings := testSettings(t, s)
+		settings.RetryRatio = 1
+		routers = append(routers, startRouter(t, settings))
+	}
+	for _, r := range routers {
+		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == count })
+	}
+	return routers
+}
+
+// callAll sends calls through each router, 50 ms after the response to the last one, and returns how many were served, refused and
+// failed.
+func callAll(t *testing.T, routers []*router, during time.Duration, call func() fake.Call) (served, refused, failed int64) {
+	var ok, no, bad atomic.Int64
 	var wg sync.WaitGroup
 	for _, r := range routers {
 		wg.Go(func() {
@@ -61,13 +77,13 @@
 				case http.StatusServiceUnavailable:
 					no.Add(1)
 				default:
-					t.Errorf("status %d", reply.Status)
+					bad.Add(1)
 				}
 			}
 		})
 	}
 	wg.Wait()
-	return ok.Load(), no.Load()
+	return ok.Load(), no.Load(), bad.Load()
 }
 
 // All instances together keep to the limit that an upstream names in its responses.
@@ -85,20 +101,14 @@
 			t.Run(c.name, func(t *testing.T) {
 				t.Parallel()
 				s := newSite(t, 2, 2)
-				var routers []*router
-				for range 5 {
-					routers = append(routers, startRouter(t, testSettings(t, s)))
-				}
-				for _, r := range routers {
-					eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == len(routers) })
-				}
+				routers := startRouters(t, s, 5)
 				upstreams := c.of(s)
 				limited := upstreams[:len(upstreams)-unlimited]
 				for _, u := range limited {
 					u.SetFaults(fake.Faults{Limit: "1"})
 				}
 				started := time.Now()
-				served, refused := callAll(t, routers, limitGrace+limitWindow+time.Second, c.call)
+				served, refused, failed := callAll(t, routers, limitGrace+limitWindow+time.Second, c.call)
 				for _, u := range limited {
 					got := mostInWindow(u.Arrivals(), started.Add(limitGrace), limitWindow)
 					must.LessEq(t, int(limit*limitExcess*limitWindow.Seconds())+limitSlack, got)
@@ -110,7 +120,37 @@
 					must.Zero(t, refused)
 				}
 				must.Positive(t, served)
+				must.Zero(t, failed)
 			})
 		}
 	}
 }
+
+// Retries, streams that go on elsewhere and the second attempt on silence count against the limit like first requests.
+func TestLaterSendsKeepTheLimitOfAnUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// other are the faults of the upstream without a limit.
+		other fake.Faults
+		call  func() fake.Call
+		of    func(*fake.Site) []*fake.Upstream
+	}{
+		{"retries", fake.Faults{Fail: true}, newLookCall, func(s *fake.Site) []*fake.Upstream { return s.Jobs }},
+		{"resumed streams", fake.Faults{CutAfter: 2}, newUnsharedCall, func(s *fake.Site) []*fake.Upstream { return s.Engines }},
+		{"silence", fake.Faults{PauseAfter: 2, Pause: 2500 * time.Millisecond}, newUnsharedCall, func(s *fake.Site) []*fake.Upstream { return s.Engines }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2, 2)
+			routers := startRouters(t, s, 5)
+			limited, other := c.of(s)[0], c.of(s)[1]
+			limited.SetFaults(fake.Faults{Limit: "1"})
+			other.SetFaults(c.other)
+			started := time.Now()
+			callAll(t, routers, limitGrace+limitWindow+time.Second, c.call)
+			got := mostInWindow(limited.Arrivals(), started.Add(limitGrace), limitWindow)
+			must.LessEq(t, int(limitExcess*limitWindow.Seconds())+limitSlack, got)
+			must.Positive(t, got)
+		})
+	}
+}
