--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
 
 // simInstance is an instance of a large site in virtual time.
@@ -229,3 +230,18 @@
 	must.Eq(t, []fleet.Limit{newer, other}, total.Limits)
 	must.Eq(t, []fleet.Limit{older}, own.Limits)
 }
+
+// A head forwards the streams of its zone once, and keeps its own apart.
+func TestHeadForwardsStreamsOnce(t *testing.T) {
+	e := New(Settings{Instance: Instance{Address: "10.0.0.1:1", Zone: "a"}, Log: logr.Discard()})
+	own := Message{Streams: origin.Streams{"v1": []byte("11111111")}}
+	member := &peer{last: &Message{Streams: origin.Streams{"v1": []byte("22222222"), "v2": []byte("33333333")}}, receivedAt: time.Second}
+	total := own
+	e.mergePeer(time.Second, &total, member, KindOwn)
+	must.Eq(t, origin.Streams{"v1": []byte("1111111122222222"), "v2": []byte("33333333")}, total.Streams)
+	must.Eq(t, origin.Streams{"v1": []byte("11111111")}, own.Streams)
+	e.lastSent = time.Second
+	again := own
+	e.mergePeer(2*time.Second-time.Millisecond, &again, member, KindOwn)
+	must.Eq(t, own.Streams, again.Streams)
+}
