--- a/internal/app/edge/build_test.go
+++ b/internal/app/edge/build_test.go
@@ -1,7 +1,11 @@
 package edge
 
 import (
+	"context"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +105,75 @@
 	}
 }
 
+// kill ends a router without notice to its callers and the other routers.
+func (r *router) kill() {
+	_ = r.socket.Close()
+	for _, l := range r.listeners {
+		_ = l.Close()
+	}
+	// Run returns the error of a listener.
+	<-r.done
+	r.done = nil
+}
+
+// lastEvent returns the id of the last complete event; "" if there is none.
+func lastEvent(body string) string {
+	complete := strings.Split(body, "\n\n")
+	if len(complete) < 2 {
+		return ""
+	}
+	id, _, _ := strings.Cut(strings.TrimPrefix(complete[len(complete)-2], "id: "), "\n")
+	return id
+}
+
+// Most callers whose instance is killed can take up their streams at another one, and none at another build.
+func TestStreamsOfAKilledInstanceGoOnElsewhere(t *testing.T) {
+	const streams = 24
+	s, routers := startMixedSite(t, "v1", "v1", "v2", "v2")
+	for _, u := range s.Engines {
+		u.Events, u.PerEvent = 50, 50*time.Millisecond
+	}
+	calls, replies := make([]fake.Call, streams), make([]fake.Response, streams)
+	var wg sync.WaitGroup
+	for i := range streams {
+		calls[i] = newUnsharedCall()
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 75 * time.Millisecond)
+			reply, err := fake.Send(context.Background(), routers[0].settings.Listen, calls[i])
+			if err == nil {
+				replies[i] = reply
+			}
+		})
+	}
+	time.Sleep(streams * 75 * time.Millisecond)
+	routers[0].kill()
+	wg.Wait()
+	var taken, goneOn atomic.Int64
+	for i, first := range calls {
+		last := lastEvent(replies[i].Body)
+		if last == "" || replies[i].Complete {
+			continue
+		}
+		taken.Add(1)
+		wg.Go(func() {
+			call := resume(first)
+			call.Header.Set("Last-Event-Id", last)
+			reply, err := fake.Send(context.Background(), routers[1].settings.Listen, call)
+			if err != nil || reply.Status != http.StatusOK || !reply.Complete {
+				return
+			}
+			goneOn.Add(1)
+			if began, wentOn := buildOf(s, first.ID), buildOf(s, call.ID); began != wentOn {
+				t.Errorf("began at build %s, went on at %s", began, wentOn)
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d of %d went on", goneOn.Load(), taken.Load())
+	must.GreaterEq(t, streams/2, taken.Load())
+	must.GreaterEq(t, taken.Load()/2, goneOn.Load())
+}
+
 // A stream whose upstream breaks off goes on at another upstream of its build, and ends if there is none.
 func TestBrokenStreamsDoNotGoOnAtAnotherBuild(t *testing.T) {
 	const streams = 8
