--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/trial/site"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -42,9 +43,16 @@
 }
 
 func startRouter(t *testing.T, cfg Settings) *router {
+	t.Helper()
+	return startRouterOn(t, cfg, link.DialTCP)
+}
+
+// startRouterOn starts a router that connects to upstreams by the given function.
+func startRouterOn(t *testing.T, cfg Settings, dial link.Dial) *router {
 	t.Helper()
 	e, err := New(cfg, "", logr.Discard(), func() int64 { return 0 })
 	must.NoError(t, err)
+	e.pool.Dial = dial
 	ctx, stop := context.WithCancel(context.Background())
 	r := &router{Edge: e, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- e.Run(ctx) }()
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -102,11 +102,22 @@
 	// onOpen is called for each new connection.
 	onOpen     func()
 	idleLimits idleLimits
+	// Dial connects to an upstream within a timeout. It is set before the first request.
+	Dial Dial
 }
 
+// Dial connects to an address within a timeout.
+type Dial func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
 // NewPool returns a pool. limit returns the maximum number of connections to an address; zero means no limit.
 func NewPool(limit func(address string) int, onOpen func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), limit: limit, onOpen: onOpen}
+	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), limit: limit, onOpen: onOpen, Dial: DialTCP}
+}
+
+// DialTCP connects to an upstream over TCP.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: socket.UserTimeout(unackedTimeout), KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // Response is an upstream's response.
@@ -260,8 +271,7 @@
 // Refuses reports whether an upstream refuses new connections, which shows that its process has ended. The connection, if any, is
 // closed at once.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: refuseTimeout, KeepAlive: -1}
-	c, err := dialer.DialContext(ctx, "tcp4", address)
+	c, err := p.Dial(ctx, address, refuseTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
@@ -286,8 +296,7 @@
 	} else if limit <= 0 {
 		p.reserve(r.Address, 1<<30)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(unackedTimeout), KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp4", r.Address)
+	raw, err := p.Dial(ctx, r.Address, dialTimeout)
 	if err != nil {
 		p.release(r.Address)
 		return nil, false, err
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -59,7 +59,7 @@
 		x.Log.Info("route: placed", "id", x.info.ID, "upstream", choice.ID, "build", choice.Build, "weights", choice.Version, "newest", q.Version,
 			"floor", q.MinVersion, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
 			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
-			"switching", choice.Switching)
+			"switching", choice.Switching, "failure_rate", choice.FailureRate)
 	}
 	return choice, ok
 }
