Connect to upstreams through other instances where this one has no path

Callers of instances that had lost the path to all upstreams were served 20 of 143 first tries (others 196 of 197), because such an instance dialled five upstreams for 400 ms each and refused. Its timeouts counted as failures of the upstreams at all others, which then used three of twelve engines. The class: a failure between this instance and an upstream that is taken for one of the upstream, or of the service.

A connection that takes more than 50 ms, or fails, is also asked for at other instances, up to four. They connect by a path of their own only, so that there are no loops, and copy bytes: all decisions, counts and promises stay with the instance that has the caller. A path that failed here and worked there is not used until a probe succeeds. An instance that cannot connect to two upstreams, with no connection since, counts as detached: it reports no failures, declines for others, and passes on the rollout lease and the polls of KV stores. Connections that break off count as crashes of the request only where the path holds.

--- a/internal/app/edge/cut_test.go
+++ b/internal/app/edge/cut_test.go
@@ -156,6 +156,12 @@
 		paths = append(paths, p)
 		routers = append(routers, startRouterOn(t, settings, p.dial))
 	}
+	t.Cleanup(func() {
+		// They stop at the same time.
+		for _, r := range routers {
+			r.stop()
+		}
+	})
 	for _, r := range routers {
 		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == count })
 	}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/meter"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/front/serve"
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
@@ -77,6 +78,8 @@
 	replica      *policy.Replica
 	fleet        *fleet.Fleet
 	pool         *link.Pool
+	dialer       *detour.Dialer
+	relay        *detour.Relay
 	quota        *quota.Limiter
 	budget       *budget.Budget
 	crashes      *fatal.Tracker
@@ -129,8 +132,9 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closeMetrics = scope, closer.Close
 	e.store = platform.NewStore(s.Store, func(call string) { e.countCall("store_calls", call) }, func(epoch int64) { e.observeEpoch(epoch, "store") })
-	e.engines = platform.NewEngines(func(call string) { e.countCall("engine_calls", call) })
-	e.pool = link.NewPool(e.maxConnections, func() { scope.Counter("connections").Inc(1) })
+	e.dialer, e.relay = e.newDialer()
+	e.engines = platform.NewEngines(e.dialEngine, func(call string) { e.countCall("engine_calls", call) })
+	e.pool = link.NewPool(e.dialer, e.maxConnections, func() { scope.Counter("connections").Inc(1) })
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
 	e.handler = &serve.Handler{
 		Settings: serve.Settings{
@@ -207,7 +211,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
-		e.keepBlocks,
+		e.keepBlocks, e.probePaths,
 	} {
 		start(loop)
 	}
@@ -265,16 +269,17 @@
 // connCheckInterval is the interval at which a stopping instance closes idle connections.
 const connCheckInterval = 50 * time.Millisecond
 
-// closeConnections stops listening and closes connections when they become idle, until none is left or the context ends. Requests
+// closeConnections stops listening and closes connections when they become idle, until none is left, also of those that are relayed
+// for other instances, or the context ends. Requests
 // that still arrive on open connections are refused; http.Server.Shutdown would close these without an answer.
 func (e *Edge) closeConnections(ctx context.Context, front *http.Server) {
 	e.handler.Closed.Store(true)
 	// The listener is not used again, so an error does not matter.
 	_ = e.listeners[0].Close()
-	for e.openConns.Load() > 0 {
+	for e.openConns.Load() > 0 || e.relay.Open() > 0 {
 		front.SetKeepAlivesEnabled(false)
 		if sleep.For(ctx, connCheckInterval) != nil {
-			e.log.Info("edge: connections are still open", "open", e.openConns.Load(), "requests", e.handler.OpenRequests.Load())
+			e.log.Info("edge: connections are still open", "open", e.openConns.Load(), "requests", e.handler.OpenRequests.Load(), "relayed", e.relay.Open())
 			return
 		}
 	}
@@ -328,6 +333,7 @@
 		for _, id := range e.fleet.EndPauses(now) {
 			e.log.Info("route: upstream accepts requests again", "upstream", id)
 		}
+		e.metrics.Gauge("relayed").Update(float64(e.relay.Open()))
 		e.metrics.Gauge("open").Update(float64(e.handler.OpenRequests.Load()))
 		e.metrics.Gauge("dropped_lines").Update(float64(e.droppedLines()))
 	}
--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/trial/site"
+	"github.com/skylarkquay/skylarkquay/platform"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
@@ -48,11 +49,11 @@
 }
 
 // startRouterOn starts a router that connects to upstreams by the given function.
-func startRouterOn(t *testing.T, cfg Settings, dial link.Dial) *router {
+func startRouterOn(t *testing.T, cfg Settings, dial platform.Dial) *router {
 	t.Helper()
 	e, err := New(cfg, "", logr.Discard(), func() int64 { return 0 })
 	must.NoError(t, err)
-	e.pool.Dial = dial
+	e.dialer.Direct = dial
 	ctx, stop := context.WithCancel(context.Background())
 	r := &router{Edge: e, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- e.Run(ctx) }()
--- a/internal/app/edge/kvstores.go
+++ b/internal/app/edge/kvstores.go
@@ -15,13 +15,14 @@
 	kvPollInterval = 400 * time.Millisecond
 )
 
-// pollKVStores detects KV stores that are down, so that engines do not wait for them. The instance of rank 0 polls on
-// behalf of all.
+// pollKVStores detects KV stores that are down, so that engines do not wait for them. The instance of rank 0 among
+// those with a path to the upstreams polls on behalf of all.
 func (e *Edge) pollKVStores(ctx context.Context) {
 	nextEvent := make(map[string]int64)
 	for sleep.For(ctx, kvPollInterval) == nil {
 		doc := e.replica.Document()
-		polling := doc != nil && e.ranks.Rank(time.Now()) == 0
+		now := time.Now()
+		polling := doc != nil && !e.dialer.Paths.Detached(now) && e.ranks.RankAmong(now, e.isAttached) == 0
 		e.kvStorePoller.Store(polling)
 		if !polling {
 			continue
@@ -32,11 +33,17 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if err != nil && !e.hasPath(ctx) {
+				// The path to the KV store may be broken, as those to the upstreams are.
+				continue
+			}
 			e.setKVStore(address, err == nil, "asked", err)
 		}
 	}
 }
 
+func (e *Edge) isAttached(address string) bool { return !e.exchange.IsDetached(address) }
+
 // setKVStore records whether a KV store is available, as polled by this instance or reported by another.
 func (e *Edge) setKVStore(address string, available bool, from string, err error) {
 	if !e.handler.KVStores.Set(address, available) {
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -145,6 +145,11 @@
 			pendingSince = time.Time{}
 			continue
 		}
+		if r.edge.dialer.Paths.Detached(now) {
+			r.yieldLease()
+			pendingSince = time.Time{}
+			continue
+		}
 		if pendingSince.IsZero() {
 			pendingSince = now
 			r.scheduleAcquire(now)
@@ -308,6 +313,16 @@
 	r.lease = leader.Lease{}
 }
 
+// yieldLease gives up the lease of an instance that cannot send orders. Another one acquires it once it has run out.
+func (r *rollout) yieldLease() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease.Valid(clock.SinceBoot()) {
+		r.edge.log.Info("lease: given up without a path to the engines", "token", r.lease.Token, "row", r.lease.Version)
+	}
+	r.lease = leader.Lease{}
+}
+
 // leaseRow is the lease's row as read from the store.
 type leaseRow struct {
 	leader.Row
--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -20,3 +21,16 @@
 		return errors.Join(err, optErr)
 	}
 }
+
+// SetUserTimeout sets TCP_USER_TIMEOUT on a connection. Connections that are not TCP are left as they are.
+func SetUserTimeout(c net.Conn, unacked time.Duration) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return UserTimeout(unacked)("", "", raw)
+}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -13,21 +13,21 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/socket"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
 const (
 	// dialTimeout limits connection setup. Zones are a few milliseconds apart. A lost SYN costs a second, so trying
 	// another upstream is faster.
 	dialTimeout = 400 * time.Millisecond
-	// refuseTimeout limits the check whether an upstream refuses connections.
-	refuseTimeout = 100 * time.Millisecond
+	// examineTimeout limits the check why a connection has broken off, which may take another instance.
+	examineTimeout = 250 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	unackedTimeout = 1500 * time.Millisecond
 	// defaultIdleTimeout applies if the upstream sends no Keep-Alive timeout.
@@ -67,10 +67,27 @@
 	return errors.As(err, &u)
 }
 
+// RelayedError reports that a connection through another instance failed, which may be due to that instance.
+type RelayedError struct{ Err error }
+
+// Error implements error.
+func (e *RelayedError) Error() string { return "through another instance: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RelayedError) Unwrap() error { return e.Err }
+
+// Relayed reports whether err is that of a connection through another instance.
+func Relayed(err error) bool {
+	var r *RelayedError
+	return errors.As(err, &r)
+}
+
 // Request is a request to an upstream.
 type Request struct {
-	Address string
-	Method  string
+	// Upstream is the upstream's ID.
+	Upstream string
+	Address  string
+	Method   string
 	// Target is the request target as the caller sent it.
 	Target string
 	Host   string
@@ -84,10 +101,12 @@
 
 type conn struct {
 	net.Conn
-	watch    *idleWatch
-	head     *headLimiter
-	address  string
-	reader   *bufio.Reader
+	watch   *idleWatch
+	head    *headLimiter
+	address string
+	reader  *bufio.Reader
+	// relayed reports whether the connection passes through another instance. It carries one request.
+	relayed  bool
 	lastUsed time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
@@ -102,16 +121,22 @@
 	// onOpen is called for each new connection.
 	onOpen     func()
 	idleLimits idleLimits
-	// Dial connects to an upstream within a timeout. It is set before the first request.
-	Dial Dial
+	dialer     Dialer
 }
 
-// Dial connects to an address within a timeout.
-type Dial func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+// Dialer connects to upstreams.
+type Dialer interface {
+	// Dial connects to an upstream within a timeout.
+	Dial(ctx context.Context, t detour.Target, timeout time.Duration) (net.Conn, error)
+	// Examine finds out why a connection to an upstream has broken off.
+	Examine(ctx context.Context, t detour.Target, timeout time.Duration) detour.Finding
+	// Broken reports whether this instance has no path of its own to an upstream.
+	Broken(now time.Time, address string) bool
+}
 
 // NewPool returns a pool. limit returns the maximum number of connections to an address; zero means no limit.
-func NewPool(limit func(address string) int, onOpen func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), limit: limit, onOpen: onOpen, Dial: DialTCP}
+func NewPool(dialer Dialer, limit func(address string) int, onOpen func()) *Pool {
+	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), limit: limit, onOpen: onOpen, dialer: dialer}
 }
 
 // DialTCP connects to an upstream over TCP.
@@ -150,6 +175,9 @@
 			p.idleLimits.record(now, r.Address, now.Sub(c.lastUsed))
 		}
 		p.discard(c)
+		if c.relayed {
+			err = &RelayedError{err}
+		}
 		return nil, fmt.Errorf("no answer: %w", err)
 	}
 	resp.stop = stop
@@ -208,6 +236,9 @@
 	return nil, ErrStray
 }
 
+// Relayed reports whether the connection passes through another instance.
+func (r *Response) Relayed() bool { return r.conn.relayed }
+
 // Reused reports whether the request was sent on a pooled connection.
 func (r *Response) Reused() bool { return r.reused }
 
@@ -220,7 +251,7 @@
 // Done returns the connection to the pool after the body has been read to EOF.
 func (r *Response) Done(now time.Time) {
 	r.conn.watch.onIdle = nil
-	if !r.stop() || r.raw.Close || r.conn.reader.Buffered() > 0 || !written(r.sent) {
+	if !r.stop() || r.raw.Close || r.conn.relayed || r.conn.reader.Buffered() > 0 || !written(r.sent) {
 		r.pool.discard(r.conn)
 		return
 	}
@@ -268,19 +299,18 @@
 	return defaultIdleTimeout
 }
 
-// Refuses reports whether an upstream refuses new connections, which shows that its process has ended. The connection, if any, is
-// closed at once.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	c, err := p.Dial(ctx, address, refuseTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	p.onOpen()
-	_ = c.Close()
-	return false
+// Examine finds out why a connection to an upstream has broken off.
+func (p *Pool) Examine(ctx context.Context, t detour.Target) detour.Finding {
+	return p.dialer.Examine(ctx, t, examineTimeout)
 }
 
+// Broken reports whether this instance has no path of its own to an upstream.
+func (p *Pool) Broken(now time.Time, address string) bool { return p.dialer.Broken(now, address) }
+
 func (p *Pool) acquire(ctx context.Context, now time.Time, r Request) (*conn, bool, error) {
+	if p.dialer.Broken(now, r.Address) {
+		p.CloseIdle(r.Address)
+	}
 	for {
 		c := p.popIdle(now, r)
 		if c == nil {
@@ -296,7 +326,7 @@
 	} else if limit <= 0 {
 		p.reserve(r.Address, 1<<30)
 	}
-	raw, err := p.Dial(ctx, r.Address, dialTimeout)
+	raw, err := p.dialer.Dial(ctx, detour.Target{ID: r.Upstream, Address: r.Address}, dialTimeout)
 	if err != nil {
 		p.release(r.Address)
 		return nil, false, err
@@ -304,7 +334,8 @@
 	p.onOpen()
 	watch := &idleWatch{Conn: raw}
 	head := &headLimiter{Conn: watch, remaining: unlimited}
-	return &conn{Conn: raw, watch: watch, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
+	_, relayed := raw.(*detour.Conn)
+	return &conn{Conn: raw, relayed: relayed, watch: watch, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
 }
 
 // popIdle returns the most recently used connection, or nil.
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -13,10 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
 // upstream is a test server that counts its connections and requests.
@@ -78,7 +80,8 @@
 }
 
 func newTestPool(limit int) *Pool {
-	return NewPool(func(string) int { return limit }, func() {})
+	dialer := &detour.Dialer{Direct: DialTCP, Candidates: func() []string { return nil }, Paths: detour.NewPaths(), Log: logr.Discard()}
+	return NewPool(dialer, func(string) int { return limit }, func() {})
 }
 
 func request(u *upstream, id string) Request {
--- a/internal/front/link/watch_test.go
+++ b/internal/front/link/watch_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
 func TestDelimited(t *testing.T) {
@@ -93,15 +95,16 @@
 	}
 }
 
-func TestRefuses(t *testing.T) {
+// Only a refused connection shows that the process of an upstream has ended.
+func TestExamine(t *testing.T) {
 	u := respondWith(t, response("1", strings.Repeat("x", 10)))
 	p := newTestPool(0)
-	must.False(t, p.Refuses(context.Background(), u.address))
+	must.Eq(t, detour.Reachable, p.Examine(context.Background(), detour.Target{Address: u.address}))
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, l.Close())
-	must.True(t, p.Refuses(context.Background(), l.Addr().String()))
+	must.Eq(t, detour.Ended, p.Examine(context.Background(), detour.Target{Address: l.Addr().String()}))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	must.False(t, p.Refuses(ctx, l.Addr().String()))
+	must.Eq(t, detour.Silent, p.Examine(ctx, detour.Target{Address: l.Addr().String()}))
 }
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
@@ -37,6 +38,9 @@
 	return r == answered && route.Kind == policy.Streaming && c.resp.Status < http.StatusMultipleChoices
 }
 
+// relayed reports whether a call that failed passed through another instance.
+func (c *call) relayed(err error) bool { return link.Relayed(err) || c.resp != nil && c.resp.Relayed() }
+
 // open sends the request to one upstream and reads the head of the response. The call is nil unless the result is answered or
 // failed; otherwise it must be ended after the body has been read or aborted.
 func (x *exchange) open(ctx context.Context, choice place.Choice) (*call, result, error) {
@@ -66,6 +70,7 @@
 	forward := x.forwardInfo(c.sentAt, choice)
 	c.saving = forward.SaveTo != ""
 	resp, err := x.Pool.Send(ctx, c.sentAt, link.Request{
+		Upstream:  choice.ID,
 		Address:   choice.Address,
 		Method:    x.r.Method,
 		Target:    x.r.RequestURI,
@@ -76,7 +81,7 @@
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
 	})
 	if link.NotSent(err) {
-		if ctx.Err() == nil && !errors.Is(err, link.ErrConnLimit) {
+		if ctx.Err() == nil && !errors.Is(err, link.ErrConnLimit) && !errors.Is(err, detour.ErrNoPath) {
 			x.Fleet.Failed(time.Now(), choice.ID)
 		}
 		x.logSend(unsent, choice, err)
@@ -89,7 +94,7 @@
 	}
 	c.resp, c.headAt = resp, time.Now()
 	verdict := x.Dialect.ParseResponse(resp.Header)
-	x.recordNotices(c, verdict)
+	x.recordNotices(x.info.ID, c, resp.Status, verdict)
 	r := classify(resp.Status, verdict)
 	switch r {
 	case notRun:
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
 // crashSuspectTime is the time from the head of a response in which its request may be the cause of a crash. A request whose
@@ -42,12 +43,17 @@
 	if errors.Is(err, bound.ErrTooLong) || nothingLeft {
 		return
 	}
+	finding := x.Pool.Examine(ctx, detour.Target{ID: c.choice.ID, Address: c.choice.Address})
+	// A relayed connection to an upstream that runs may have broken off at the other instance.
+	if finding == detour.PathBroken || finding == detour.Reachable && c.relayed(err) {
+		return
+	}
 	x.CrashCounter.Crashed(now, x.fingerprint)
 	sinceHead := time.Duration(0)
 	if !c.headAt.IsZero() {
 		sinceHead = now.Sub(c.headAt)
 	}
-	if len(x.parts) == 0 || sinceHead > crashSuspectTime || !x.Pool.Refuses(ctx, c.choice.Address) {
+	if len(x.parts) == 0 || sinceHead > crashSuspectTime || finding != detour.Ended {
 		return
 	}
 	x.Parts.Crashed(now, x.parts, upstreamHash(c.choice.ID, c.choice.Born), c.sentAt)
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -13,7 +13,6 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
-	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -206,41 +205,6 @@
 	drainTimeout = 50 * time.Millisecond
 )
 
-// recordNotices records what an upstream said about itself in the head of a response.
-func (x *exchange) recordNotices(c *call, v ResponseInfo) {
-	now, choice, status := time.Now(), c.choice, c.resp.Status
-	if status == http.StatusMisdirectedRequest && v.Version == 0 {
-		// Another upstream has taken over the address.
-		return
-	}
-	if v.Leaving && x.Fleet.MarkLeaving(now, fleet.Departure{ID: choice.ID, Born: choice.Born}, true) {
-		x.Log.Info("route: upstream announced that it stops", "id", x.info.ID, "upstream", choice.ID, "status", status)
-		x.Pool.CloseIdle(choice.Address)
-	}
-	x.recordLimit(now, c, v)
-	if status == http.StatusServiceUnavailable && v.RetryAfter > 0 {
-		x.Fleet.PauseUntil(now, choice.ID, choice.Born, now.Add(v.RetryAfter))
-		x.Log.Info("route: upstream accepts no requests for a time", "id", x.info.ID, "upstream", choice.ID, "wait_ms", v.RetryAfter.Milliseconds())
-	}
-}
-
-// recordLimit records the limit that a response names, or that it names none. Responses that may not come from the upstream's
-// application do not end a limit.
-func (x *exchange) recordLimit(now time.Time, c *call, v ResponseInfo) {
-	l := fleet.Limit{ID: c.choice.ID, Born: c.choice.Born, Rate: v.Limit, Age: int64(now.Sub(c.headAt))}
-	switch {
-	case v.Limit != nil:
-		x.Metrics.Counter("responses_with_limit").Inc(1)
-	case v.Signed || v.NotRun:
-		l.Age = int64(now.Sub(c.sentAt))
-	default:
-		return
-	}
-	if x.Fleet.ObserveLimit(now, l, true) {
-		x.Log.Info("route: limit of an upstream changed", "id", x.info.ID, "upstream", l.ID, "status", c.resp.Status, "per_second", l.Rate)
-	}
-}
-
 // recordDeclined updates the fleet state after an upstream declined the request without running it.
 func (x *exchange) recordDeclined(choice place.Choice, resp *link.Response, v ResponseInfo) {
 	now := time.Now()
@@ -268,11 +232,18 @@
 		}
 		return
 	}
-	x.Fleet.Failed(now, c.choice.ID)
 	x.recordCrash(ctx, now, c, err)
+	if !x.pathFailed(now, c, err) {
+		x.Fleet.Failed(now, c.choice.ID)
+	}
 	x.Pool.CloseIdle(c.choice.Address)
 }
 
+// pathFailed reports whether the path to an upstream may be why a call broke off, rather than the upstream.
+func (x *exchange) pathFailed(now time.Time, c *call, err error) bool {
+	return c.relayed(err) || x.Pool.Broken(now, c.choice.Address)
+}
+
 // logSend logs a send without a usable response.
 func (x *exchange) logSend(r result, choice place.Choice, err error) {
 	x.Log.Info("route: send brought no answer", "id", x.info.ID, "upstream", choice.ID, "result", string(r), "error", errorText(err),
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -73,6 +73,9 @@
 		return
 	}
 	s.ejected = true
+	if s.silent.relayed(nil) || s.x.Pool.Broken(now, s.silent.choice.Address) {
+		return
+	}
 	s.x.Fleet.IdleTimedOut(now, s.silent.choice.ID)
 	s.x.Pool.CloseIdle(s.silent.choice.Address)
 }
--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -82,6 +83,8 @@
 	round    int
 	lastSent time.Duration
 	packer   packer
+	// detached holds the instances that have no path to any upstream, and when that was last reported.
+	detached map[string]time.Duration
 }
 
 // Conn sends and receives datagrams.
@@ -104,7 +107,7 @@
 
 // New returns an exchange without peers.
 func New(s Settings) *Exchange {
-	return &Exchange{Settings: s, peers: make(map[string]*peer), sendNow: make(chan struct{}, 1)}
+	return &Exchange{Settings: s, peers: make(map[string]*peer), sendNow: make(chan struct{}, 1), detached: make(map[string]time.Duration)}
 }
 
 // AddPeer adds an instance, or updates it when it is known.
@@ -174,6 +177,57 @@
 	return addresses
 }
 
+// detachedTTL is how long a report that an instance has no path to any upstream is valid.
+const detachedTTL = 1500 * time.Millisecond
+
+// Attached returns, in random order, the addresses of the other instances that may have a path to the upstreams. In a large site it
+// includes those that this instance gets no messages from.
+func (e *Exchange) Attached() []string {
+	now := e.Clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var addresses []string
+	// Maps are iterated in random order, but not uniformly.
+	for address, p := range e.peers {
+		silent := p.stamp == 0 || now-p.receivedAt >= unresponsiveTimeout/4
+		if silent && !e.large() || e.isDetached(now, address) {
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// IsDetached reports whether an instance is known to have no path to any upstream.
+func (e *Exchange) IsDetached(address string) bool {
+	now := e.Clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isDetached(now, address)
+}
+
+// isDetached is IsDetached for callers that hold the lock.
+func (e *Exchange) isDetached(now time.Duration, address string) bool {
+	at, ok := e.detached[address]
+	return ok && now-at < detachedTTL
+}
+
+// recordDetached records which instances have no path to any upstream. The caller holds the lock.
+func (e *Exchange) recordDetached(now time.Duration, m *Message) {
+	if m.Kind == KindOwn {
+		delete(e.detached, m.Address)
+	}
+	for _, address := range m.Detached {
+		e.detached[address] = now
+	}
+	for address := range e.detached {
+		if !e.isDetached(now, address) {
+			delete(e.detached, address)
+		}
+	}
+}
+
 // large reports whether messages go through the heads of availability zones. The caller holds the lock.
 func (e *Exchange) large() bool { return len(e.peers) >= maxMeshSize }
 
@@ -382,6 +436,7 @@
 		return false
 	}
 	p.addAdmitted(m)
+	e.recordDetached(now, m)
 	p.stamp, p.receivedAt, p.awaitedSince, p.suspect, p.last = m.Stamp, now, 0, false, m
 	return m.Urgent && m.Kind != KindAll && e.large() && e.headOf(e.Zone) == nil
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -60,6 +60,8 @@
 	Switching []string `json:"w,omitempty"`
 	// Departures are upstreams that have recently announced that they stop.
 	Departures []fleet.Departure `json:"e,omitempty"`
+	// Detached are the instances that have no path to any upstream, by address.
+	Detached []string `json:"dt,omitempty"`
 	// Limits are what responses of upstreams have recently said about the rate at which they take requests.
 	Limits []fleet.Limit `json:"r,omitempty"`
 	// Loaded are upstreams that have recently loaded a version of a model's weights.
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -178,6 +178,7 @@
 		m.List = &aged
 	}
 	m.Switching = append(m.Switching, p.last.Switching...)
+	m.Detached = append(slices.Clip(m.Detached), p.last.Detached...)
 	m.Loaded = append(m.Loaded, p.last.Loaded...)
 	for _, d := range p.last.Departures {
 		if !slices.Contains(m.Departures, d) {
--- a/internal/peer/rank/rank.go
+++ b/internal/peer/rank/rank.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -61,11 +62,17 @@
 
 // Rank returns the number of live instances that precede this one.
 func (t *Tracker) Rank(now time.Time) int {
+	return t.RankAmong(now, func(string) bool { return true })
+}
+
+// RankAmong returns the number of live instances that precede this one and are included, by address.
+func (t *Tracker) RankAmong(now time.Time, included func(address string) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for key, p := range t.peers {
-		if key < t.self && now.Sub(p.lastSeen) < peerTimeout {
+		_, address, _ := strings.Cut(key, " ")
+		if key < t.self && now.Sub(p.lastSeen) < peerTimeout && included(address) {
 			n++
 		}
 	}
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -144,6 +144,8 @@
 	storeUnreachableAt time.Time
 	// builds maps services to builds and when an upstream of each was last listed.
 	builds map[string]map[string]time.Time
+	// detached reports whether this instance has no path to any upstream, so that its failures are not those of the upstreams.
+	detached bool
 	// limitsSeen reports whether any upstream has named a limit.
 	limitsSeen bool
 	// instances share the limits of upstreams; reports among them take reportDelay.
@@ -373,7 +375,7 @@
 	for id, u := range f.upstreams {
 		l := Load{Running: u.local.running, PendingTokens: u.local.tokens}
 		own, peers := u.recent.total(now), f.peerLoad(now, id)
-		if own.bad+own.unanswered+peers.Bad+peers.Unanswered > 0 {
+		if !f.detached && own.bad+own.unanswered+peers.Bad+peers.Unanswered > 0 {
 			l.Good, l.Bad, l.Unanswered = own.good, own.bad, own.unanswered
 		}
 		f.limitLoad(now, u, &l)
@@ -384,6 +386,21 @@
 	return loads
 }
 
+// SetDetached sets whether this instance has no path to any upstream, and reports whether that changed. What it saw fail until then,
+// or while it had none, is forgotten.
+func (f *Fleet) SetDetached(detached bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.detached == detached {
+		return false
+	}
+	f.detached = detached
+	for _, u := range f.upstreams {
+		u.recent, u.failureRate, u.consecutiveFailures, u.ejectedUntil = window{}, 0, 0, time.Time{}
+	}
+	return true
+}
+
 // SetPeerLoads stores the loads that another instance reported.
 func (f *Fleet) SetPeerLoads(now time.Time, peer string, loads map[string]Load) {
 	f.mu.Lock()
