--- a/internal/app/edge/cut_test.go
+++ b/internal/app/edge/cut_test.go
@@ -220,3 +220,115 @@
 		must.True(t, v.Healthy(), must.Sprintf("%s: failure rate %g", u.ID, v.FailureRate))
 	}
 }
+
+// Requests that must not run twice run at most once while paths break and recover, and those that are refused do not run.
+func TestRepeatedCutsKeepPromises(t *testing.T) {
+	s, routers, paths := startCutSite(t, 1, 3, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var cuts sync.WaitGroup
+	for i, p := range paths[:3] {
+		cuts.Go(func() {
+			for _, kind := range []cutKind{cutHang, cutRefuse, cutReset, cutHang, cutReset, cutRefuse} {
+				p.set(kind)
+				time.Sleep(time.Duration(300+200*i) * time.Millisecond)
+				p.set(noCut)
+				time.Sleep(time.Duration(100+100*i) * time.Millisecond)
+			}
+		})
+	}
+	var mu sync.Mutex
+	statuses := make(map[string]int)
+	var callers sync.WaitGroup
+	for _, r := range routers {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				call := newBookCall()
+				status := r.send(t, call).Status
+				mu.Lock()
+				statuses[call.ID] = status
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	cuts.Wait()
+	cancel()
+	callers.Wait()
+	runs := make(map[string]int)
+	for _, u := range s.Jobs {
+		for _, run := range u.Runs() {
+			runs[run.ID]++
+		}
+	}
+	counts := make(map[int]int)
+	for id, status := range statuses {
+		counts[status]++
+		must.LessEq(t, 1, runs[id])
+		switch status {
+		case http.StatusOK:
+			must.Eq(t, 1, runs[id])
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			must.Zero(t, runs[id])
+		}
+	}
+	t.Logf("statuses %v", counts)
+	must.GreaterEq(t, len(statuses)*2/3, counts[http.StatusOK])
+}
+
+// Requests are refused at once when no instance has a path.
+func TestNoInstanceHasAPath(t *testing.T) {
+	_, routers, paths := startCutSite(t, 3, 3, 3)
+	for _, p := range paths {
+		p.set(cutHang)
+	}
+	callAll(t, routers, time.Second, newShortLookCall)
+	for _, r := range routers {
+		started := time.Now()
+		reply := r.send(t, newShortLookCall())
+		must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+		must.Positive(t, reply.RetryAfter)
+		must.Less(t, 300*time.Millisecond, time.Since(started))
+	}
+	paths[2].set(noCut)
+	eventually(t, "served through the instance whose path is back", func() bool {
+		return routers[0].send(t, newShortLookCall()).Status == http.StatusOK
+	})
+}
+
+// The instance that gives orders to engines passes that on when it loses its path to them.
+func TestOrdersPassToAnInstanceWithAPath(t *testing.T) {
+	s, routers, paths := startCutSite(t, 4, 1, 3)
+	s.PublishWeights(2)
+	eventually(t, "loaded", func() bool { return s.Engines[0].Version() == 2 && s.Engines[3].Version() == 2 })
+	leader := -1
+	for i, r := range routers {
+		if len(s.Engines[0].Orders()) > 0 && s.Engines[0].Orders()[0].Holder == r.settings.Peer {
+			leader = i
+		}
+	}
+	must.GreaterEq(t, 0, leader)
+	paths[leader].set(cutHang)
+	callAll(t, routers[leader:leader+1], time.Second, newShortLookCall)
+	s.PublishWeights(3)
+	eventually(t, "loaded by another instance", func() bool { return s.Engines[0].Version() == 3 && s.Engines[3].Version() == 3 })
+	for _, u := range s.Engines {
+		orders := u.Orders()
+		must.NotEq(t, routers[leader].settings.Peer, orders[len(orders)-1].Holder)
+	}
+}
+
+// What an upstream says to a relayed request holds for the instance through which it came.
+func TestRelayingInstanceKeepsPausesOfUpstreams(t *testing.T) {
+	s, routers, paths := startCutSite(t, 2, 1, 2)
+	paths[0].set(cutHang)
+	s.Jobs[0].SetFaults(fake.Faults{Shed: true, RetryAfter: "5"})
+	must.Eq(t, http.StatusServiceUnavailable, routers[0].send(t, newShortLookCall()).Status)
+	for _, r := range routers {
+		v, ok := r.fleet.View(time.Now(), s.Jobs[0].ID)
+		must.True(t, ok)
+		must.False(t, v.RetryAt.IsZero())
+	}
+	must.Eq(t, http.StatusServiceUnavailable, routers[1].send(t, newShortLookCall()).Status)
+	must.Eq(t, 1, s.Jobs[0].Requests())
+}
