--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -26,6 +26,8 @@
 	loads      map[string]fleet.Load
 	down       bool
 	sends      int
+	// detached reports whether the instance has no path to any upstream.
+	detached bool
 }
 
 func (m *simInstance) ReadFromUDP([]byte) (int, *net.UDPAddr, error) { return 0, nil, net.ErrClosed }
@@ -39,6 +41,9 @@
 func (m *simInstance) Fill(_ time.Duration, msg *Message) (time.Duration, bool) {
 	msg.Rates = quota.Report{Used: map[string]float64{"w": m.used}}
 	msg.Loads = map[string]fleet.Load{"e": {Running: 1}}
+	if m.detached {
+		msg.Detached = []string{m.Address}
+	}
 	return 0, false
 }
 
