--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -250,3 +250,29 @@
 	e.mergePeer(2*time.Second-time.Millisecond, &again, member, KindOwn)
 	must.Eq(t, own.Streams, again.Streams)
 }
+
+// Instances of a zone that has lost its paths to the upstreams know which instances still have theirs.
+func TestDetachedZoneIsKnown(t *testing.T) {
+	for _, size := range []struct{ zones, each int }{{3, 4}, {5, 59}} {
+		s := newSimSite(size.zones, size.each)
+		s.run(2 * time.Second)
+		for _, m := range s.instances {
+			m.detached = m.Zone == "0"
+		}
+		s.run(time.Second)
+		for _, m := range s.instances {
+			attached := m.Attached()
+			must.GreaterEq(t, (size.zones-1)*size.each-1, len(attached), must.Sprint(m.Address))
+			for _, address := range attached {
+				must.NotEq(t, "0", s.byAddress[address].Zone)
+			}
+		}
+		for _, m := range s.instances {
+			m.detached = false
+		}
+		s.run(3 * time.Second)
+		for _, m := range s.instances {
+			must.Eq(t, size.zones*size.each-1, len(m.Attached()))
+		}
+	}
+}
