Keep the builds that serve and the latest streams in the platform's store

After all instances were killed at once, callers' streams of a build that had left meanwhile went on at another one with 200, and with both builds listed all were refused: what began a stream, and which builds had served, was only in the memory of instances.

Which builds serve is now a row of the store, written before an instance uses an upstream of a new build, so that a single build in it is that of any stream without a record. While several serve, the instance of rank 0 saves the latest streams in rows that are written in turn, at most four a second at any size of the site. Instances read both before they are ready; in large sites only the heads of zones do, and the others ask them.

A test of pauses waited for peers that are known, not for those that are heard; it waits for the latter now.

--- a/internal/app/edge/cut_test.go
+++ b/internal/app/edge/cut_test.go
@@ -163,7 +163,7 @@
 		}
 	})
 	for _, r := range routers {
-		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == count })
+		eventually(t, "ready", func() bool { return r.isReady() && len(r.exchange.Attached()) == count-1 })
 	}
 	return s, routers, paths
 }
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -86,6 +86,7 @@
 	parts        *fatal.PartTracker
 	holders      *holder.Tracker
 	origins      *origin.Tracker
+	history      buildHistory
 	startedAt    time.Time
 	handler      *serve.Handler
 	exchange     *gossip.Exchange
@@ -211,7 +212,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
-		e.keepBlocks, e.probePaths,
+		e.keepBlocks, e.keepOrigins, e.probePaths,
 	} {
 		start(loop)
 	}
--- a/internal/app/edge/member.go
+++ b/internal/app/edge/member.go
@@ -43,6 +43,13 @@
 		if err == nil {
 			_, err = e.loadBlocks(ctx)
 		}
+		if err == nil {
+			e.addInstances(rows)
+			// In a large site, the head of the zone can be asked for streams.
+			if !e.exchange.UsesHead() {
+				err = e.loadOrigins(ctx)
+			}
+		}
 		if err != nil {
 			outage.recordFailure(err)
 			if !waitRetry(ctx, outage.failures) {
@@ -53,7 +60,6 @@
 		outage.recordSuccess()
 		for _, row := range rows.Rows {
 			if !row.Deleted && row.Key != e.settings.Peer {
-				e.addInstance(row)
 				e.quota.AddPeer(clock.SinceBoot(), row.Key)
 			}
 		}
@@ -64,6 +70,15 @@
 	}
 }
 
+// addInstances adds the other instances of rows as peers.
+func (e *Edge) addInstances(rows platform.Rows) {
+	for _, row := range rows.Rows {
+		if !row.Deleted && row.Key != e.settings.Peer {
+			e.addInstance(row)
+		}
+	}
+}
+
 // instanceRow is the store's row of an instance.
 type instanceRow struct {
 	Name string `json:"name"`
--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -23,8 +23,10 @@
 	// Build began the stream, if Known is true.
 	Build string `json:"build"`
 	Known bool   `json:"known"`
-	// Builds are those that have lately served in the stream's service.
+	// Builds are those that have lately served in the stream's service, as far as the instance knows.
 	Builds []string `json:"builds"`
+	// Complete reports whether it knows all of them.
+	Complete bool `json:"complete"`
 }
 
 // Began implements serve.Origins.
@@ -33,19 +35,19 @@
 }
 
 // Build implements serve.Origins. A stream without a record is of the only build that has served lately, if there is only one.
-// An instance that has just started asks another one.
+// An instance that does not know all of them asks another one.
 func (e *Edge) Build(ctx context.Context, now time.Time, service, id string) (string, bool) {
 	own := e.originOf(now, service, id)
 	if own.Known {
 		return own.Build, true
 	}
-	if len(own.Builds) == 1 && now.Sub(e.startedAt) >= origin.Memory {
+	if len(own.Builds) == 1 && own.Complete {
 		return own.Builds[0], true
 	}
 	from, answer, err := e.askOrigin(ctx, service, id)
 	if err == nil && answer.Known {
 		own.Build, own.Known = answer.Build, true
-	} else if builds := union(own.Builds, answer.Builds); len(builds) == 1 {
+	} else if builds := union(own.Builds, answer.Builds); len(builds) == 1 && (own.Complete || answer.Complete) {
 		own.Build, own.Known = builds[0], true
 	}
 	reason := ""
@@ -59,7 +61,8 @@
 
 func (e *Edge) originOf(now time.Time, service, id string) originAnswer {
 	build, known := e.origins.Build(now, id)
-	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service)}
+	complete := e.history.records(service) || now.Sub(e.startedAt) >= origin.Memory
+	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service), Complete: complete}
 }
 
 // askOrigin asks the instances that have heard of most streams, one after the other until one responds.
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
@@ -90,7 +91,7 @@
 		if epoch, _ := e.epochs.get(); rows.Epoch < epoch {
 			return errOldEpoch
 		}
-		e.applyListRows(time.Now(), rows.Rows, true)
+		e.applyListRows(ctx, rows.Rows, true)
 		e.list.recordRead(requestedAt, rows.Epoch, rows.Version, nil)
 		return nil
 	}
@@ -104,7 +105,7 @@
 		// The version belongs to another epoch. If that is over, the next round reads the complete list.
 		return errOldEpoch
 	}
-	changes := e.applyListRows(time.Now(), rows.Rows, false)
+	changes := e.applyListRows(ctx, rows.Rows, false)
 	e.list.recordRead(requestedAt, rows.Epoch, max(version, rows.Version), changes)
 	if len(changes) > 0 {
 		e.exchange.TriggerSend()
@@ -114,9 +115,9 @@
 
 // applyListRows applies rows of the list and returns the changes. If the rows are the complete list, it replaces the list
 // and returns none.
-func (e *Edge) applyListRows(now time.Time, rows []platform.Row, complete bool) []gossip.ListChange {
+func (e *Edge) applyListRows(ctx context.Context, rows []platform.Row, complete bool) []gossip.ListChange {
 	var entries []fleet.Entry
-	var changes []gossip.ListChange
+	var parsed []gossip.ListChange
 	for _, row := range rows {
 		change := gossip.ListChange{Version: row.Version, ID: row.Key}
 		if !row.Deleted {
@@ -128,12 +129,12 @@
 				entries = append(entries, entry)
 			}
 		}
-		if !complete && e.applyListChange(now, change) {
-			changes = append(changes, change)
-		}
+		parsed = append(parsed, change)
 	}
+	e.saveNewBuilds(ctx, entries, complete)
+	now := time.Now()
 	if !complete {
-		return changes
+		return slices.DeleteFunc(parsed, func(c gossip.ListChange) bool { return !e.applyListChange(now, c) })
 	}
 	restored := e.list.isRestored()
 	if restored {
@@ -142,7 +143,7 @@
 		e.fleet.Replace(now, entries)
 	}
 	e.log.Info("list: complete list read", "upstreams", len(entries), "restored", restored)
-	return changes
+	return nil
 }
 
 // applyListChange applies one change of the list and reports whether it changed the state of the fleet.
--- a/internal/route/fleet/build_test.go
+++ b/internal/route/fleet/build_test.go
@@ -17,7 +17,7 @@
 	f.Put(replaced)
 	must.Eq(t, []string{"v1", "v2"}, f.Builds(start, "s"))
 	f.Drop(start, "old")
-	must.Eq(t, []string{"v1", "v2"}, f.Builds(start.Add(buildMemory-time.Second), "s"))
-	must.Eq(t, []string{"v2"}, f.Builds(start.Add(buildMemory), "s"))
+	must.Eq(t, []string{"v1", "v2"}, f.Builds(start.Add(BuildMemory-time.Second), "s"))
+	must.Eq(t, []string{"v2"}, f.Builds(start.Add(BuildMemory), "s"))
 	must.SliceEmpty(t, f.Builds(start, "other"))
 }
--- a/internal/route/origin/origin.go
+++ b/internal/route/origin/origin.go
@@ -19,6 +19,10 @@
 	maxReported = 400
 	// maxOwn limits the streams that wait to be reported.
 	maxOwn = 1 << 12
+	// maxSaved limits the streams in one row of the store.
+	maxSaved = 3000
+	// unsavedTTL is the time in which the instance that saves streams for all has saved them.
+	unsavedTTL = 3 * time.Second
 	// hashBytes is the length of a stream's hash in a report.
 	hashBytes = 8
 )
@@ -43,6 +47,15 @@
 	rotatedAt         time.Time
 	// own is sorted by time.
 	own []ownStream
+	// unsaved are the streams that the store may lack, sorted by time.
+	unsaved []unsavedStream
+}
+
+// unsavedStream is a stream that the store may lack.
+type unsavedStream struct {
+	hash  uint64
+	build string
+	at    time.Time
 }
 
 // NewTracker returns a tracker without streams.
@@ -66,7 +79,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
-	hash := xxhash.Sum64String(id)
+	return t.lookup(xxhash.Sum64String(id))
+}
+
+// lookup returns the build of a stream. The caller holds the lock.
+func (t *Tracker) lookup(hash uint64) (string, bool) {
 	build, ok := t.current[hash]
 	if !ok {
 		build, ok = t.previous[hash]
@@ -95,6 +112,9 @@
 			continue
 		}
 		out[s.build] = binary.LittleEndian.AppendUint64(out[s.build], s.hash)
+		if s.reports == 0 {
+			t.addUnsaved(now, s.hash, s.build)
+		}
 		s.reports++
 		reported++
 	}
@@ -114,6 +134,22 @@
 
 // Merge adds what another instance reported.
 func (t *Tracker) Merge(now time.Time, streams Streams) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rotate(now)
+	for build, hashes := range streams {
+		for ; len(hashes) >= hashBytes; hashes = hashes[hashBytes:] {
+			hash := binary.LittleEndian.Uint64(hashes)
+			if _, known := t.lookup(hash); !known {
+				t.addUnsaved(now, hash, build)
+			}
+			t.current[hash] = build
+		}
+	}
+}
+
+// MergeSaved adds what the store has.
+func (t *Tracker) MergeSaved(now time.Time, streams Streams) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(now)
@@ -124,6 +160,38 @@
 	}
 }
 
+// addUnsaved adds a stream that the store may lack. The caller holds the lock.
+func (t *Tracker) addUnsaved(now time.Time, hash uint64, build string) {
+	t.unsaved = append(t.unsaved, unsavedStream{hash: hash, build: build, at: now})
+	if len(t.unsaved) > maxOwn {
+		t.unsaved = append([]unsavedStream(nil), t.unsaved[maxOwn/4:]...)
+	}
+}
+
+// Unsaved returns the streams that the store may lack, the oldest first and at most maxSaved, and forgets them.
+func (t *Tracker) Unsaved() Streams {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := min(len(t.unsaved), maxSaved)
+	out := make(Streams)
+	for _, s := range t.unsaved[:n] {
+		out[s.build] = binary.LittleEndian.AppendUint64(out[s.build], s.hash)
+	}
+	t.unsaved = append([]unsavedStream(nil), t.unsaved[n:]...)
+	return out
+}
+
+// DropUnsaved forgets streams that another instance has saved by now.
+func (t *Tracker) DropUnsaved(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for n < len(t.unsaved) && now.Sub(t.unsaved[n].at) > unsavedTTL {
+		n++
+	}
+	t.unsaved = append(t.unsaved[:0], t.unsaved[n:]...)
+}
+
 // rotate starts a new generation when the current one is over. The caller holds the lock.
 func (t *Tracker) rotate(now time.Time) {
 	if now.Sub(t.rotatedAt) < Memory {
--- a/internal/route/origin/origin_test.go
+++ b/internal/route/origin/origin_test.go
@@ -78,3 +78,55 @@
 	a.Plus(Streams{"v1": []byte("22222222")})
 	must.Eq(t, "11111111", string(first["v1"][hashBytes:]))
 }
+
+// The history has a build from the moment at which it is listed until it has been gone for the memory.
+func TestHistoryOfBuilds(t *testing.T) {
+	const memory = time.Minute
+	history, changed := History{}.Updated(time.Second, map[string][]string{"s": {"v1"}}, memory)
+	must.True(t, changed)
+	must.False(t, history.Lacks("s", "v1"))
+	must.True(t, history.Lacks("s", "v2"))
+	_, changed = history.Updated(2*time.Second, map[string][]string{"s": {"v1"}}, memory)
+	must.False(t, changed)
+	history, changed = history.Updated(3*time.Second, map[string][]string{"s": {"v2"}, "other": {"w1"}}, memory)
+	must.True(t, changed)
+	must.Eq(t, History{"s": {"v1": 3000, "v2": 0}, "other": {"w1": 0}}, history)
+	must.True(t, history.Lacks("s", "v1"))
+	again, _ := history.Updated(4*time.Second, map[string][]string{"s": {"v1", "v2"}}, memory)
+	must.Eq(t, map[string]int64{"v1": 0, "v2": 0}, again["s"])
+	history, changed = history.Updated(4*time.Second+memory, map[string][]string{"s": {"v2"}}, memory)
+	must.True(t, changed)
+	must.Eq(t, History{"s": {"v2": 0}, "other": {"w1": 4000 + memory.Milliseconds()}}, history)
+}
+
+// Streams are saved once: own ones when they are first reported, those of others when they are new.
+func TestStreamsAreSavedOnce(t *testing.T) {
+	first, second := NewTracker(), NewTracker()
+	first.Began(start, "s", "a", "v1")
+	must.MapEmpty(t, first.Unsaved())
+	report := first.Report(start, always)
+	must.Eq(t, report, first.Unsaved())
+	must.MapEmpty(t, first.Unsaved())
+	second.Merge(start, report)
+	second.Merge(start, report)
+	must.Eq(t, report, second.Unsaved())
+	must.MapEmpty(t, second.Unsaved())
+	third := NewTracker()
+	third.MergeSaved(start, report)
+	mustBuild(t, third, start, "a", "v1")
+	must.MapEmpty(t, third.Unsaved())
+	third.Merge(start, Streams{"v2": []byte("12345678")})
+	third.DropUnsaved(start.Add(unsavedTTL))
+	must.MapLen(t, 1, third.unsavedForTest())
+	third.DropUnsaved(start.Add(2 * unsavedTTL))
+	must.MapEmpty(t, third.Unsaved())
+}
+
+// unsavedForTest returns the unsaved streams and keeps them.
+func (t *Tracker) unsavedForTest() map[uint64]string {
+	out := make(map[uint64]string)
+	for _, s := range t.unsaved {
+		out[s.hash] = s.build
+	}
+	return out
+}
