Let connections to upstreams outlast a second of silence

Connections to upstreams failed after 1.5 s without an acknowledgement; 2 s now. The other places were read: the store's client and connections between instances set TCP_USER_TIMEOUT without keep-alive probes; skylarkquay's own pool sets probes (15 s) without TCP_USER_TIMEOUT; no library in use sets it.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -28,8 +28,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// examineTimeout limits the check why a connection has broken off, which may take another instance.
 	examineTimeout = 250 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged before the connection fails. Sound upstreams may be silent for a
+	// second or so.
+	unackedTimeout = 2 * time.Second
 	// defaultIdleTimeout applies if the upstream sends no Keep-Alive timeout.
 	defaultIdleTimeout = 4 * time.Second
 	// idleMargin is subtracted from an upstream's Keep-Alive timeout.
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
+	"golang.org/x/sys/unix"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
@@ -386,3 +387,23 @@
 	_, err := roundTrip(t, p, request(u, "1"))
 	must.ErrorIs(t, err, bound.ErrTooLong)
 }
+
+// Connections to upstreams outlast a second of silence. TCP_USER_TIMEOUT also ends keep-alive probes, so there are none.
+func TestSocketOptionsOutlastSilence(t *testing.T) {
+	u := respondWith(t, response("1", "x"))
+	c, err := DialTCP(context.Background(), u.address, time.Second)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	var userTimeout, keepAlive int
+	var errTimeout, errKeepAlive error
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		userTimeout, errTimeout = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		keepAlive, errKeepAlive = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+	}))
+	must.NoError(t, errTimeout)
+	must.NoError(t, errKeepAlive)
+	must.GreaterEq(t, 2000, userTimeout)
+	must.Zero(t, keepAlive)
+}
