skylarkquay: connect to upstreams through other instances where this one has no path

At most once holds as before: a connection that could not be made proves that nothing was sent, through whatever instance.

Not changed: its crash counts and the failures that its fleet records do not regard the path.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/ledger"
 	"github.com/skylarkquay/skylarkquay/internal/conf/option"
 	"github.com/skylarkquay/skylarkquay/internal/front/chat"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
 	"github.com/skylarkquay/skylarkquay/internal/front/plain"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
@@ -57,6 +58,8 @@
 	fleet   *status.Fleet
 	placer  *placer.Placer
 	pool    *relay.Pool
+	dialer  *detour.Dialer
+	relay   *detour.Relay
 	queue   *fairq.Queue
 	gate    *gate.Gate
 	chat    *chat.Handler
@@ -93,7 +96,6 @@
 		reporter:  reporter,
 		feed:      feed.New(),
 		fleet:     status.NewFleet(picker.DefaultCosts().PerToken),
-		pool:      relay.NewPool(),
 		crashes:   crash.NewTracker(),
 		queue:     fairq.NewQueue(s.MaxInFlight),
 		roster:    roster.NewClient(s.RosterURL),
@@ -106,6 +108,7 @@
 		Zone:        s.Zone,
 		Incarnation: fmt.Sprintf("%019d-%s", time.Now().UnixNano(), rand.Text()[:8]),
 	})
+	r.buildDialer()
 	r.buildClients()
 	r.buildComponents()
 	return r, nil
@@ -240,6 +243,7 @@
 			}
 		}
 	}
+	r.waitRelayed(ctx)
 	r.plain.WaitForWrites()
 	r.releaseLeases(ctx)
 	for _, s := range servers {
--- /dev/null
+++ b/internal/app/daemon/paths.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+)
+
+const (
+	// probeInterval is the interval between checks of broken paths to upstreams.
+	probeInterval = 250 * time.Millisecond
+	// relayCheckInterval is the interval at which a stopping instance checks whether it still relays.
+	relayCheckInterval = 50 * time.Millisecond
+	// maxRelayed limits the connections for other instances, which take tens of kilobytes each.
+	maxRelayed = 500
+)
+
+// buildDialer builds what connects to upstreams, through other instances where this one has no path.
+func (r *Router) buildDialer() {
+	r.dialer = &detour.Dialer{Direct: relay.DialTCP, Candidates: r.relayCandidates, Paths: detour.NewPaths(), Log: r.log}
+	r.relay = &detour.Relay{
+		Dialer: r.dialer, Max: maxRelayed, Accepts: func(_ time.Time, t detour.Target) bool { return r.isUpstream(t.Address) },
+		OnHead: func(_, _ time.Time, _ detour.Target, _ *http.Response) {},
+	}
+	r.pool = relay.NewPool(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		return r.dialer.Dial(ctx, detour.Target{Address: address}, timeout)
+	})
+}
+
+// SetDirect replaces the function that connects to upstreams without another instance. It is called before Run.
+func (r *Router) SetDirect(dial relay.Dial) { r.dialer.Direct = dial }
+
+// relayCandidates returns the other instances in random order.
+func (r *Router) relayCandidates() []string {
+	var addresses []string
+	for _, m := range r.members.Live(time.Now()) {
+		if m.Address != r.settings.Peer && !m.Leaving {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// isUpstream reports whether the routing document has an upstream at an address.
+func (r *Router) isUpstream(address string) bool {
+	doc, _ := r.feed.Document()
+	if doc == nil {
+		return false
+	}
+	for _, u := range doc.Upstreams {
+		if u.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// probePaths checks broken paths until the context ends.
+func (r *Router) probePaths(ctx context.Context) error {
+	for sleep.For(ctx, probeInterval) == nil {
+		if addresses := r.dialer.Paths.Probes(time.Now(), r.isUpstream); len(addresses) > 0 {
+			r.dialer.Probe(ctx, addresses)
+		}
+	}
+	return nil
+}
+
+// waitRelayed waits until no connection is relayed for other instances, or the context ends.
+func (r *Router) waitRelayed(ctx context.Context) {
+	for r.relay.Open() > 0 && sleep.For(ctx, relayCheckInterval) == nil {
+	}
+}
--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -9,6 +9,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/admin"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 )
 
@@ -26,11 +27,19 @@
 	}
 	return []server{
 		{"callers", callers, r.listeners.callers},
-		{"peers", &http.Server{Handler: wire.NewPeerServer(peerServer{r.peers}), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout}, r.listeners.peers},
+		{"peers", &http.Server{Handler: r.peerRoutes(), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout}, r.listeners.peers},
 		{"admin", &http.Server{Handler: r.adminRoutes(), ReadHeaderTimeout: s.HeaderTimeout}, r.listeners.admin},
 	}
 }
 
+// peerRoutes serves the calls of other instances, and connects to upstreams for those that cannot.
+func (r *Router) peerRoutes() http.Handler {
+	m := mux.NewRouter()
+	m.Handle(detour.Path, r.relay).Methods(http.MethodPost)
+	m.PathPrefix("/").Handler(wire.NewPeerServer(peerServer{r.peers}))
+	return m
+}
+
 // callerRoutes sends language calls to the engines and everything else to the plain services.
 func (r *Router) callerRoutes() http.Handler {
 	m := mux.NewRouter()
--- a/internal/front/chat/race_test.go
+++ b/internal/front/chat/race_test.go
@@ -176,7 +176,7 @@
 
 func newHandler() *Handler {
 	return &Handler{
-		Log: logr.Discard(), Metrics: tally.NoopScope, Pool: relay.NewPool(), Crashes: crash.NewTracker(),
+		Log: logr.Discard(), Metrics: tally.NoopScope, Pool: relay.NewPool(relay.DialTCP), Crashes: crash.NewTracker(),
 		Placer:            placer.NewPlacer(status.NewFleet(time.Millisecond), self{}, nil),
 		FirstTokenTimeout: firstTokenTimeout, TokenIdleTimeout: tokenIdleTimeout,
 	}
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -38,27 +38,37 @@
 	return errors.As(err, &d)
 }
 
+// Dial connects to an upstream.
+type Dial func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
+// DialTCP connects to an upstream over TCP.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
+	}}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Pool holds one connection pool for each upstream address.
 type Pool struct {
+	dial       Dial
 	mu         sync.Mutex
 	transports map[string]*http.Transport
 	unpooled   *http.Transport
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	unpooled := newTransport()
-	unpooled.DisableKeepAlives = true
-	return &Pool{transports: make(map[string]*http.Transport), unpooled: unpooled}
+// NewPool returns an empty pool that connects by the given function.
+func NewPool(dial Dial) *Pool {
+	p := &Pool{dial: dial, transports: make(map[string]*http.Transport)}
+	p.unpooled = p.newTransport()
+	p.unpooled.DisableKeepAlives = true
+	return p
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
-	}}
+func (p *Pool) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			c, err := p.dial(ctx, address, dialTimeout)
 			if err != nil {
 				return nil, &DialError{Err: err}
 			}
@@ -94,7 +104,7 @@
 	defer p.mu.Unlock()
 	t, ok := p.transports[address]
 	if !ok {
-		t = newTransport()
+		t = p.newTransport()
 		p.transports[address] = t
 	}
 	return t
--- a/internal/trial/site/site.go
+++ b/internal/trial/site/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/fake/plain"
 	"github.com/skylarkquay/skylarkquay/internal/fake/store"
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/plat/roster"
 )
 
@@ -34,6 +36,8 @@
 	Engine engine.Settings
 	// Adjust modifies the settings of each router before it starts.
 	Adjust func(*option.Settings)
+	// Direct, if set, returns the function by which a router connects to upstreams itself.
+	Direct func(router int) relay.Dial
 	Log    logr.Logger
 }
 
@@ -234,6 +238,9 @@
 	if err != nil {
 		return err
 	}
+	if s.options.Direct != nil {
+		d.SetDirect(s.options.Direct(slices.Index(s.Routers, r)))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.done = make(chan error, 1)
