Detach only after a check of other upstreams

By reading: an instance whose connections to two upstreams failed, with none made since, counted as detached for up to five seconds, also if the two had ended: it probed only these, and made no connection of its own to the others. Several instances at once would have declined for each other. Two failures now only start a check at once: a sample of all upstreams decides, also when the path is back (TestEndedUpstreamsDoNotDetach).

--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -46,7 +46,7 @@
 		{"watch", r.watchDocument},
 		{"loads", r.pollLoads},
 		{"outcomes", r.flushOutcomes},
-		{"paths", r.probePaths},
+		{"paths", r.checkPaths},
 	}
 }
 
--- a/internal/app/daemon/paths.go
+++ b/internal/app/daemon/paths.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
@@ -13,8 +14,6 @@
 )
 
 const (
-	// probeInterval is the interval between checks of broken paths to upstreams.
-	probeInterval = 250 * time.Millisecond
 	// relayCheckInterval is the interval at which a stopping instance checks whether it still relays.
 	relayCheckInterval = 50 * time.Millisecond
 	// maxRelayed limits the connections for other instances, which take tens of kilobytes each.
@@ -25,7 +24,7 @@
 func (r *Router) buildDialer() {
 	r.dialer = &detour.Dialer{Direct: relay.DialTCP, Candidates: r.relayCandidates, Paths: detour.NewPaths(), Log: r.log}
 	r.relay = &detour.Relay{
-		Dialer: r.dialer, Max: maxRelayed, Accepts: func(_ time.Time, t detour.Target) bool { return r.isUpstream(t.Address) },
+		Dialer: r.dialer, Max: maxRelayed, Accepts: func(_ time.Time, t detour.Target) bool { return slices.Contains(r.upstreamAddresses(), t.Address) },
 		OnHead: func(_, _ time.Time, _ detour.Target, _ *http.Response) {},
 	}
 	r.pool = relay.NewPool(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
@@ -48,27 +47,22 @@
 	return addresses
 }
 
-// isUpstream reports whether the routing document has an upstream at an address.
-func (r *Router) isUpstream(address string) bool {
+// upstreamAddresses returns the addresses of the upstreams in the routing document.
+func (r *Router) upstreamAddresses() []string {
 	doc, _ := r.feed.Document()
 	if doc == nil {
-		return false
+		return nil
 	}
+	var addresses []string
 	for _, u := range doc.Upstreams {
-		if u.Address == address {
-			return true
-		}
+		addresses = append(addresses, u.Address)
 	}
-	return false
+	return addresses
 }
 
-// probePaths checks broken paths until the context ends.
-func (r *Router) probePaths(ctx context.Context) error {
-	for sleep.For(ctx, probeInterval) == nil {
-		if addresses := r.dialer.Paths.Probes(time.Now(), r.isUpstream); len(addresses) > 0 {
-			r.dialer.Probe(ctx, addresses)
-		}
-	}
+// checkPaths checks the paths to the upstreams until the context ends.
+func (r *Router) checkPaths(ctx context.Context) error {
+	r.dialer.CheckPaths(ctx, r.upstreamAddresses)
 	return nil
 }
 
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -213,7 +213,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
-		e.keepBlocks, e.keepOrigins, e.probePaths,
+		e.keepBlocks, e.keepOrigins, e.checkPaths,
 	} {
 		start(loop)
 	}
@@ -335,6 +335,7 @@
 		for _, id := range e.fleet.EndPauses(now) {
 			e.log.Info("route: upstream accepts requests again", "upstream", id)
 		}
+		e.checkDetached()
 		e.metrics.Gauge("relayed").Update(float64(e.relay.Open()))
 		e.metrics.Gauge("open").Update(float64(e.handler.OpenRequests.Load()))
 		e.metrics.Gauge("dropped_lines").Update(float64(e.droppedLines()))
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -16,7 +16,7 @@
 func (e *Edge) Fill(boot time.Duration, m *gossip.Message) (time.Duration, bool) {
 	now := time.Now()
 	m.Rates = e.quota.Report(boot)
-	if e.checkDetached(now) {
+	if e.checkDetached() {
 		m.Detached = []string{e.settings.Peer}
 	}
 	m.Loads = e.fleet.Loads(now)
--- a/internal/app/edge/kvstores.go
+++ b/internal/app/edge/kvstores.go
@@ -22,7 +22,7 @@
 	for sleep.For(ctx, kvPollInterval) == nil {
 		doc := e.replica.Document()
 		now := time.Now()
-		polling := doc != nil && !e.dialer.Paths.Detached(now) && e.ranks.RankAmong(now, e.isAttached) == 0
+		polling := doc != nil && !e.dialer.Paths.Detached() && e.ranks.RankAmong(now, e.isAttached) == 0
 		e.kvStorePoller.Store(polling)
 		if !polling {
 			continue
--- a/internal/app/edge/paths.go
+++ b/internal/app/edge/paths.go
@@ -7,18 +7,13 @@
 	"net/http"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-const (
-	// probeInterval is the interval between checks of broken paths to upstreams.
-	probeInterval = 250 * time.Millisecond
-	// sampleSize is how many upstreams are probed to tell a failed KV store from a broken path.
-	sampleSize = 3
-)
+// sampleSize is how many upstreams are probed to tell a failed KV store from a broken path.
+const sampleSize = 3
 
 // newDialer returns the dialer for upstreams, and the relay that connects to them for other instances.
 func (e *Edge) newDialer() (*detour.Dialer, *detour.Relay) {
@@ -56,20 +51,22 @@
 	}
 }
 
-// probePaths checks broken paths until the context ends.
-func (e *Edge) probePaths(ctx context.Context) {
-	listed := func(address string) bool { return e.fleet.ServiceAt(address) != "" }
-	for sleep.For(ctx, probeInterval) == nil {
-		if addresses := e.dialer.Paths.Probes(time.Now(), listed); len(addresses) > 0 {
-			e.dialer.Probe(ctx, addresses)
-		}
-		e.checkDetached(time.Now())
+// checkPaths checks the paths to the upstreams until the context ends.
+func (e *Edge) checkPaths(ctx context.Context) {
+	e.dialer.CheckPaths(ctx, e.upstreamAddresses)
+}
+
+func (e *Edge) upstreamAddresses() []string {
+	var addresses []string
+	for _, entry := range e.fleet.Entries() {
+		addresses = append(addresses, entry.Address)
 	}
+	return addresses
 }
 
 // checkDetached reports whether this instance has no path to any upstream, and tells the others when that has changed.
-func (e *Edge) checkDetached(now time.Time) bool {
-	detached := e.dialer.Paths.Detached(now)
+func (e *Edge) checkDetached() bool {
+	detached := e.dialer.Paths.Detached()
 	if e.fleet.SetDetached(detached) {
 		e.log.Info("detour: path to the upstreams changed", "detached", detached, "relayed", e.relay.Open())
 		e.metrics.Counter("detached").Inc(1)
@@ -80,11 +77,7 @@
 
 // hasPath probes some upstreams and reports whether one of them can be reached.
 func (e *Edge) hasPath(ctx context.Context) bool {
-	entries := e.fleet.Entries()
-	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-	var addresses []string
-	for _, entry := range entries[:min(sampleSize, len(entries))] {
-		addresses = append(addresses, entry.Address)
-	}
-	return e.dialer.Probe(ctx, addresses)
+	addresses := e.upstreamAddresses()
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return e.dialer.Probe(ctx, addresses[:min(sampleSize, len(addresses))])
 }
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -145,7 +145,7 @@
 			pendingSince = time.Time{}
 			continue
 		}
-		if r.edge.dialer.Paths.Detached(now) {
+		if r.edge.dialer.Paths.Detached() {
 			r.yieldLease()
 			pendingSince = time.Time{}
 			continue
--- a/internal/front/detour/detour_test.go
+++ b/internal/front/detour/detour_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,19 +21,55 @@
 
 var start = time.Unix(1000, 0)
 
-func TestDetachedAfterTwoUpstreamsFail(t *testing.T) {
+func TestSuspectAfterTwoUpstreamsFail(t *testing.T) {
 	p := NewPaths()
 	p.Failed(start, "a", false)
 	p.Failed(start, "a", false)
-	must.False(t, p.Detached(start))
+	must.False(t, p.Suspect(start))
 	must.False(t, p.Broken(start, "a"))
 	p.Failed(start.Add(time.Second), "b", false)
-	must.True(t, p.Detached(start.Add(time.Second)))
+	must.True(t, p.Suspect(start.Add(time.Second)))
+	must.False(t, p.Suspect(start.Add(time.Second+failureTTL)))
+	p.detach(start.Add(time.Second))
+	must.True(t, p.Detached())
 	must.True(t, p.Broken(start.Add(time.Second), "c"))
-	must.False(t, p.Detached(start.Add(time.Second+failureTTL)))
 	p.Connected(start.Add(2*time.Second), "c")
-	must.False(t, p.Detached(start.Add(2*time.Second)))
+	must.False(t, p.Suspect(start.Add(2*time.Second)))
+	must.False(t, p.Detached())
 	must.False(t, p.Broken(start.Add(2*time.Second), "a"))
+	p.detach(start.Add(time.Second))
+	must.False(t, p.Detached())
+}
+
+// An instance whose connections to two upstreams failed because these have ended is not detached, and stays so no longer than its
+// path is broken.
+func TestEndedUpstreamsDoNotDetach(t *testing.T) {
+	upstream := startUpstream(t, func(c *net.TCPConn) { _ = c.Close() })
+	var cut atomic.Bool
+	d := newDialer(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		if cut.Load() || address != upstream.Address {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dialTCP(ctx, address, timeout)
+	})
+	upstreams := []string{"a", "b", upstream.Address}
+	for _, address := range upstreams[:2] {
+		_, err := d.Dial(context.Background(), Target{ID: address, Address: address}, time.Second)
+		must.Error(t, err)
+	}
+	must.True(t, d.Paths.Suspect(time.Now()))
+	d.checkPaths(context.Background(), time.Now(), slices.Clone(upstreams))
+	must.False(t, d.Paths.Detached())
+	cut.Store(true)
+	for _, address := range upstreams[:2] {
+		_, err := d.Dial(context.Background(), Target{ID: address, Address: address}, time.Second)
+		must.Error(t, err)
+	}
+	d.checkPaths(context.Background(), time.Now(), slices.Clone(upstreams))
+	must.True(t, d.Paths.Detached())
+	cut.Store(false)
+	d.checkPaths(context.Background(), time.Now(), slices.Clone(upstreams))
+	must.False(t, d.Paths.Detached())
 }
 
 // An upstream that another instance reaches has a broken path; one that no instance reaches has not.
@@ -43,8 +81,8 @@
 	p.Connected(start.Add(time.Millisecond), "a")
 	must.True(t, p.Broken(start, "b"))
 	must.False(t, p.Broken(start, "c"))
-	must.Eq(t, []string{"b"}, p.Probes(start, func(string) bool { return true }))
-	must.SliceEmpty(t, p.Probes(start, func(string) bool { return false }))
+	must.Eq(t, []string{"b"}, p.broken(start, []string{"a", "b", "c"}))
+	must.SliceEmpty(t, p.broken(start, nil))
 	must.False(t, p.Broken(start, "b"))
 }
 
@@ -156,8 +194,7 @@
 	})
 	other := startRelay(t, &Relay{Dialer: newDialer(dialTCP), Max: 10})
 	detached := newDialer(noPath, other)
-	detached.Paths.Failed(time.Now(), "a", false)
-	detached.Paths.Failed(time.Now(), "b", false)
+	detached.Paths.detach(time.Now())
 	for name, c := range map[string]struct {
 		relay *Relay
 		want  error
@@ -169,8 +206,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDialer(noPath, startRelay(t, c.relay))
-			d.Paths.Failed(time.Now(), "a", false)
-			d.Paths.Failed(time.Now(), "b", false)
+			d.Paths.detach(time.Now())
 			_, err := d.Dial(context.Background(), upstream, time.Second)
 			must.ErrorIs(t, err, c.want)
 			must.Zero(t, len(accepted))
--- a/internal/front/detour/dialer.go
+++ b/internal/front/detour/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -27,6 +28,8 @@
 	askTimeout = 300 * time.Millisecond
 	// silentPeerTTL is how long an instance that could not be reached is not asked.
 	silentPeerTTL = 2 * time.Second
+	// checkInterval is the interval between checks of broken paths.
+	checkInterval = 250 * time.Millisecond
 	// probeTimeout bounds a connection that checks a path.
 	probeTimeout = 150 * time.Millisecond
 	// unackedTimeout is how long bytes between instances may stay unacknowledged before the connection fails.
@@ -195,7 +198,7 @@
 		// A connection of this instance that is made later revokes it.
 		c.Paths.Failed(now, c.target.Address, true)
 	}
-	c.Log.Info("detour: connected through another instance", "upstream", c.target.ID, "via", o.via, "detached", c.Paths.Detached(now),
+	c.Log.Info("detour: connected through another instance", "upstream", c.target.ID, "via", o.via, "detached", c.Paths.Detached(),
 		"error", errorText(c.directErr))
 	return &Conn{Conn: o.conn, Via: o.via}
 }
@@ -225,7 +228,7 @@
 	switch {
 	case c.verdict != nil:
 		return c.verdict
-	case c.Paths.Detached(time.Now()):
+	case c.Paths.Detached():
 		return ErrNoPath
 	case c.directErr != nil:
 		return c.directErr
@@ -307,6 +310,37 @@
 	}
 }
 
+// CheckPaths checks, until the context ends, whether broken paths have been restored and whether this instance has lost its path to
+// all upstreams. Upstreams returns the addresses of those that are listed.
+func (d *Dialer) CheckPaths(ctx context.Context, upstreams func() []string) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-d.Paths.suspected:
+		}
+		d.checkPaths(ctx, time.Now(), upstreams())
+	}
+}
+
+func (d *Dialer) checkPaths(ctx context.Context, now time.Time, upstreams []string) {
+	broken := d.Paths.broken(now, upstreams)
+	if d.Paths.Suspect(now) || d.Paths.Detached() {
+		// The upstreams that failed may have ended. Others show whether it is the path.
+		rand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
+		sample := upstreams[:min(maxProbes, len(upstreams))]
+		if len(sample) > 0 && !d.Probe(ctx, sample) && ctx.Err() == nil {
+			d.Paths.detach(now)
+		}
+	}
+	if len(broken) > 0 && !d.Paths.Detached() {
+		d.Probe(ctx, broken)
+	}
+}
+
 // Probe checks whether this instance can connect to upstreams itself, and reports whether it could to any.
 func (d *Dialer) Probe(ctx context.Context, addresses []string) bool {
 	outcomes := make(chan outcome, len(addresses))
--- a/internal/front/detour/paths.go
+++ b/internal/front/detour/paths.go
@@ -2,17 +2,18 @@
 package detour
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// detachedFailures is the number of upstreams to which connections have to fail, with none made since, before an instance
-	// counts as detached. A single one may have ended.
-	detachedFailures = 2
+	// suspectFailures is the number of upstreams to which connections have to fail, with none made since, before an instance
+	// checks whether it has a path to any. A single one may have ended.
+	suspectFailures = 2
 	// failureTTL is how long a failed connection counts. Probes of a path that stays broken renew it.
 	failureTTL = 5 * time.Second
-	// maxProbes is how many paths are probed at a time.
+	// maxProbes is how many paths are checked at a time.
 	maxProbes = 4
 	// provenTTL is how long a connection to one upstream proves that failures of others are not this instance's.
 	provenTTL = 3 * time.Second
@@ -38,16 +39,22 @@
 	failures map[string]failure
 	// connectedAt is when this instance last connected to an upstream itself.
 	connectedAt time.Time
+	// detached reports whether this instance could not connect to any of several upstreams, with none connected to since.
+	detached bool
+	// suspected wakes those that check the paths.
+	suspected chan struct{}
 }
 
 // NewPaths returns paths of which nothing is known.
-func NewPaths() *Paths { return &Paths{failures: make(map[string]failure)} }
+func NewPaths() *Paths {
+	return &Paths{failures: make(map[string]failure), suspected: make(chan struct{}, 1)}
+}
 
 // Connected records that this instance connected to an upstream itself.
 func (p *Paths) Connected(now time.Time, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.connectedAt = now
+	p.connectedAt, p.detached = now, false
 	delete(p.failures, address)
 }
 
@@ -56,6 +63,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.failures[address] = failure{at: now, reached: reached || p.failures[address].reached}
+	if p.suspect(now) && !p.detached {
+		select {
+		case p.suspected <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Broken reports whether connections to an upstream are made through other instances only.
@@ -63,25 +76,39 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f, ok := p.failures[address]
-	return ok && f.reached && now.Sub(f.at) < failureTTL || p.detached(now)
+	return ok && f.reached && now.Sub(f.at) < failureTTL || p.detached
+}
+
+// Detached reports whether this instance has no path to any upstream.
+func (p *Paths) Detached() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.detached
+}
+
+// Suspect reports whether this instance may have no path to any upstream.
+func (p *Paths) Suspect(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspect(now)
 }
 
-// Detached reports whether this instance seems to have no path to any upstream.
-func (p *Paths) Detached(now time.Time) bool {
+// detach records that connections to several upstreams have failed since a time, unless one was made.
+func (p *Paths) detach(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.detached(now)
+	p.detached = p.connectedAt.Before(since)
 }
 
-// detached is Detached for callers that hold the lock.
-func (p *Paths) detached(now time.Time) bool {
+// suspect is Suspect for callers that hold the lock.
+func (p *Paths) suspect(now time.Time) bool {
 	n := 0
 	for _, f := range p.failures {
 		if f.at.After(p.connectedAt) && now.Sub(f.at) < failureTTL {
 			n++
 		}
 	}
-	return n >= detachedFailures
+	return n >= suspectFailures
 }
 
 // Proven reports whether this instance has lately connected to an upstream itself.
@@ -91,18 +118,17 @@
 	return !p.connectedAt.IsZero() && now.Sub(p.connectedAt) < provenTTL
 }
 
-// Probes returns at most maxProbes addresses of upstreams whose path may have been restored. Listed reports whether an upstream is still listed;
-// the others are forgotten.
-func (p *Paths) Probes(now time.Time, listed func(address string) bool) []string {
+// broken returns at most maxProbes upstreams that another instance could reach and this one could not. Upstreams that are not listed
+// any more are forgotten.
+func (p *Paths) broken(now time.Time, listed []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []string
-	detached := p.detached(now)
 	for address, f := range p.failures {
 		switch {
-		case !listed(address) || now.Sub(f.at) >= failureTTL:
+		case !slices.Contains(listed, address) || now.Sub(f.at) >= failureTTL:
 			delete(p.failures, address)
-		case f.reached || detached:
+		case f.reached:
 			if len(out) < maxProbes {
 				out = append(out, address)
 			}
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -48,7 +48,7 @@
 	query := req.URL.Query()
 	target := Target{ID: query.Get("id"), Address: query.Get("address")}
 	defer r.open.Add(-1)
-	if r.open.Add(1) > r.Max || r.Dialer.Paths.Detached(time.Now()) || !r.Accepts(time.Now(), target) {
+	if r.open.Add(1) > r.Max || r.Dialer.Paths.Detached() || !r.Accepts(time.Now(), target) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
