Take the place of a request at an upstream when it is placed

Requests that an instance placed at the same moment all saw the same free seat, because a request counted only when it was sent. Besides, an instance in a burst divided the seats by its present requests, of which the others did not know yet. Placing takes the place now, and seats are divided by what was reported.

--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -102,6 +102,7 @@
 		return errNoUpstream
 	}
 	if spend && !x.spendRetry(now) {
+		x.Fleet.Release(choice.ID)
 		return errNoRetry
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
--- a/internal/route/fleet/brittle.go
+++ b/internal/route/fleet/brittle.go
@@ -99,13 +99,13 @@
 	if !ok || u.entry.Slots <= 0 {
 		return false
 	}
-	running := u.local.running + f.peerLoad(now, u.entry.ID).Running
-	room, free := f.noticed(&u.entry).roomOf(now, brittle, u.entry.Slots, running, f.instances)
-	if u.local.running < free {
+	own, others := u.local.running+u.local.reserved, f.peerLoad(now, u.entry.ID).Running
+	room, free := f.noticed(&u.entry).roomOf(now, brittle, u.entry.Slots, own+others, f.instances)
+	if own < free {
 		return false
 	}
 	f.dealSeats(now, u, room)
-	return running >= int(math.Ceil(room)) || u.local.running >= u.shared.usableSeats(now, running > u.local.running)
+	return own+others >= int(math.Ceil(room)) || own >= u.shared.usableSeats(now, others > 0)
 }
 
 // dealSeats computes this instance's seats at an upstream with room for that many requests. The caller holds the lock.
@@ -114,14 +114,17 @@
 	// The rest covers reports that arrive late.
 	room = max(1, room*limitRatio)
 	before, wanted := f.peersWanted(now, u.entry.ID)
-	share, span := s.share(now, wanted, f.instances), now.Unix()/int64(seatsSpan/time.Second)
+	share, span := 1/float64(f.instances), now.Unix()/int64(seatsSpan/time.Second)
+	if s.reported > 0 {
+		share = s.reported / (s.reported + wanted)
+	}
 	if s.span != span {
 		s.span, s.spanAt, s.previousSeats, s.lostSeats = span, now, s.seats, 0
 		s.random = f.random()
 	}
 	offset := s.random
 	if f.self != "" && f.instances <= len(f.peers)+1 {
-		offset = f.seatOffset(span, u.entry.ID, room, before, wanted+s.wanted.get(now, wantedSpan))
+		offset = f.seatOffset(span, u.entry.ID, room, before, wanted+s.reported)
 	}
 	s.seats = roundAtRandom(room*share, offset)
 }
--- a/internal/route/fleet/events.go
+++ b/internal/route/fleet/events.go
@@ -18,6 +18,7 @@
 	f.update(id, func(u *upstream) {
 		f.countSend(now, u)
 		u.local.running++
+		u.local.reserved = max(0, u.local.reserved-1)
 		u.local.tokens += tokens
 	})
 }
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -75,6 +75,8 @@
 
 type localLoad struct {
 	running int
+	// reserved counts the requests that have been placed at the upstream and not sent yet.
+	reserved int
 	tokens  int64
 }
 
--- a/internal/route/fleet/limit.go
+++ b/internal/route/fleet/limit.go
@@ -146,7 +146,13 @@
 	}
 }
 
-// Reserve takes a token for a request to an upstream, and returns false if the upstream's limit leaves none.
+// Release gives back the place of a request that is not sent.
+func (f *Fleet) Release(id string) {
+	f.update(id, func(u *upstream) { u.local.reserved = max(0, u.local.reserved-1) })
+}
+
+// Reserve takes a place for a request to an upstream, and returns false if what the upstream takes leaves none. The request is sent, or
+// the place released.
 func (f *Fleet) Reserve(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -160,6 +166,7 @@
 	if u.shared.tokens > 0 {
 		u.shared.tokens--
 	}
+	u.local.reserved++
 	return true
 }
 
@@ -196,6 +203,7 @@
 		return
 	}
 	l.Wanted = roundCount(u.shared.wanted.get(now, wantedSpan))
+	u.shared.reported = l.Wanted
 	if rate, ok := f.limitOf(&u.entry); ok {
 		l.Sent = roundCount(u.shared.sent.get(now, limitSpan(rate, f.reportDelay)))
 	}
--- a/internal/route/fleet/tokens.go
+++ b/internal/route/fleet/tokens.go
@@ -43,6 +43,8 @@
 	// drawnAt is when the tokens were drawn. They are valid until the next draw.
 	drawnAt time.Time
 	tokens  int
+	// reported is the count of wanted in the latest report, which the others divide the seats by.
+	reported float64
 	// seats is how many requests this instance may have at a brittle upstream at the same time, less lostSeats, in a span of time that
 	// was first seen at spanAt. Random is the number from 0 to 1 that rounds them where instances do not know each other.
 	seats, lostSeats int
