--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -77,7 +77,7 @@
 	running int
 	// reserved counts the requests that have been placed at the upstream and not sent yet.
 	reserved int
-	tokens  int64
+	tokens   int64
 }
 
 type upstream struct {
