--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -256,11 +256,6 @@
 		h.Placer.RecordOutcome(time.Now(), a.choice, placer.Outcome{Engine: a.choice.Engine, Failed: true})
 	}
 	if !a.idleTimedOut() && h.engineCrashed(ctx, a) {
-		if !j.crashedUpstream {
-			for _, p := range j.prefixes {
-				h.CrashRecorder.RecordCrash(p)
-			}
-		}
 		j.crashedUpstream = true
 		h.CrashRecorder.RecordCrash(j.fingerprint)
 	}
@@ -288,7 +283,6 @@
 	if err != nil {
 		return false
 	}
-	sent := time.Now()
 	res, err := h.Pool.DoOnce(req)
 	if err != nil {
 		// An engine that responded and now refuses connections has crashed. Without a response, the cause is unknown.
@@ -299,7 +293,5 @@
 	if json.NewDecoder(res.Body).Decode(&report) != nil {
 		return false
 	}
-	// Later crashes are told by this incarnation, also if nothing was known of the engine.
-	h.Fleet.LoadReported(sent, a.choice.Engine, report)
 	return incarnation != "" && report.Incarnation != incarnation
 }
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -63,10 +63,8 @@
 	chain        []prefix.Hash
 	promptTokens int64
 	fingerprint  string
-	// prefixes identifies prefixes of the prompt whose crashes are counted, once for each request.
-	prefixes []string
-	start    time.Time
-	avoid    map[string]bool
+	start        time.Time
+	avoid        map[string]bool
 	// fallback lists avoided engines that may be healthy, tried again when there is no other.
 	fallback []string
 	// attempts is the number of attempts started, without those that were dropped because another one went on.
@@ -116,11 +114,6 @@
 	if err := h.Crashes.Check(now, fingerprint); err != nil {
 		return nil, nil, err
 	}
-	chain := prefix.Chain(prefix.Salt{Workspace: caller.Workspace, Model: req.Model, Weights: model.Weights}, req.Prompt)
-	prefixes := crash.Prefixes(chain)
-	if err := h.Crashes.CheckPrefixes(now, prefixes); err != nil {
-		return nil, nil, err
-	}
 	j := &job{
 		id:              rand.Text(),
 		caller:          caller,
@@ -128,8 +121,7 @@
 		path:            path,
 		modelWeights:    model.Weights,
 		queueWeight:     doc.Workspaces[caller.Workspace].Weight,
-		chain:           chain,
-		prefixes:        prefixes,
+		chain:           prefix.Chain(prefix.Salt{Workspace: caller.Workspace, Model: req.Model, Weights: model.Weights}, req.Prompt),
 		promptTokens:    prefix.Tokens(req.Prompt),
 		fingerprint:     fingerprint,
 		start:           now,
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -42,11 +42,6 @@
 	if j.crashedUpstream {
 		h.CrashRecorder.RecordSuccess(j.fingerprint)
 	}
-	for _, p := range j.prefixes {
-		if h.Crashes.IsSuspect(time.Now(), p) {
-			h.CrashRecorder.RecordSuccess(p)
-		}
-	}
 	h.Log.V(1).Info("route: completed request", "request", j.id, "workspace", j.caller.Workspace, "events", events)
 }
 
--- a/internal/once/crash/crash.go
+++ b/internal/once/crash/crash.go
@@ -7,7 +7,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -19,12 +18,6 @@
 const (
 	// Limit is the number of crashes at which a request is rejected.
 	Limit = 2
-	// PrefixLimit is the number of requests with a common prompt prefix that have to crash upstreams, with none completed since,
-	// before requests with that prefix are rejected for PrefixWindow. The rest of a prompt may be the cause of fewer.
-	PrefixLimit  = 3
-	PrefixWindow = 5 * time.Minute
-	// maxPrefixes limits the prefixes of one prompt that are counted.
-	maxPrefixes = 8
 	// Window is how long a crash counts.
 	Window = 30 * time.Minute
 	// MaxReported is the maximum number of counters in one heartbeat.
@@ -36,7 +29,7 @@
 
 // Counter is the crash counter of one request.
 type Counter struct {
-	// Fingerprint identifies the request by its workspace and body, or a prefix of prompts.
+	// Fingerprint identifies the request by its workspace and body.
 	Fingerprint string `json:"fingerprint"`
 	// Count is the number of crashes since the request last completed.
 	Count int `json:"count"`
@@ -71,33 +64,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// Prefixes identifies the prefixes of a prompt by their hashes, which include the workspace. Of a long prompt it takes those of 1, 2,
-// 4, and so on, pieces, and the longest.
-func Prefixes[H ~uint64](chain []H) []string {
-	var out []string
-	for depth := 1; depth < len(chain) && len(out) < maxPrefixes-1; depth *= 2 {
-		out = append(out, prefixFingerprint(chain[depth-1]))
-	}
-	if len(chain) > 0 {
-		out = append(out, prefixFingerprint(chain[len(chain)-1]))
-	}
-	return out
-}
-
-func prefixFingerprint[H ~uint64](hash H) string { return fmt.Sprintf("prefix-%016x", uint64(hash)) }
-
-// CheckPrefixes rejects a request with a prefix that crashes upstreams.
-func (tr *Tracker) CheckPrefixes(now time.Time, prefixes []string) error {
-	tr.mu.Lock()
-	defer tr.mu.Unlock()
-	for _, p := range prefixes {
-		if c, ok := tr.counters[p]; ok && c.Count >= PrefixLimit && now.Sub(c.At) <= PrefixWindow {
-			return fault.New(fault.CrashingRequest, "upstreams died while they ran %d requests with the same beginning", c.Count)
-		}
-	}
-	return nil
-}
-
 // Check rejects a request with Limit or more crashes within Window.
 func (tr *Tracker) Check(now time.Time, fingerprint string) error {
 	tr.mu.Lock()
