--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -272,8 +272,8 @@
 const connCheckInterval = 50 * time.Millisecond
 
 // closeConnections stops listening and closes connections when they become idle, until none is left, also of those that are relayed
-// for other instances, or the context ends. Requests
-// that still arrive on open connections are refused; http.Server.Shutdown would close these without an answer.
+// for other instances, or the context ends. Requests that still arrive on open connections are refused; http.Server.Shutdown would close
+// these without an answer.
 func (e *Edge) closeConnections(ctx context.Context, front *http.Server) {
 	e.handler.Closed.Store(true)
 	// The listener is not used again, so an error does not matter.
--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -23,7 +23,7 @@
 	// Build began the stream, if Known is true.
 	Build string `json:"build"`
 	Known bool   `json:"known"`
-	// Builds are those that have lately served in the stream's service, as far as the instance knows.
+	// Builds are those that have recently served in the stream's service, as far as the instance knows.
 	Builds []string `json:"builds"`
 	// Complete reports whether it knows all of them.
 	Complete bool `json:"complete"`
--- a/internal/app/edge/paths.go
+++ b/internal/app/edge/paths.go
@@ -12,7 +12,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-// sampleSize is how many upstreams are probed to tell a failed KV store from a broken path.
+// sampleSize is how many upstreams are probed to distinguish a failed KV store from a broken path.
 const sampleSize = 3
 
 // newDialer returns the dialer for upstreams, and the relay that connects to them for other instances.
@@ -64,7 +64,7 @@
 	return addresses
 }
 
-// checkDetached reports whether this instance has no path to any upstream, and tells the others when that has changed.
+// checkDetached reports whether this instance has no path to any upstream, and reports a change to the others at once.
 func (e *Edge) checkDetached() bool {
 	detached := e.dialer.Paths.Detached()
 	if e.fleet.SetDetached(detached) {
--- /dev/null
+++ b/internal/front/detour/ask.go
@@ -0,0 +1,66 @@
+package detour
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/socket"
+)
+
+// askPeer asks an instance for a connection to an upstream. Left is the time until the request's deadline, if it has one.
+func askPeer(ctx context.Context, peer string, t Target, left time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: askTimeout, Control: socket.UserTimeout(unackedTimeout), KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, "tcp4", peer)
+	if err != nil {
+		return nil, fmt.Errorf("instance %s: %w", peer, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	err = handshake(conn, peer, t, left)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err == nil {
+		err = conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("instance %s: %w", peer, err)
+	}
+	return conn, nil
+}
+
+func handshake(conn net.Conn, peer string, t Target, left time.Duration) error {
+	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
+		return err
+	}
+	query := url.Values{"id": {t.ID}, "address": {t.Address}, "left": {strconv.FormatInt(left.Milliseconds(), 10)}}
+	if _, err := fmt.Fprintf(conn, "POST %s?%s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", Path, query.Encode(), peer); err != nil {
+		return err
+	}
+	// The other instance sends nothing after the head before the request has been sent.
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return err
+	}
+	return errorOf(resp.StatusCode)
+}
+
+// errorOf returns the error that a status of another instance stands for.
+func errorOf(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusBadGateway:
+		return ErrRefused
+	case http.StatusGatewayTimeout:
+		return ErrUnreachable
+	default:
+		return fmt.Errorf("%w: status %d", errDeclined, status)
+	}
+}
--- a/internal/front/detour/detour_test.go
+++ b/internal/front/detour/detour_test.go
@@ -138,7 +138,7 @@
 
 // A response through another instance ends as it did at the upstream, and its head is seen there.
 func TestRelayedResponseEndsAsItDidAtTheUpstream(t *testing.T) {
-	const response = "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n\r\nbody"
+	const response = "HTTP/1.1 200 OK\r\nX-Notice: 1\r\n\r\nbody"
 	for name, reset := range map[string]bool{"end": false, "reset": true} {
 		t.Run(name, func(t *testing.T) {
 			upstream := startUpstream(t, func(c *net.TCPConn) {
@@ -161,7 +161,7 @@
 			body, err := io.ReadAll(conn)
 			must.Eq(t, response, string(body))
 			must.Eq(t, reset, errors.Is(err, syscall.ECONNRESET))
-			must.Eq(t, "1", (<-heads).Header.Get("Server-Leaving"))
+			must.Eq(t, "1", (<-heads).Header.Get("X-Notice"))
 			must.NoError(t, conn.Close())
 		})
 	}
--- a/internal/front/detour/dialer.go
+++ b/internal/front/detour/dialer.go
@@ -1,22 +1,13 @@
 package detour
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/url"
-	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
-
-	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 )
 
 const (
@@ -28,10 +19,6 @@
 	askTimeout = 300 * time.Millisecond
 	// silentPeerTTL is how long an instance that could not be reached is not asked.
 	silentPeerTTL = 2 * time.Second
-	// checkInterval is the interval between checks of broken paths.
-	checkInterval = 250 * time.Millisecond
-	// probeTimeout bounds a connection that checks a path.
-	probeTimeout = 150 * time.Millisecond
 	// unackedTimeout is how long bytes between instances may stay unacknowledged before the connection fails.
 	unackedTimeout = 1500 * time.Millisecond
 	// Path is the path of the call by which an instance asks another one for a connection.
@@ -273,149 +260,6 @@
 	d.silent[peer] = now
 }
 
-// Finding is why a connection to an upstream may have broken off.
-type Finding string
-
-// The findings.
-const (
-	// Ended means that the upstream refuses connections, so that its process has ended.
-	Ended Finding = "ended"
-	// Reachable means that this instance can connect to the upstream.
-	Reachable Finding = "reachable"
-	// Silent means that no instance that was asked can connect to the upstream.
-	Silent Finding = "silent"
-	// PathBroken means that this instance has no path of its own to the upstream.
-	PathBroken Finding = "path broken"
-)
-
-// Examine connects to an upstream to find out why a connection to it has broken off. A refusal that only this instance sees shows a
-// broken path.
-func (d *Dialer) Examine(ctx context.Context, t Target, timeout time.Duration) Finding {
-	conn, err := d.Dial(ctx, t, timeout)
-	if err == nil {
-		_ = conn.Close()
-	}
-	_, relayed := conn.(*Conn)
-	switch {
-	case errors.Is(err, ErrRefused), errors.Is(err, syscall.ECONNREFUSED):
-		return Ended
-	case errors.Is(err, ErrNoPath):
-		return PathBroken
-	case err != nil:
-		return Silent
-	case relayed:
-		return PathBroken
-	default:
-		return Reachable
-	}
-}
-
-// CheckPaths checks, until the context ends, whether broken paths have been restored and whether this instance has lost its path to
-// all upstreams. Upstreams returns the addresses of those that are listed.
-func (d *Dialer) CheckPaths(ctx context.Context, upstreams func() []string) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-d.Paths.suspected:
-		}
-		d.checkPaths(ctx, time.Now(), upstreams())
-	}
-}
-
-func (d *Dialer) checkPaths(ctx context.Context, now time.Time, upstreams []string) {
-	broken := d.Paths.broken(now, upstreams)
-	if d.Paths.Suspect(now) || d.Paths.Detached() {
-		// The upstreams that failed may have ended. Others show whether it is the path.
-		rand.Shuffle(len(upstreams), func(i, j int) { upstreams[i], upstreams[j] = upstreams[j], upstreams[i] })
-		sample := upstreams[:min(maxProbes, len(upstreams))]
-		if len(sample) > 0 && !d.Probe(ctx, sample) && ctx.Err() == nil {
-			d.Paths.detach(now)
-		}
-	}
-	if len(broken) > 0 && !d.Paths.Detached() {
-		d.Probe(ctx, broken)
-	}
-}
-
-// Probe checks whether this instance can connect to upstreams itself, and reports whether it could to any.
-func (d *Dialer) Probe(ctx context.Context, addresses []string) bool {
-	outcomes := make(chan outcome, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			conn, err := d.Direct(ctx, address, probeTimeout)
-			if err == nil {
-				_ = conn.Close()
-				d.Paths.Connected(time.Now(), address)
-			} else if ctx.Err() == nil {
-				d.Paths.Failed(time.Now(), address, false)
-			}
-			outcomes <- outcome{err: err}
-		}()
-	}
-	connected := false
-	for range addresses {
-		o := <-outcomes
-		connected = connected || o.err == nil
-	}
-	return connected
-}
-
-// askPeer asks an instance for a connection to an upstream. Left is the time until the request's deadline, if it has one.
-func askPeer(ctx context.Context, peer string, t Target, left time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: askTimeout, Control: socket.UserTimeout(unackedTimeout), KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp4", peer)
-	if err != nil {
-		return nil, fmt.Errorf("instance %s: %w", peer, err)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	err = handshake(conn, peer, t, left)
-	if !stop() && err == nil {
-		err = ctx.Err()
-	}
-	if err == nil {
-		err = conn.SetDeadline(time.Time{})
-	}
-	if err != nil {
-		_ = conn.Close()
-		return nil, fmt.Errorf("instance %s: %w", peer, err)
-	}
-	return conn, nil
-}
-
-func handshake(conn net.Conn, peer string, t Target, left time.Duration) error {
-	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
-		return err
-	}
-	query := url.Values{"id": {t.ID}, "address": {t.Address}, "left": {strconv.FormatInt(left.Milliseconds(), 10)}}
-	if _, err := fmt.Fprintf(conn, "POST %s?%s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", Path, query.Encode(), peer); err != nil {
-		return err
-	}
-	// The other instance sends nothing after the head before the request has been sent.
-	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), &http.Request{Method: http.MethodConnect})
-	if err != nil {
-		return err
-	}
-	return errorOf(resp.StatusCode)
-}
-
-// errorOf returns the error that a status of another instance stands for.
-func errorOf(status int) error {
-	switch status {
-	case http.StatusOK:
-		return nil
-	case http.StatusBadGateway:
-		return ErrRefused
-	case http.StatusGatewayTimeout:
-		return ErrUnreachable
-	default:
-		return fmt.Errorf("%w: status %d", errDeclined, status)
-	}
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/front/detour/paths.go
+++ b/internal/front/detour/paths.go
@@ -111,7 +111,7 @@
 	return n >= suspectFailures
 }
 
-// Proven reports whether this instance has lately connected to an upstream itself.
+// Proven reports whether this instance has recently connected to an upstream itself.
 func (p *Paths) Proven(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/route/fleet/limit.go
+++ b/internal/route/fleet/limit.go
@@ -26,7 +26,7 @@
 	// Brittle is the number of requests that it can reject in a second for want of room without falling over; nil for any number.
 	Brittle *float64 `json:"f,omitempty"`
 	// Crowded is the time in nanoseconds since a brittle upstream last rejected a request for want of room, and Room the number of
-	// requests of all instances that it had then. Crowded is nil if it rejected none lately.
+	// requests of all instances that it had then. Crowded is nil if it rejected none recently.
 	Crowded *int64 `json:"c,omitempty"`
 	Room    int    `json:"m,omitempty"`
 	// Age is the time in nanoseconds since the response arrived, or since its request was sent if it named no limit.
