Review: entries of another writer with a field missing are used

Case 3: an entry without Version, ColdRemainingMs or Sequence, or with one of another type, makes the routers send bookings to an engine.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,8 +22,9 @@
 
 // cases maps the name of a case to the function that plays it. It returns whether the rule was broken.
 var cases = map[string]func(b *bench) (bool, error){
-	"relay": playRelay,
-	"lease": playLease,
+	"relay":  playRelay,
+	"forged": playForged,
+	"lease":  playLease,
 }
 
 func main() {
