Review: after a freeze a router accepts a key that was taken away

Case 4: a held response of the store that is read after a freeze confirms the document as of 1.1 s ago.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 
 // cases maps the name of a case to the function that plays it. It returns whether the rule was broken.
 var cases = map[string]func(b *bench) (bool, error){
+	"freeze": playFreeze,
 	"relay":  playRelay,
 	"forged": playForged,
 	"lease":  playLease,
