--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(b *bench) (bool, error){
 	"freeze": playFreeze,
 	"relay":  playRelay,
+	"drill":  playDrill,
 	"forged": playForged,
 	"lease":  playLease,
 }
