Mark the end of answers that pass through another instance

Cause: a relayed connection was a plain copy of bytes. The kernel closes the connections of a killed process with FIN, which the instance that has the caller took for the upstream's end.

Change: bytes of the upstream come in frames, and an empty frame marks their end; without it the connection ends with io.ErrUnexpectedEOF below all readers. A relaying instance's connection is reset on close until the upstream has ended, so that instances of earlier builds, which ask for no frames, see a killed relay too. Through a relay of an earlier build, the end of an answer without a length proves nothing and counts as broken off.

--- a/internal/front/detour/ask.go
+++ b/internal/front/detour/ask.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -21,7 +22,7 @@
 		return nil, fmt.Errorf("instance %s: %w", peer, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	err = handshake(conn, peer, t, left)
+	reader, err := handshake(conn, peer, t, left)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -32,23 +33,32 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("instance %s: %w", peer, err)
 	}
-	return conn, nil
+	return &Conn{Conn: conn, Via: peer, reader: reader}, nil
 }
 
-func handshake(conn net.Conn, peer string, t Target, left time.Duration) error {
+// handshake returns the reader of what the upstream sends. Instances of builds before frames send none.
+func handshake(conn net.Conn, peer string, t Target, left time.Duration) (io.Reader, error) {
 	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
-		return err
+		return nil, err
+	}
+	query := url.Values{
+		"id": {t.ID}, "address": {t.Address}, "left": {strconv.FormatInt(left.Milliseconds(), 10)}, framedName: {"1"},
 	}
-	query := url.Values{"id": {t.ID}, "address": {t.Address}, "left": {strconv.FormatInt(left.Milliseconds(), 10)}}
 	if _, err := fmt.Fprintf(conn, "POST %s?%s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", Path, query.Encode(), peer); err != nil {
-		return err
+		return nil, err
 	}
-	// The other instance sends nothing after the head before the request has been sent.
-	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 1<<10), &http.Request{Method: http.MethodConnect})
+	reader := bufio.NewReaderSize(conn, 1<<10)
+	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if err := errorOf(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	if resp.Header.Get(framedName) != "" {
+		return &frameReader{reader: reader}, nil
 	}
-	return errorOf(resp.StatusCode)
+	return unmarkedReader{reader}, nil
 }
 
 // errorOf returns the error that a status of another instance stands for.
--- a/internal/front/detour/dialer.go
+++ b/internal/front/detour/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -37,13 +38,18 @@
 	errDeclined = errors.New("another instance declined")
 )
 
-// Conn is a connection through another instance.
+// Conn is a connection through another instance. It ends with io.EOF only if the upstream is known to have ended it.
 type Conn struct {
 	net.Conn
 	// Via is the address of that instance.
 	Via string
+	// reader reads what the upstream sent.
+	reader io.Reader
 }
 
+// Read implements io.Reader.
+func (c *Conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
 // Dialer connects to upstreams. Its fields are set before the first call.
 type Dialer struct {
 	// Direct connects without another instance.
@@ -187,7 +193,7 @@
 	}
 	c.Log.Info("detour: connected through another instance", "upstream", c.target.ID, "via", o.via, "detached", c.Paths.Detached(),
 		"error", errorText(c.directErr))
-	return &Conn{Conn: o.conn, Via: o.via}
+	return o.conn
 }
 
 // failed records a failed attempt and reports whether another instance is to be asked.
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -67,15 +67,24 @@
 	}
 	defer func() { _ = caller.Close() }()
 	until := time.Now().Add(relayTime(query.Get("left")))
-	err = errors.Join(caller.SetDeadline(until), upstream.SetDeadline(until), socket.SetUserTimeout(caller, unackedTimeout))
+	framed := query.Get(framedName) != ""
+	err = errors.Join(caller.SetDeadline(until), upstream.SetDeadline(until), socket.SetUserTimeout(caller, unackedTimeout), resetOnClose(caller, true))
 	if err == nil {
-		_, err = io.WriteString(caller, "HTTP/1.1 200 OK\r\n\r\n")
+		_, err = io.WriteString(caller, responseHead(framed))
 	}
 	if err == nil {
-		r.copyBoth(caller, buffered.Reader, upstream, target)
+		r.copyBoth(caller, buffered.Reader, upstream, target, framed)
 	}
 }
 
+// responseHead returns the head of the response that precedes the bytes of the upstream.
+func responseHead(framed bool) string {
+	if framed {
+		return "HTTP/1.1 200 OK\r\n" + framedName + ": 1\r\n\r\n"
+	}
+	return "HTTP/1.1 200 OK\r\n\r\n"
+}
+
 // statusOf returns the status for a failed connection. A refusal is only a fact about the upstream if this instance has a path to
 // others.
 func (r *Relay) statusOf(now time.Time, err error) int {
@@ -94,9 +103,9 @@
 	return min(maxRelayTime, time.Duration(ms)*time.Millisecond+deadlineMargin)
 }
 
-// copyBoth copies bytes until either side ends. The other side then ends in the same way: a reset must not look like the end of a
-// response.
-func (r *Relay) copyBoth(caller net.Conn, fromCaller io.Reader, upstream net.Conn, t Target) {
+// copyBoth copies bytes until either side ends. The caller sees the end of the response only if the upstream ended it, and a reset
+// otherwise, also if this process is killed.
+func (r *Relay) copyBoth(caller net.Conn, fromCaller io.Reader, upstream net.Conn, t Target, framed bool) {
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -105,24 +114,43 @@
 		// The caller has left, or has sent bytes that could not be delivered.
 		_ = upstream.Close()
 	}()
-	head := &headObserver{relay: r, target: t, connected: time.Now()}
-	if _, err := copyBytes(caller, io.TeeReader(upstream, head)); err != nil {
-		abort(caller)
+	fromUpstream := io.TeeReader(upstream, &headObserver{relay: r, target: t, connected: time.Now()})
+	if err := copyResponse(caller, fromUpstream, framed); err == nil {
+		// If it fails, the close resets the connection.
+		_ = resetOnClose(caller, false)
 	}
 	_ = caller.Close()
 	<-ended
 }
 
+// copyResponse copies until the upstream ends the connection, and marks the end if the bytes are framed.
+func copyResponse(caller io.Writer, fromUpstream io.Reader, framed bool) error {
+	if !framed {
+		_, err := copyBytes(caller, fromUpstream)
+		return err
+	}
+	w := &frameWriter{Writer: caller}
+	if _, err := copyBytes(w, fromUpstream); err != nil {
+		return err
+	}
+	return w.end()
+}
+
 // copyBytes copies until EOF. It uses no system call that moves bytes between sockets.
 func copyBytes(to io.Writer, from io.Reader) (int64, error) {
 	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, relayBufferBytes))
 }
 
-// abort makes the close of a connection a reset.
-func abort(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		// The connection is closed next in any case.
-		_ = tcp.SetLinger(0)
+// resetOnClose sets whether the close of a connection resets it, which includes the close by the kernel when the process ends.
+func resetOnClose(c net.Conn, reset bool) error {
+	tcp, ok := c.(*net.TCPConn)
+	switch {
+	case !ok:
+		return nil
+	case reset:
+		return tcp.SetLinger(0)
+	default:
+		return tcp.SetLinger(-1)
 	}
 }
 
