Date the store's responses by the start of their request

Cause: a held answer of the store confirmed the document as of 1.1 s before it was read. It may have been sent before a freeze and be read after it, and then says nothing of that time.

Change: it confirms the document as of the start of its request, and a copy of the list from another instance is dated in the same way.

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -109,6 +109,7 @@
 	if !ok {
 		return fmt.Errorf("no live instance to copy from")
 	}
+	requestedAt := time.Now()
 	body, _, err := e.fetchFromPeer(ctx, from, "/list", listCopyTimeout)
 	if err != nil {
 		return err
@@ -121,9 +122,8 @@
 	if epoch, _ := e.epochs.get(); c.Epoch < epoch {
 		return errOldEpoch
 	}
-	now := time.Now()
-	e.fleet.Replace(now, c.Entries)
-	e.list.recordCopy(now, c.Epoch, c.Version)
+	e.fleet.Replace(time.Now(), c.Entries)
+	e.list.recordCopy(requestedAt, c.Epoch, c.Version)
 	e.log.Info("list: copied", "from", from, "upstreams", len(c.Entries), "row", c.Version)
 	return nil
 }
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -30,7 +30,7 @@
 	// restored reports whether the next complete list is the first one after a restore of the store.
 	restored bool
 	// asOf is the latest time at which the store is known to have had no newer version. After a copy from another instance
-	// it is the time of the copy.
+	// it is when the copy was requested.
 	asOf time.Time
 	// readAt is when this instance last read the store itself.
 	readAt time.Time
@@ -104,10 +104,10 @@
 }
 
 // recordCopy records that the complete list was copied from another instance.
-func (l *listState) recordCopy(now time.Time, epoch, version int64) {
+func (l *listState) recordCopy(requestedAt time.Time, epoch, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, now
+	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, requestedAt
 }
 
 // report returns the update for other instances, or nil unless this instance read the store in the last maxReportAge.
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -15,9 +15,6 @@
 const (
 	// changesWait is how long the store may hold a request for changes of the operators' rows.
 	changesWait = 600 * time.Millisecond
-	// maxChangesLag is how long a held request may miss changes before the store ends it, according to the users' page on
-	// faults.
-	maxChangesLag = 1100 * time.Millisecond
 	// storeTimeout bounds a call that the store answers at once; a slow store takes a quarter of a second.
 	storeTimeout = 900 * time.Millisecond
 	// followCheckInterval is the pause between checks whether another instance follows the operators' rows.
@@ -126,7 +123,8 @@
 }
 
 // readOperators reads all rows of the operators, or those changed after a version if it is not negative. It also returns
-// the time at which the store had nothing newer.
+// the time at which the store had nothing newer. That is the start of the request, because a freeze may pass between the store's
+// response and its read.
 func (e *Edge) readOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
 	requestedAt := clock.SinceBoot()
 	if version < 0 {
@@ -136,8 +134,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, changesWait+storeTimeout)
 	defer cancel()
 	rows, err := e.store.Changes(callCtx, platform.OperatorTable, version, changesWait)
-	// A held request returns the changes up to its end, except those that it may have missed.
-	return rows, max(requestedAt, clock.SinceBoot()-maxChangesLag), err
+	return rows, requestedAt, err
 }
 
 func (e *Edge) readTable(ctx context.Context, table string) (platform.Rows, error) {
