Judge a request by a document and its own confirmation

Cause: admission took the document before the body was read and the age of the latest confirmation after it. A document that was installed in between, also by the first read after a freeze, vouched for the older one, so that a key could be accepted that it withdraws.

Change: both are taken together, after the body.

Evidence: TestKeyWithdrawnWhileTheBodyArrives failed before (200) and passes (401).

--- a/internal/conf/policy/replica.go
+++ b/internal/conf/policy/replica.go
@@ -144,6 +144,13 @@
 	return now - r.confirmedAt, r.everConfirmed
 }
 
+// Current returns the current document, or nil, and how long ago that document was last confirmed, or false if none ever was.
+func (r *Replica) Current(now time.Duration) (doc *Document, age time.Duration, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.doc, now - r.confirmedAt, r.everConfirmed
+}
+
 // Weights returns the latest announced version of a model, or the zero value.
 func (r *Replica) Weights(model string) Weights {
 	r.mu.Lock()
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -185,8 +185,9 @@
 		return err
 	}
 	boot := x.Boot()
-	age, known := x.Feed.ConfirmationAge(boot)
-	x.docAge = age
+	// A confirmation holds for the document that it came with, which may be newer than the one before the body was read.
+	doc, age, known := x.Feed.Current(boot)
+	x.doc, x.docAge = doc, age
 	fresh := known && age < freshAge
 	x.route = x.doc.Match(x.r.Host, x.r.URL.EscapedPath())
 	if x.route == nil {
