Take the knowledge of builds for complete only while it is current

Reported by operators of a similar system: an instance that was cut off or stood still while upstreams of a new build joined let streams go on at another build.

Cause: a stream without a record was bound to the only build in the list once the store's history had been read, whatever the age of the list; and that age did not count freezes.

Change: the list has a time at which it is proven to have been complete, by an own read or by the echo of this instance's stamp in another one's report, on the boot clock. A new build gets no streams in its first 2 s while others serve, so that a current instance knows each build at which a stream may have begun. While the list is not current, streams of all services are reported, so that they go on during an outage of the store.

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -60,7 +61,7 @@
 }
 
 func (e *Edge) serveList(w http.ResponseWriter, _ *http.Request) {
-	_, version := e.list.age(time.Now())
+	_, version := e.list.age(clock.SinceBoot())
 	if version < 0 {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -109,7 +110,7 @@
 	if !ok {
 		return fmt.Errorf("no live instance to copy from")
 	}
-	requestedAt := time.Now()
+	requestedAt := clock.SinceBoot()
 	body, _, err := e.fetchFromPeer(ctx, from, "/list", listCopyTimeout)
 	if err != nil {
 		return err
--- a/internal/app/edge/epoch.go
+++ b/internal/app/edge/epoch.go
@@ -56,7 +56,7 @@
 		return
 	}
 	age, _ := e.replica.ConfirmationAge(boot)
-	_, listVersion := e.list.age(time.Now())
+	_, listVersion := e.list.age(boot)
 	e.log.Info("store: restored from a copy", "epoch", epoch, "previous", previous, "from", from, "confirmed_ms", age.Milliseconds(),
 		"list_row", listVersion)
 	e.metrics.Counter("store_restored").Inc(1)
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -25,14 +25,14 @@
 	m.Uses = e.holders.Report(now, e.exchange.Interval())
 	m.Leaving = e.handler.Draining.Load() && e.handler.OpenRequests.Load() == 0
 	m.Following = e.following.Load() || !e.ranks.ShouldFollow(now)
-	m.List = e.list.report(now)
+	m.List = e.list.report(boot)
 	if e.kvStorePoller.Load() {
 		m.KVStores = e.handler.KVStores.All()
 	}
 	for _, w := range e.replica.RecentAnnouncements(boot - supersededReportTTL) {
 		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
 	}
-	m.Streams = e.origins.Report(now, func(service string) bool { return e.isMixed(now, service) })
+	m.Streams = e.origins.Report(now, func(service string) bool { return e.needsRecord(boot, now, service) })
 	m.Departures = e.fleet.Departures(now)
 	m.Limits = e.fleet.Limits(now)
 	e.rollout.report(now, m)
@@ -46,7 +46,7 @@
 }
 
 // Receive implements gossip.Sink.
-func (e *Edge) Receive(boot time.Duration, m *gossip.Message, confirmed time.Duration, known bool) {
+func (e *Edge) Receive(boot time.Duration, m *gossip.Message, sentAfter, confirmed time.Duration, known bool) {
 	now := time.Now()
 	// An instance that the store rejects joins when it first receives a message.
 	e.joined.CompareAndSwap(0, int64(boot))
@@ -81,7 +81,10 @@
 	e.observeEpoch(m.Epoch, m.Address)
 	epoch, _ := e.epochs.get()
 	if m.List != nil {
-		e.mergeList(now, m.List)
+		e.mergeList(boot, now, m.List)
+		if known {
+			e.list.prove(sentAfter, m.List)
+		}
 	}
 	if !e.kvStorePoller.Load() {
 		for address, available := range m.KVStores {
@@ -108,11 +111,11 @@
 }
 
 // mergeList applies what another instance read of the list of upstreams.
-func (e *Edge) mergeList(now time.Time, u *gossip.ListUpdate) {
+func (e *Edge) mergeList(boot time.Duration, now time.Time, u *gossip.ListUpdate) {
 	if u.UnreachableAge >= 0 {
 		e.fleet.MarkStoreUnreachable(now.Add(-time.Duration(u.UnreachableAge)))
 	}
-	for _, c := range e.list.merge(now, u) {
+	for _, c := range e.list.merge(boot, u) {
 		e.applyListChange(now, c)
 	}
 }
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
 const (
 	// changeRetention is how long changes of the list are reported; an instance that missed older ones reads the store.
 	changeRetention = 3 * time.Second
+	// maxListLag is the age up to which an instance's list has all builds at which streams may have begun.
+	maxListLag = fleet.BuildSettleTime
 	// maxReportAge is how long after its own read of the store an instance reports the list.
 	maxReportAge = 2 * time.Second
 )
@@ -17,10 +20,11 @@
 // datedChange is a change with the time at which this instance requested it from the store.
 type datedChange struct {
 	gossip.ListChange
-	requestedAt time.Time
+	requestedAt time.Duration
 }
 
-// listState is the version and age of this instance's copy of the list of upstreams, with the changes to report.
+// listState is the version and age of this instance's copy of the list of upstreams, with the changes to report. Times are on the
+// boot-time clock, which counts suspensions.
 type listState struct {
 	mu sync.Mutex
 	// epoch is the store's epoch of the version.
@@ -31,11 +35,14 @@
 	restored bool
 	// asOf is the latest time at which the store is known to have had no newer version. After a copy from another instance
 	// it is when the copy was requested.
-	asOf time.Time
+	asOf time.Duration
+	// provenAt is a time at which the store had no newer version, also if this instance or others were frozen since. AsOf may be later
+	// than that, because it dates a message of another instance by its arrival.
+	provenAt time.Duration
 	// readAt is when this instance last read the store itself.
-	readAt time.Time
+	readAt time.Duration
 	// unreachableAt is when this instance last failed to read the store; zero if it never did.
-	unreachableAt time.Time
+	unreachableAt time.Duration
 	// changes are the changes after version since that are still reported.
 	since   int64
 	changes []datedChange
@@ -44,10 +51,17 @@
 func newListState() *listState { return &listState{version: -1} }
 
 // age returns the age of the list and its version.
-func (l *listState) age(now time.Time) (time.Duration, int64) {
+func (l *listState) age(boot time.Duration) (time.Duration, int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Sub(l.asOf), l.version
+	return boot - l.asOf, l.version
+}
+
+// isCurrent reports whether the list is known to have had all entries of the store at some time in the last maxListLag.
+func (l *listState) isCurrent(boot time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.version >= 0 && boot-l.provenAt < maxListLag
 }
 
 // reset makes the next read fetch the complete list.
@@ -61,7 +75,7 @@
 func (l *listState) restore() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.version, l.changes, l.restored = -1, nil, true
+	l.version, l.changes, l.restored, l.provenAt = -1, nil, true, 0
 }
 
 // isRestored reports whether the next complete list is the first one after a restore of the store.
@@ -79,17 +93,17 @@
 }
 
 // recordOutage records that the store could not be read. Missed changes come with the next read or from other instances.
-func (l *listState) recordOutage(now time.Time) {
+func (l *listState) recordOutage(boot time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.unreachableAt = now
+	l.unreachableAt = boot
 }
 
 // recordRead records that the store was read up to a version of an epoch.
-func (l *listState) recordRead(requestedAt time.Time, epoch, version int64, changes []gossip.ListChange) {
+func (l *listState) recordRead(requestedAt time.Duration, epoch, version int64, changes []gossip.ListChange) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.version < 0 || l.readAt.Before(l.asOf) {
+	if l.version < 0 || l.readAt < l.asOf {
 		// Changes received from other instances are not forwarded.
 		l.changes, l.since = nil, version
 		if l.version >= 0 {
@@ -100,30 +114,30 @@
 		l.changes = append(l.changes, datedChange{c, requestedAt})
 	}
 	l.epoch, l.version, l.restored = epoch, version, false
-	l.asOf, l.readAt = requestedAt, requestedAt
+	l.asOf, l.readAt, l.provenAt = requestedAt, requestedAt, max(l.provenAt, requestedAt)
 }
 
 // recordCopy records that the complete list was copied from another instance.
-func (l *listState) recordCopy(requestedAt time.Time, epoch, version int64) {
+func (l *listState) recordCopy(requestedAt time.Duration, epoch, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, requestedAt
 }
 
 // report returns the update for other instances, or nil unless this instance read the store in the last maxReportAge.
-func (l *listState) report(now time.Time) *gossip.ListUpdate {
+func (l *listState) report(boot time.Duration) *gossip.ListUpdate {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.version < 0 || l.readAt.Before(l.asOf) || now.Sub(l.readAt) > maxReportAge {
+	if l.version < 0 || l.readAt < l.asOf || boot-l.readAt > maxReportAge {
 		return nil
 	}
-	for len(l.changes) > 0 && now.Sub(l.changes[0].requestedAt) > changeRetention {
+	for len(l.changes) > 0 && boot-l.changes[0].requestedAt > changeRetention {
 		l.since = l.changes[0].Version
 		l.changes = l.changes[1:]
 	}
-	update := &gossip.ListUpdate{Epoch: l.epoch, Since: l.since, Version: l.version, Age: int64(now.Sub(l.asOf)), UnreachableAge: -1}
-	if !l.unreachableAt.IsZero() {
-		update.UnreachableAge = int64(now.Sub(l.unreachableAt))
+	update := &gossip.ListUpdate{Epoch: l.epoch, Since: l.since, Version: l.version, Age: int64(boot - l.asOf), UnreachableAge: -1}
+	if l.unreachableAt != 0 {
+		update.UnreachableAge = int64(boot - l.unreachableAt)
 	}
 	for _, d := range l.changes {
 		update.Changes = append(update.Changes, d.ListChange)
@@ -133,11 +147,11 @@
 
 // merge returns the changes of another instance's update that are new here. It returns none if earlier changes were
 // missed.
-func (l *listState) merge(now time.Time, u *gossip.ListUpdate) []gossip.ListChange {
+func (l *listState) merge(boot time.Duration, u *gossip.ListUpdate) []gossip.ListChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	asOf := now.Add(-time.Duration(u.Age))
-	if u.Epoch != l.epoch || l.version < 0 || l.version < u.Since || asOf.Before(l.asOf) {
+	asOf := boot - time.Duration(u.Age)
+	if u.Epoch != l.epoch || l.version < 0 || l.version < u.Since || asOf < l.asOf {
 		return nil
 	}
 	var newChanges []gossip.ListChange
@@ -150,3 +164,12 @@
 	l.asOf = asOf
 	return newChanges
 }
+
+// prove records that a message that was not sent before a time had an update, whose changes have been applied if they were new.
+func (l *listState) prove(sentAfter time.Duration, u *gossip.ListUpdate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u.Epoch == l.epoch && l.version >= u.Version && u.Age >= 0 {
+		l.provenAt = max(l.provenAt, sentAfter-time.Duration(u.Age))
+	}
+}
--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -8,13 +8,14 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
 
 const (
 	// originTimeout bounds a question to another instance, which responds from memory. The caller's request waits meanwhile.
 	originTimeout = 150 * time.Millisecond
-	// maxOriginAsked is how many instances are asked if the first one does not respond; it may have ended.
+	// maxOriginAsked is how many instances are asked if the first one does not respond or know; it may have ended.
 	maxOriginAsked = 2
 )
 
@@ -25,7 +26,7 @@
 	Known bool   `json:"known"`
 	// Builds are those that have recently served in the stream's service, as far as the instance knows.
 	Builds []string `json:"builds"`
-	// Complete reports whether it knows all of them.
+	// Complete reports whether it knows all at which streams may have begun.
 	Complete bool `json:"complete"`
 }
 
@@ -35,9 +36,9 @@
 }
 
 // Build implements serve.Origins. A stream without a record is of the only build that has served lately, if there is only one.
-// An instance that does not know all of them asks another one.
+// An instance that may not know all of them asks others.
 func (e *Edge) Build(ctx context.Context, now time.Time, service, id string) (string, bool) {
-	own := e.originOf(now, service, id)
+	own := e.originOf(clock.SinceBoot(), now, service, id)
 	if own.Known {
 		return own.Build, true
 	}
@@ -45,7 +46,7 @@
 		return own.Builds[0], true
 	}
 	from, answer, err := e.askOrigin(ctx, service, id)
-	if err == nil && answer.Known {
+	if answer.Known {
 		own.Build, own.Known = answer.Build, true
 	} else if builds := union(own.Builds, answer.Builds); len(builds) == 1 && (own.Complete || answer.Complete) {
 		own.Build, own.Known = builds[0], true
@@ -55,40 +56,48 @@
 		reason = err.Error()
 	}
 	e.log.Info("route: build of a stream asked for", "resumes", id, "from", from, "known", own.Known, "build", own.Build,
-		"builds", own.Builds, "error", reason)
+		"builds", union(own.Builds, answer.Builds), "current", own.Complete || answer.Complete, "error", reason)
 	return own.Build, own.Known
 }
 
-func (e *Edge) originOf(now time.Time, service, id string) originAnswer {
+func (e *Edge) originOf(boot time.Duration, now time.Time, service, id string) originAnswer {
 	build, known := e.origins.Build(now, id)
-	complete := e.history.records(service) || now.Sub(e.startedAt) >= origin.Memory
+	complete := e.list.isCurrent(boot) && (e.history.records(service) || now.Sub(e.startedAt) >= origin.Memory)
 	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service), Complete: complete}
 }
 
-// askOrigin asks the instances that have heard of most streams, one after the other until one responds.
-func (e *Edge) askOrigin(ctx context.Context, service, id string) (from string, answer originAnswer, err error) {
+// askOrigin asks the instances that have heard of most streams, one after the other until one knows the stream or all builds. It
+// returns what those that responded know together.
+func (e *Edge) askOrigin(ctx context.Context, service, id string) (from string, known originAnswer, err error) {
 	for _, from = range e.exchange.Live(maxOriginAsked) {
 		var body []byte
 		body, _, err = e.fetchFromPeer(ctx, from, "/origin?"+url.Values{"service": {service}, "id": {id}}.Encode(), originTimeout)
+		var answer originAnswer
 		if err == nil {
 			err = json.Unmarshal(body, &answer)
 		}
-		if err == nil {
-			return from, answer, nil
+		if err != nil {
+			continue
+		}
+		answer.Builds = union(known.Builds, answer.Builds)
+		known = answer
+		if known.Known || known.Complete {
+			break
 		}
 	}
-	return from, originAnswer{}, err
+	return from, known, err
 }
 
 func (e *Edge) serveOrigin(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	// The requester may have disconnected.
-	_ = json.NewEncoder(w).Encode(e.originOf(time.Now(), query.Get("service"), query.Get("id")))
+	_ = json.NewEncoder(w).Encode(e.originOf(clock.SinceBoot(), time.Now(), query.Get("service"), query.Get("id")))
 }
 
-// isMixed reports whether upstreams of several builds serve in a service, or did lately.
-func (e *Edge) isMixed(now time.Time, service string) bool {
-	return len(e.fleet.Builds(now, service)) > 1
+// needsRecord reports whether a stream of a service needs a record of its build: upstreams of several builds serve or did lately, or
+// may do so unknown to this instance.
+func (e *Edge) needsRecord(boot time.Duration, now time.Time, service string) bool {
+	return len(e.fleet.Builds(now, service)) > 1 || !e.list.isCurrent(boot)
 }
 
 // union returns the elements of both slices, each once.
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
@@ -24,7 +25,7 @@
 			return
 		}
 		now := time.Now()
-		age, version := e.list.age(now)
+		age, version := e.list.age(clock.SinceBoot())
 		if pollAge := rank.PollAge(e.ranks.Rank(now), listInterval, e.exchange.PropagationDelay()); version >= 0 && age < pollAge {
 			if sleep.For(ctx, min(pollAge-age, listCheckInterval)) != nil {
 				return
@@ -37,7 +38,7 @@
 		} else if err != nil {
 			outage.recordFailure(err)
 			e.fleet.MarkStoreUnreachable(time.Now())
-			e.list.recordOutage(time.Now())
+			e.list.recordOutage(clock.SinceBoot())
 			if version < 0 {
 				if err := e.copyList(ctx); err != nil {
 					e.log.Info("list: copy from another instance failed", "error", err.Error())
@@ -82,7 +83,7 @@
 
 // readList reads the complete list, or the changes after a version if it is not negative.
 func (e *Edge) readList(ctx context.Context, version int64) error {
-	requestedAt := time.Now()
+	requestedAt := clock.SinceBoot()
 	if version < 0 {
 		rows, err := e.readTable(ctx, platform.ListTable)
 		if err != nil {
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
@@ -25,6 +26,7 @@
 // place chooses the upstream for the next send.
 func (x *exchange) place(now time.Time) (place.Choice, bool) {
 	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.info.ID), OwnTokens: x.info.PromptTokens, Build: x.build}
+	q.AvoidNewBuilds = x.route.Kind == policy.Streaming
 	if x.route.Language && x.info.Model != "" {
 		latest := x.Feed.Weights(x.info.Model)
 		q.Model, q.Version = x.info.Model, latest.Version
--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -62,9 +62,10 @@
 type peer struct {
 	Instance
 	addr *net.UDPAddr
-	// stamp is the stamp of the latest message, and receivedAt is when it arrived.
+	// stamp is the stamp of the latest message, receivedAt is when it was read, and sentAfter is not later than the state in it.
 	stamp      int64
 	receivedAt time.Duration
+	sentAfter  time.Duration
 	// awaitedSince is when this instance began to expect messages from the peer as a head; zero while it expects none.
 	awaitedSince time.Duration
 	// suspect heads are skipped until their next message.
@@ -350,7 +351,7 @@
 	packet := make([]byte, headerBytes+len(body))
 	copy(packet[headerBytes:], body)
 	for _, p := range d.to {
-		writeHeader(packet, p, confirmed, known)
+		writeHeader(packet, now, p, confirmed, known)
 		// A lost datagram is made up for by the next round.
 		_, _ = e.Conn.WriteToUDP(packet, p.addr)
 	}
@@ -370,16 +371,17 @@
 			return
 		}
 		packet := append(make([]byte, headerBytes, headerBytes+len(body)), body...)
-		writeHeader(packet, p, confirmed, known)
+		writeHeader(packet, now, p, confirmed, known)
 		// A lost datagram is made up for by the next round.
 		_, _ = e.Conn.WriteToUDP(packet, p.addr)
 	}
 }
 
-// writeHeader echoes the receiver's latest stamp with the time from its arrival to the confirmation.
-func writeHeader(packet []byte, p *peer, confirmed time.Duration, known bool) {
+// writeHeader echoes the receiver's latest stamp with the time from its arrival to the confirmation, unless it arrived later than the
+// state in the message.
+func writeHeader(packet []byte, now time.Duration, p *peer, confirmed time.Duration, known bool) {
 	stamp, since := int64(0), int64(0)
-	if known && p.stamp != 0 {
+	if known && p.stamp != 0 && p.receivedAt <= now {
 		stamp = p.stamp
 		since = int64(confirmed - p.receivedAt)
 	}
@@ -419,8 +421,14 @@
 	echo := int64(binary.LittleEndian.Uint64(packet))
 	since := int64(binary.LittleEndian.Uint64(packet[8:]))
 	e.AddPeer(Instance{m.Address, m.Zone, m.Size})
-	forward := e.record(now, m)
-	e.Sink.Receive(now, m, time.Duration(echo+since), echo != 0 && echo <= int64(now))
+	known := echo != 0 && echo <= int64(now)
+	sentAfter := time.Duration(echo)
+	if !known {
+		// The sender has not received a message of this instance yet.
+		sentAfter = now
+	}
+	forward := e.record(now, sentAfter, m)
+	e.Sink.Receive(now, m, sentAfter, time.Duration(echo+since), known)
 	if forward {
 		// After Receive, so that the message contains what it has merged.
 		e.TriggerSend()
@@ -428,7 +436,7 @@
 }
 
 // record stores a message and reports whether it must be forwarded at once.
-func (e *Exchange) record(now time.Duration, m *Message) bool {
+func (e *Exchange) record(now, sentAfter time.Duration, m *Message) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p, ok := e.peers[m.Address]
@@ -437,7 +445,7 @@
 	}
 	p.addAdmitted(m)
 	e.recordDetached(now, m)
-	p.stamp, p.receivedAt, p.awaitedSince, p.suspect, p.last = m.Stamp, now, 0, false, m
+	p.stamp, p.receivedAt, p.sentAfter, p.awaitedSince, p.suspect, p.last = m.Stamp, now, sentAfter, 0, false, m
 	return m.Urgent && m.Kind != KindAll && e.large() && e.headOf(e.Zone) == nil
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -131,8 +131,8 @@
 	Fill(now time.Duration, m *Message) (confirmed time.Duration, known bool)
 }
 
-// Sink receives the messages of others. Confirmed is a time on the receiver's clock that is not later than the last
-// confirmation of the sender's document; known is false when there is no such bound.
+// Sink receives the messages of others. Both bounds are times on the receiver's clock, and known is false when there are none:
+// sentAfter is not later than the state in the message, confirmed not later than the last confirmation of the sender's document.
 type Sink interface {
-	Receive(now time.Duration, m *Message, confirmed time.Duration, known bool)
+	Receive(now time.Duration, m *Message, sentAfter, confirmed time.Duration, known bool)
 }
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -174,7 +174,7 @@
 	}
 	if n := p.last.List; n != nil && (m.List == nil || n.newerThan(m.List)) {
 		aged := *n
-		aged.Age += int64(now - p.receivedAt)
+		aged.Age += int64(now - p.sentAfter)
 		m.List = &aged
 	}
 	m.Switching = append(m.Switching, p.last.Switching...)
--- a/internal/route/fleet/build.go
+++ b/internal/route/fleet/build.go
@@ -9,14 +9,24 @@
 // began are over by then.
 const BuildMemory = time.Minute
 
+// BuildSettleTime is how long a new build of a service's upstreams is not used for streams if others serve. Other instances have
+// learned of it by then, and so know that a stream may have begun there.
+const BuildSettleTime = 2 * time.Second
+
+// buildTimes are when a build of a service's upstreams was listed.
+type buildTimes struct {
+	// first is the first time since the build was last forgotten, latest the latest one.
+	first, latest time.Time
+}
+
 // Builds returns the builds of a service's upstreams that are listed or were lately, in order.
 func (f *Fleet) Builds(now time.Time, service string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.markBuilds(now)
 	var out []string
-	for build, at := range f.builds[service] {
-		if now.Sub(at) < BuildMemory {
+	for build, listed := range f.builds[service] {
+		if now.Sub(listed.latest) < BuildMemory {
 			out = append(out, build)
 		}
 	}
@@ -51,12 +61,24 @@
 func (f *Fleet) markBuild(service, build string, at time.Time) {
 	seen, ok := f.builds[service]
 	if !ok {
-		seen = make(map[string]time.Time)
+		seen = make(map[string]buildTimes)
 		f.builds[service] = seen
 	}
-	if at.After(seen[build]) {
-		seen[build] = at
+	listed := seen[build]
+	if !at.After(listed.latest) {
+		return
 	}
+	if at.Sub(listed.latest) >= BuildMemory {
+		listed.first = at
+	}
+	listed.latest = at
+	seen[build] = listed
+}
+
+// isNewBuild reports whether the build of an upstream has not been listed for BuildSettleTime. The caller holds the lock.
+func (f *Fleet) isNewBuild(now time.Time, e *Entry) bool {
+	listed, ok := f.builds[e.Service][e.Build]
+	return !ok || now.Sub(listed.first) < BuildSettleTime
 }
 
 // markBuilds records the builds of the listed upstreams. The caller holds the lock.
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -66,6 +66,8 @@
 	FailureRate float64
 	// Switching reports whether the upstream is about to load weights.
 	Switching bool
+	// NewBuild reports whether its build has not been listed for BuildSettleTime.
+	NewBuild bool
 	// RetryAt is when the upstream, which has refused this instance's requests for a time, accepts them again; zero if it
 	// accepts them now.
 	RetryAt time.Time
@@ -144,8 +146,8 @@
 	listed  bool
 	// storeUnreachableAt is when the store was last found unreachable.
 	storeUnreachableAt time.Time
-	// builds maps services to builds and when an upstream of each was last listed.
-	builds map[string]map[string]time.Time
+	// builds maps services to builds and when upstreams of each were listed.
+	builds map[string]map[string]buildTimes
 	// detached reports whether this instance has no path to any upstream, so that its failures are not those of the upstreams.
 	detached bool
 	// limitsSeen reports whether any upstream has named a limit.
@@ -165,7 +167,7 @@
 func New() *Fleet {
 	return &Fleet{
 		upstreams: make(map[string]*upstream), notices: make(map[string]*notice), peers: make(map[string]peerLoads),
-		builds: make(map[string]map[string]time.Time), brittleServices: make(map[string]brittleService), instances: 1, reportDelay: defaultReportDelay, random: uniform,
+		builds: make(map[string]map[string]buildTimes), brittleServices: make(map[string]brittleService), instances: 1, reportDelay: defaultReportDelay, random: uniform,
 	}
 }
 
@@ -342,6 +344,7 @@
 		Ejected:       now.Before(u.ejectedUntil),
 		FailureRate:   u.failureRate,
 		Switching:     now.Before(u.switchingUntil),
+		NewBuild:      f.isNewBuild(now, &u.entry),
 		RetryAt:       f.retryAt(now, &u.entry),
 		Limited:       f.isLimited(now, u),
 	}
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -70,6 +70,8 @@
 	MinVersion int64
 	// Build is the only build of the upstreams' software that may run the request; nil for any.
 	Build *string
+	// AvoidNewBuilds makes upstreams of new builds be used only if there are no others.
+	AvoidNewBuilds bool
 	// Avoid holds the upstreams that already received this request.
 	Avoid map[string]bool
 	// Seed seeds the random tie-breaking.
@@ -102,9 +104,9 @@
 }
 
 // tier is compared before the cost of an upstream; lower is better.
-func tier(v *fleet.View) int {
+func (q *Query) tier(v *fleet.View) int {
 	t := 0
-	if v.Switching {
+	if v.Switching || q.AvoidNewBuilds && v.NewBuild {
 		t++
 	}
 	if v.Ejected {
@@ -117,6 +119,7 @@
 // weights unless those engines are full, since a rollout under load starts with few of them. Upstreams that are ejected or
 // load weights are used only when no other is left.
 func Choose(q Query, views []fleet.View, costs Costs) (Choice, bool) {
+	q.AvoidNewBuilds = q.AvoidNewBuilds && slices.ContainsFunc(views, func(v fleet.View) bool { return !v.NewBuild })
 	var best Choice
 	bestTier := -1
 	ranks := rendezvousRanks(&q, views)
@@ -129,7 +132,7 @@
 		}
 		best.Considered++
 		version := v.Weights[q.Model]
-		t := tier(v)
+		t := q.tier(v)
 		prefill, missing := cache.get(version).prefillTokens(&q, v.ID, costs)
 		c := max(queueWait(&q, v, costs), best.WaitFloor) + requestCost(&q, v, prefill, missing, ranks[v.ID], costs)
 		if bestTier >= 0 && (t > bestTier || t == bestTier && c >= best.Cost) {
@@ -157,7 +160,7 @@
 	}
 	waits := make([]time.Duration, 0, len(views))
 	for i := range views {
-		if v := &views[i]; q.eligible(v) && tier(v) == 0 && v.Healthy() {
+		if v := &views[i]; q.eligible(v) && q.tier(v) == 0 && v.Healthy() {
 			waits = append(waits, queueWait(q, v, costs))
 		}
 	}
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -186,3 +186,23 @@
 		})
 	}
 }
+
+// Streams keep away from a new build while upstreams of another one serve; other instances may not know of it yet.
+func TestStreamsAvoidNewBuilds(t *testing.T) {
+	views := engines(4, 1)
+	for i := range views {
+		views[i].NewBuild = i == 3
+	}
+	q := newQuery(map[string]int{"e03": 2})
+	choice, ok := Choose(q, views, DefaultCosts())
+	must.True(t, ok)
+	must.Eq(t, "e03", choice.ID)
+	q.AvoidNewBuilds = true
+	choice, ok = Choose(q, views, DefaultCosts())
+	must.True(t, ok)
+	must.NotEq(t, "e03", choice.ID)
+	q.Avoid = map[string]bool{"e00": true, "e01": true, "e02": true}
+	choice, ok = Choose(q, views, DefaultCosts())
+	must.True(t, ok)
+	must.Eq(t, "e03", choice.ID)
+}
