Check the values of entries, not only their types

Reported by operators of a similar system: instances ended or stopped following the list of upstreams because of one odd entry of another writer.

Seen here: no instance ended. Entries with a port, slots, times or versions out of range counted as upstreams, and entries with long texts made messages between instances too long to be sent, so that the instances lost sight of each other.

Cause: entries were checked for the presence and type of their fields only, and had no bound.

Change: fleet.Entry.Check says whether an entry names an upstream; it is applied to entries from the store and from other instances. Reports of the list are bounded.

Evidence: TestOddEntriesNameNoUpstream failed before, on the lost messages and, without them, on the port; TestOddEntryOfAKnownUpstream failed; both pass.

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -123,6 +124,7 @@
 	if epoch, _ := e.epochs.get(); c.Epoch < epoch {
 		return errOldEpoch
 	}
+	c.Entries = slices.DeleteFunc(c.Entries, func(entry fleet.Entry) bool { return !e.isValid(&entry, c.Version) })
 	e.fleet.Replace(time.Now(), c.Entries)
 	e.list.recordCopy(requestedAt, c.Epoch, c.Version)
 	e.log.Info("list: copied", "from", from, "upstreams", len(c.Entries), "row", c.Version)
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -116,6 +116,18 @@
 		e.fleet.MarkStoreUnreachable(now.Add(-time.Duration(u.UnreachableAge)))
 	}
 	for _, c := range e.list.merge(boot, u) {
+		if c.Entry != nil && !e.isValid(c.Entry, c.Version) {
+			c.Entry = nil
+		}
 		e.applyListChange(now, c)
 	}
 }
+
+// isValid reports whether an entry names an upstream. Instances of earlier builds pass on some that do not.
+func (e *Edge) isValid(entry *fleet.Entry, row int64) bool {
+	err := entry.Check()
+	if err != nil {
+		e.log.Info("list: invalid entry", "upstream", entry.ID, "row", row, "error", err.Error())
+	}
+	return err == nil
+}
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -13,6 +13,12 @@
 	changeRetention = 3 * time.Second
 	// maxListLag is the age up to which an instance's list has all builds at which streams may have begun.
 	maxListLag = fleet.BuildSettleTime
+	// maxChangesBytes bounds the changes in a report, which has to fit in a datagram with the rest of a message. An instance that missed
+	// older ones reads the store.
+	maxChangesBytes = 40000
+	// fixedChangeBytes is the length of a change without its texts, and weightsBytes that of a version of a model's weights.
+	fixedChangeBytes = 150
+	weightsBytes     = 24
 	// maxReportAge is how long after its own read of the store an instance reports the list.
 	maxReportAge = 2 * time.Second
 )
@@ -131,7 +137,12 @@
 	if l.version < 0 || l.readAt < l.asOf || boot-l.readAt > maxReportAge {
 		return nil
 	}
-	for len(l.changes) > 0 && boot-l.changes[0].requestedAt > changeRetention {
+	total := 0
+	for _, c := range l.changes {
+		total += changeBytes(c.ListChange)
+	}
+	for len(l.changes) > 0 && (boot-l.changes[0].requestedAt > changeRetention || total > maxChangesBytes) {
+		total -= changeBytes(l.changes[0].ListChange)
 		l.since = l.changes[0].Version
 		l.changes = l.changes[1:]
 	}
@@ -165,6 +176,19 @@
 	return newChanges
 }
 
+// changeBytes returns about how long a change is in a message.
+func changeBytes(c gossip.ListChange) int {
+	n := fixedChangeBytes + len(c.ID)
+	if c.Entry == nil {
+		return n
+	}
+	n += len(c.Entry.ID) + len(c.Entry.Service) + len(c.Entry.Address) + len(c.Entry.Zone) + len(c.Entry.Build)
+	for model := range c.Entry.Weights {
+		n += len(model) + weightsBytes
+	}
+	return n
+}
+
 // prove records that a message that was not sent before a time had an update, whose changes have been applied if they were new.
 func (l *listState) prove(sentAfter time.Duration, u *gossip.ListUpdate) {
 	l.mu.Lock()
