Send a request to an upstream again on a new connection only

Reported by operators of a similar system: callers were told that a request had not run which the upstream was running, or it ran at a second upstream, because a faulty upstream wrote an earlier refusal once more on a kept connection.

Cause: responses are matched by the ID of the request. An engine that answers 421 for its weights gets the request again, under the same ID and on the same connection, so that the earlier refusal passes for the answer to the second send.

Change: a send to an upstream that had the request before uses a new connection.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -98,6 +98,9 @@
 	Matches func(http.Header) bool
 	// FreshConn requires a new connection or one idle for at most maxFreshIdle, because the request must not run twice.
 	FreshConn bool
+	// NewConn requires a new connection. A request that was sent to the upstream before has the same ID, so that on another connection
+	// an earlier response, written once more, would pass for that to this send.
+	NewConn bool
 }
 
 type conn struct {
@@ -312,7 +315,7 @@
 	if p.dialer.Broken(now, r.Address) {
 		p.CloseIdle(r.Address)
 	}
-	for {
+	for !r.NewConn {
 		c := p.popIdle(now, r)
 		if c == nil {
 			break
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -20,6 +20,8 @@
 	sentAt time.Time
 	// pendingTokens is the number of prompt tokens that the upstream is assumed not to have prefilled yet.
 	pendingTokens int64
+	// again reports whether the request was sent to the upstream before.
+	again bool
 	// saving reports whether the upstream was asked to save the prefix to the KV store.
 	saving bool
 	// resp is nil until the head of the response has arrived, at headAt.
@@ -47,6 +49,8 @@
 	c := &call{choice: choice, sentAt: time.Now(), pendingTokens: choice.PrefillTokens}
 	x.counts.Sends++
 	x.avoid[choice.ID] = true
+	c.again = x.sent[choice.ID]
+	x.sent[choice.ID] = true
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
 	r, err := x.sendCall(ctx, c)
 	if err != nil {
@@ -79,6 +83,7 @@
 		Body:      x.body,
 		Matches:   func(h http.Header) bool { return x.Dialect.ParseResponse(h).ID == x.info.ID },
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
+		NewConn:   c.again,
 	})
 	if link.NotSent(err) {
 		if ctx.Err() == nil && !errors.Is(err, link.ErrConnLimit) && !errors.Is(err, detour.ErrNoPath) {
@@ -99,7 +104,12 @@
 	switch r {
 	case notRun:
 		x.recordDeclined(choice, resp, verdict)
-		drain(ctx, resp)
+		if x.avoid[choice.ID] {
+			drain(ctx, resp)
+		} else {
+			// The next send needs the place of this connection for a new one.
+			resp.Abort()
+		}
 		err := fmt.Errorf("upstream %s declined with status %d", choice.ID, resp.Status)
 		x.logSend(r, choice, err)
 		return r, err
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -126,6 +126,8 @@
 	units  float64
 	counts sendCounts
 	avoid  map[string]bool
+	// sent holds the upstreams to which the request was sent, whether or not they received it.
+	sent map[string]bool
 	// chains holds the prompt's prefix chain by weights version.
 	chains map[int64][]uint64
 	// lastChoice is the latest placement, for the log.
@@ -153,7 +155,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.OpenRequests.Add(1)
 	defer h.OpenRequests.Add(-1)
-	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool), chains: make(map[int64][]uint64)}
+	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool), sent: make(map[string]bool), chains: make(map[int64][]uint64)}
 	if h.Draining.Load() || len(r.TransferEncoding) > 0 {
 		// Request smuggling: bytes after a chunked body that also had a length could be parsed as another caller's request.
 		w.Header().Set("Connection", "close")
