--- a/internal/app/trials/soak.go
+++ b/internal/app/trials/soak.go
@@ -20,6 +20,7 @@
 type soakCommand struct {
 	t        *tool
 	Bin      string        `long:"bin" default:"build" description:"folder of the programs"`
+	Earlier  string        `long:"earlier" description:"skylarkedge of an earlier build, with which the routers begin; each start after that is of the current one"`
 	Out      string        `long:"out" default:"build/soak" description:"folder of the report, the plot and the logs"`
 	Seed     uint64        `long:"seed" description:"first seed; drawn from the time when it is 0"`
 	Runs     int           `long:"runs" description:"number of seeds; 0 goes on until the minutes are over"`
@@ -98,7 +99,7 @@
 		run = soak.RunQuay
 	}
 	result, err := run(ctx, soak.Settings{
-		Programs: c.Bin, Folder: folder, Seed: seed, Length: length, OnlyFault: c.Fault,
+		Programs: c.Bin, Earlier: c.Earlier, Folder: folder, Seed: seed, Length: length, OnlyFault: c.Fault,
 		Size: soak.Size{Routers: routers, Engines: c.Engines, Services: c.Services, Callers: c.Callers}, Log: logger.New("info", file),
 	})
 	if err != nil {
--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"syscall"
 	"time"
 
@@ -83,6 +85,8 @@
 	{"upstream unsigned", onUpstream, false, 500 * ms, 5 * sec, upstreamFault(fake.Faults{Unsigned: true})},
 	{"upstream crashes at calls", onUpstream, false, 200 * ms, 4 * sec, upstreamFault(fake.Faults{Crash: true})},
 	{"upstream hangs", onUpstream, false, 500 * ms, 5 * sec, upstreamFault(fake.Faults{Hang: true})},
+	{"upstream names no length", onUpstream, false, sec, 6 * sec, upstreamFault(fake.Faults{NoLength: true})},
+	{"upstream has an odd entry", onUpstream, false, 10 * ms, 100 * ms, oddEntry},
 	{"upstream leaves", onUpstream, false, 3 * sec, 9 * sec, drainUpstream},
 	{"key withdrawn", onAll, true, 10 * ms, 100 * ms, operatorAction(revokeKey)},
 	{"route added", onAll, true, 10 * ms, 100 * ms, operatorAction(addRoute)},
@@ -159,6 +163,26 @@
 	})
 }
 
+// oddEntries are entries of another writer, which name no upstream.
+var oddEntries = []string{
+	`{"Service":"jobs","Address":"127.0.0.1:99999","Zone":"a","Version":"","Slots":8,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
+	`{"Service":"jobs","Address":"127.0.0.1:1","Zone":"a","Version":"","Slots":1e400,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
+	strings.Repeat("[", oddEntryLevels) + strings.Repeat("]", oddEntryLevels),
+	`{"Service":"` + strings.Repeat("s", oddEntryLevels) + `","Address":"127.0.0.1:1","Zone":"a","Version":"","Slots":8,"State":"ready","ColdRemainingMs":0,"Sequence":1}`,
+}
+
+// oddEntryLevels is the depth of a nested entry, and the length of a name.
+const oddEntryLevels = 20000
+
+// oddEntry writes odd entries beside that of an upstream.
+func oddEntry(s *edgeSite, n int) func() error {
+	id := s.Upstreams()[n].ID
+	for i, text := range oddEntries {
+		s.CorruptEntry(fmt.Sprint(id, "-odd-", i), text)
+	}
+	return noop
+}
+
 // operatorAction runs an action of the operators and records its event with the time of acknowledgement, unless it is empty.
 func operatorAction(do func(s *edgeSite) OperatorEvent) func(*edgeSite, int) func() error {
 	return func(s *edgeSite, _ int) func() error {
--- a/internal/trial/soak/process.go
+++ b/internal/trial/soak/process.go
@@ -62,6 +62,13 @@
 	return nil
 }
 
+// replaceProgram sets the program from the next start on.
+func (p *process) replaceProgram(program string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.args[0] = program
+}
+
 // running reports whether the program is running. The caller holds the lock.
 func (p *process) running() bool {
 	if p.cmd == nil {
--- a/internal/trial/soak/site.go
+++ b/internal/trial/soak/site.go
@@ -63,11 +63,13 @@
 type edgeSite struct {
 	*fake.Site
 	History
-	folder          string
-	routers         []*edgeRouter
-	storeProxies    []*proxy
-	upstreamProxies map[string]*proxy
-	mu              sync.Mutex
+	folder string
+	// program is the router, and earlier the one that runs until each is started again; empty for none.
+	program, earlier string
+	routers          []*edgeRouter
+	storeProxies     []*proxy
+	upstreamProxies  map[string]*proxy
+	mu               sync.Mutex
 	// weights is the latest announced version.
 	weights int64
 	// draining holds the upstreams that announced a drain.
@@ -83,21 +85,24 @@
 	Routers, Engines, Services, Callers int
 }
 
-// newEdgeSite starts the stand-ins and routers. The program is the router, the folder receives settings and logs.
-func newEdgeSite(program, folder string, size Size, seed uint64) (*edgeSite, error) {
-	standIns, err := fake.NewSite(size.Engines, size.Services)
+// newEdgeSite starts the stand-ins and routers.
+func newEdgeSite(settings Settings) (*edgeSite, error) {
+	standIns, err := fake.NewSite(settings.Size.Engines, settings.Size.Services)
 	if err != nil {
 		return nil, err
 	}
-	s := &edgeSite{Site: standIns, folder: folder, upstreamProxies: make(map[string]*proxy), draining: make(map[string]bool), weights: 1, seed: seed}
-	if err := s.start(program, size.Routers); err != nil {
+	s := &edgeSite{
+		Site: standIns, folder: settings.Folder, upstreamProxies: make(map[string]*proxy), draining: make(map[string]bool), weights: 1, seed: settings.Seed,
+		program: filepath.Join(settings.Programs, "skylarkedge"), earlier: settings.Earlier,
+	}
+	if err := s.start(settings.Size.Routers); err != nil {
 		s.close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *edgeSite) start(program string, routers int) error {
+func (s *edgeSite) start(routers int) error {
 	s.History.Bounds = bounds
 	s.NarrowRate, s.NarrowBurst, s.Rate, s.Burst = bounds.Rate, bounds.Burst, 1e7, 1e7
 	s.Keys = slices.Clone(ampleKeys)
@@ -112,7 +117,7 @@
 	}
 	s.PublishDocument()
 	for i := range routers {
-		r, err := s.newRouter(program, i)
+		r, err := s.newRouter(i)
 		if err != nil {
 			return err
 		}
@@ -136,7 +141,7 @@
 	return all, nil
 }
 
-func (s *edgeSite) newRouter(program string, i int) (*edgeRouter, error) {
+func (s *edgeSite) newRouter(i int) (*edgeRouter, error) {
 	store, err := newProxy("127.0.0.1:0", s.StoreAddr)
 	if err != nil {
 		return nil, err
@@ -160,10 +165,15 @@
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return nil, err
 	}
-	p, err := newProcess(s.folder, name, program, "run", "--config", path)
+	first := s.program
+	if s.earlier != "" {
+		first = s.earlier
+	}
+	p, err := newProcess(s.folder, name, first, "run", "--config", path)
 	if err != nil {
 		return nil, err
 	}
+	p.replaceProgram(s.program)
 	return &edgeRouter{process: p, listen: addrs[0], ready: addrs[1], store: store}, nil
 }
 
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -18,6 +17,8 @@
 type Settings struct {
 	// Programs is the folder of the executables.
 	Programs string
+	// Earlier is the router of an earlier build, which all routers run until they are started again; empty for none.
+	Earlier string
 	// Folder receives the settings and logs of the processes.
 	Folder string
 	Seed   uint64
@@ -44,7 +45,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	s, err := newEdgeSite(filepath.Join(settings.Programs, "skylarkedge"), settings.Folder, settings.Size, settings.Seed)
+	s, err := newEdgeSite(settings)
 	if err != nil {
 		return Result{}, err
 	}
