Date the lease by the moment from which its holder counts it

Cause: the store's clock was estimated from an answer at the time of its read. An answer that was on its way during a freeze made it too early by the freeze, so that the row said that the lease was renewed seconds ago; an acquisition was dated by the read of the row before it.

Change: one estimate of the store's clock, from the start of the request, which is never too early, and rows are dated when they are sent.

--- a/internal/app/edge/blocks.go
+++ b/internal/app/edge/blocks.go
@@ -40,12 +40,13 @@
 
 // loadBlocks reads the blocked parts from the store. It returns the parts that the store has rows of, with the time since when.
 func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]time.Time, error) {
+	requestedAt := clock.SinceBoot()
 	rows, err := e.readTable(ctx, blocksTable)
 	if err != nil {
 		return nil, err
 	}
 	stored := make(map[uint64]time.Time)
-	e.storeClockOffset.Store(int64(rows.Clock - clock.SinceBoot()))
+	e.storeClock.observe(requestedAt, rows.Clock)
 	now := time.Now()
 	for _, row := range rows.Rows {
 		id, err := strconv.ParseUint(row.Key, 16, 64)
@@ -138,8 +139,8 @@
 
 // put writes the row of a part that was blocked for a time. Other instances write the same, so the write is unconditional.
 func (k *blockKeeper) put(ctx context.Context, id uint64, age time.Duration) error {
-	since := clock.SinceBoot() + time.Duration(k.edge.storeClockOffset.Load()) - age
-	value, err := json.Marshal(blockRow{SinceMs: since.Milliseconds()})
+	storeClock, _ := k.edge.storeClock.at(clock.SinceBoot())
+	value, err := json.Marshal(blockRow{SinceMs: (storeClock - age).Milliseconds()})
 	if err != nil {
 		return err
 	}
--- a/internal/app/edge/builds.go
+++ b/internal/app/edge/builds.go
@@ -75,11 +75,12 @@
 
 // loadOrigins reads the builds that have served and the latest streams from the store.
 func (e *Edge) loadOrigins(ctx context.Context) error {
+	requestedAt := clock.SinceBoot()
 	rows, err := e.readTable(ctx, originsTable)
 	if err != nil {
 		return err
 	}
-	e.storeClockOffset.Store(int64(rows.Clock - clock.SinceBoot()))
+	e.storeClock.observe(requestedAt, rows.Clock)
 	now := time.Now()
 	history, version, loaded := origin.History{}, int64(0), 0
 	for _, row := range rows.Rows {
@@ -147,7 +148,7 @@
 func (e *Edge) saveHistory(ctx context.Context, listed map[string][]string) error {
 	for range maxHistoryWrites {
 		history, version := e.history.get()
-		storeClock := clock.SinceBoot() + time.Duration(e.storeClockOffset.Load())
+		storeClock, _ := e.storeClock.at(clock.SinceBoot())
 		updated, changed := history.Updated(storeClock, listed, fleet.BuildMemory)
 		if !changed {
 			return nil
@@ -207,7 +208,7 @@
 	if len(streams) == 0 {
 		return nil
 	}
-	storeClock := clock.SinceBoot() + time.Duration(e.storeClockOffset.Load())
+	storeClock, _ := e.storeClock.at(clock.SinceBoot())
 	value, err := json.Marshal(streamRow{AtMs: storeClock.Milliseconds(), Streams: streams})
 	if err != nil {
 		return err
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -111,9 +111,8 @@
 	// following reports whether this instance reads changes of the operators' rows from the store.
 	following atomic.Bool
 	// joined is when this instance joined the others, in nanoseconds of clock.SinceBoot; zero before.
-	joined atomic.Int64
-	// storeClockOffset is the store's clock minus clock.SinceBoot, in nanoseconds, when the blocked prompt parts were read.
-	storeClockOffset atomic.Int64
+	joined     atomic.Int64
+	storeClock storeClock
 	// kvStorePoller reports whether this instance polls the KV stores.
 	kvStorePoller atomic.Bool
 }
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -57,8 +57,6 @@
 	lease  leader.Lease
 	// lastRenewal is when this instance last sent a renewal that succeeded; zero if none did.
 	lastRenewal time.Duration
-	// storeClockOffset is the store's clock minus this instance's boot clock, as of the last response.
-	storeClockOffset time.Duration
 	// progress maps the ID of an engine that drains, loads or waits for a retry to its progress.
 	progress map[string]plan.Progress
 	// loaded are the completed loads that are still reported.
@@ -244,9 +242,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, leader.Validity-leader.RenewInterval)
 	defer cancel()
 	self := r.edge.settings.Peer
-	state := leaseRow{Row: lease.Row, version: lease.Version, epoch: lease.Epoch, clock: r.storeClock()}
-	renewal := lease.Token > 0 && lease.Row.Holder == self && state.clock > 0
-	next := leader.Renewal(state.clock, state.Row)
+	state := leaseRow{Row: lease.Row, version: lease.Version, epoch: lease.Epoch}
+	renewal := lease.Token > 0 && lease.Row.Holder == self
 	if !renewal {
 		var err error
 		if state, err = r.readLease(callCtx); err != nil {
@@ -258,13 +255,18 @@
 			r.mu.Unlock()
 			return wait, nil
 		}
-		next = leader.Acquisition(state.clock, state.Row, self, leader.MinToken(state.epoch, state.latest))
+	}
+	// The row is dated by the time from which the lease counts here, however long ago the store's clock was read.
+	sent := clock.SinceBoot()
+	storeClock, _ := r.edge.storeClock.at(sent)
+	next := leader.Renewal(storeClock, state.Row)
+	if !renewal {
+		next = leader.Acquisition(storeClock, state.Row, self, leader.MinToken(state.epoch, state.latest))
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
 		return 0, err
 	}
-	sent := clock.SinceBoot()
 	rows, err := r.edge.store.Put(callCtx, platform.Row{Table: leaseTable, Key: leaseKey, Value: value, Version: state.version})
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -285,7 +287,7 @@
 	r.lease = leader.Lease{Token: next.Token, Sent: sent, Epoch: rows.Epoch, Version: rows.Version, Row: next}
 	r.lastRenewal = sent
 	r.leaderAddress = ""
-	r.storeClockOffset = rows.Clock - clock.SinceBoot()
+	r.edge.storeClock.observe(sent, rows.Clock)
 	return 0, nil
 }
 
@@ -333,6 +335,7 @@
 }
 
 func (r *rollout) readLease(ctx context.Context) (leaseRow, error) {
+	requestedAt := clock.SinceBoot()
 	rows, err := r.edge.store.Get(ctx, leaseTable, "", storeTimeout)
 	if err != nil {
 		return leaseRow{}, err
@@ -340,9 +343,7 @@
 	if epoch, _ := r.edge.epochs.get(); rows.Epoch < epoch {
 		return leaseRow{}, errOldEpoch
 	}
-	r.mu.Lock()
-	r.storeClockOffset = rows.Clock - clock.SinceBoot()
-	r.mu.Unlock()
+	r.edge.storeClock.observe(requestedAt, rows.Clock)
 	state := leaseRow{latest: rows.Version, epoch: rows.Epoch, clock: rows.Clock}
 	for _, row := range rows.Rows {
 		if row.Key != leaseKey {
@@ -354,16 +355,6 @@
 	return state, nil
 }
 
-// storeClock returns an estimate of the store's clock, or zero before the store's first response.
-func (r *rollout) storeClock() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.storeClockOffset == 0 {
-		return 0
-	}
-	return r.storeClockOffset + clock.SinceBoot()
-}
-
 // advance starts to drain or load the engines that are next for the version.
 func (r *rollout) advance(ctx context.Context, now time.Time, target plan.Target) {
 	doc := r.edge.replica.Document()
--- a/internal/roll/leader/leader.go
+++ b/internal/roll/leader/leader.go
@@ -11,7 +11,7 @@
 	Holder string `json:"holder"`
 	// Token is the fencing token, which grows with each change of holder.
 	Token int64 `json:"token"`
-	// Renewed is the holder's estimate of the store's clock at the last renewal, in milliseconds.
+	// Renewed is the holder's estimate of the store's clock at the last renewal, in milliseconds. It is not too early.
 	Renewed int64 `json:"renewed"`
 }
 
