Treat a store as restored just now when an instance starts

Cause: a restore was known only by a rise of the epoch, and an instance that starts has seen no earlier one.

--- a/internal/app/edge/epoch.go
+++ b/internal/app/edge/epoch.go
@@ -20,7 +20,8 @@
 type epochTracker struct {
 	mu      sync.Mutex
 	current int64
-	// restoredAt is when this instance learned of the latest restore, in nanoseconds of clock.SinceBoot; zero if it has seen none.
+	// restoredAt is when an instance learned of the latest restore, in nanoseconds of clock.SinceBoot; zero if there was none. It is
+	// this instance, or the one that recorded the restore in the store.
 	restoredAt time.Duration
 }
 
@@ -33,14 +34,25 @@
 		return previous, false
 	}
 	t.current = epoch
-	if previous == unknownEpoch {
-		return previous, false
+	if epoch > 0 {
+		// The store may have been restored just now, also if this instance has just started.
+		t.restoredAt = boot
 	}
-	t.restoredAt = boot
-	return previous, true
+	return previous, previous != unknownEpoch
 }
 
-// get returns the epoch and when this instance learned of the latest restore; zero if it has seen none.
+// date sets when the restore to an epoch became known, unless that is over.
+func (t *epochTracker) date(epoch int64, at time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if epoch != t.current || at >= t.restoredAt {
+		return false
+	}
+	t.restoredAt = at
+	return true
+}
+
+// get returns the epoch and when the latest restore became known; zero if there was none.
 func (t *epochTracker) get() (epoch int64, restoredAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,6 +64,9 @@
 func (e *Edge) observeEpoch(epoch int64, from string) {
 	boot := clock.SinceBoot()
 	previous, risen := e.epochs.observe(boot, epoch)
+	if previous == unknownEpoch && epoch > 0 {
+		e.replica.Restored(boot + policy.RestoreSettleTime)
+	}
 	if !risen {
 		return
 	}
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -126,6 +126,9 @@
 // the time at which the store had nothing newer. That is the start of the request, because a freeze may pass between the store's
 // response and its read.
 func (e *Edge) readOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
+	if err := e.readRestore(ctx); err != nil {
+		return platform.Rows{}, 0, err
+	}
 	requestedAt := clock.SinceBoot()
 	if version < 0 {
 		rows, err := e.readTable(ctx, platform.OperatorTable)
--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
 
@@ -62,7 +63,7 @@
 
 func (e *Edge) originOf(boot time.Duration, now time.Time, service, id string) originAnswer {
 	build, known := e.origins.Build(now, id)
-	complete := e.list.isCurrent(boot) && (e.history.records(service) || now.Sub(e.startedAt) >= origin.Memory)
+	complete := e.hasCurrentList(boot) && (e.history.records(service) || now.Sub(e.startedAt) >= origin.Memory)
 	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service), Complete: complete}
 }
 
@@ -94,10 +95,17 @@
 	_ = json.NewEncoder(w).Encode(e.originOf(clock.SinceBoot(), time.Now(), query.Get("service"), query.Get("id")))
 }
 
+// hasCurrentList reports whether this instance's list has the upstreams of all builds. After a restore of the store some have to write
+// their entries again.
+func (e *Edge) hasCurrentList(boot time.Duration) bool {
+	_, restoredAt := e.epochs.get()
+	return e.list.isCurrent(boot) && (restoredAt == 0 || boot-restoredAt >= policy.RestoreSettleTime)
+}
+
 // needsRecord reports whether a stream of a service needs a record of its build: upstreams of several builds serve or did lately, or
 // may do so unknown to this instance.
 func (e *Edge) needsRecord(boot time.Duration, now time.Time, service string) bool {
-	return len(e.fleet.Builds(now, service)) > 1 || !e.list.isCurrent(boot)
+	return len(e.fleet.Builds(now, service)) > 1 || !e.hasCurrentList(boot)
 }
 
 // union returns the elements of both slices, each once.
--- a/internal/app/edge/restore_test.go
+++ b/internal/app/edge/restore_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -166,3 +168,43 @@
 	_, listed := r.fleet.View(time.Now(), "job-0")
 	must.True(t, listed)
 }
+
+// Guards against routers that start after a restore of the store and accept a key that was withdrawn after the copy was made
+// (ReviewCase5).
+func TestInstanceThatStartsDoesNotTrustARestoredStore(t *testing.T) {
+	s := newSite(t, 1, 1)
+	s.Keys = []string{fake.Key, "short-lived"}
+	s.PublishDocument()
+	c := s.Store.Copy()
+	s.Keys = []string{fake.Key}
+	s.PublishDocument()
+	s.Store.Restore(c)
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "document read", func() bool { return r.replica.Document() != nil })
+	must.Positive(t, r.rollout.acquireDelay(leaseRow{}))
+	must.False(t, r.originOf(clock.SinceBoot(), time.Now(), "engines", "feedfeed").Complete)
+	for range 15 {
+		must.Eq(t, http.StatusServiceUnavailable, r.lookWith(t, "short-lived"))
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.False(t, r.isReady())
+	s.PublishDocument()
+	eventually(t, "ready", r.isReady)
+	must.Eq(t, http.StatusOK, r.look(t))
+	must.Eq(t, http.StatusUnauthorized, r.lookWith(t, "short-lived"))
+}
+
+// An instance that starts long after a restore takes the store at its word at once.
+func TestInstanceThatStartsLongAfterARestore(t *testing.T) {
+	s, first := startSite(t, 1, 1)
+	s.Store.Restore(s.Store.Copy())
+	knowRestore(t, []*router{first}, 1)
+	restored := clock.SinceBoot()
+	eventually(t, "restore recorded", func() bool { return s.Store.Row(restoresTable, restoresKey) != nil })
+	time.Sleep(policy.RestoreSettleTime)
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "ready", r.isReady)
+	_, restoredAt := r.epochs.get()
+	must.LessEq(t, restored+time.Second, restoredAt)
+	must.Positive(t, restoredAt)
+}
