Read empty lines in time proportional to their number

Cause: at each empty line, the reader of events looked through all that it had read for text.

Evidence: TestEmptyLinesWithoutEndAreCutOff failed before (1 MB not read after 5.5 s) and passes; FuzzEvents found nothing in 10 s.

--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -37,6 +37,8 @@
 func (e *eventReader) next() (ev event, rest []byte, err error) {
 	e.raw.Reset()
 	lineStart := 0
+	// hasText reports whether a line before the current one is more than white space.
+	hasText := false
 	for {
 		piece, err := e.reader.ReadSlice('\n')
 		if appendErr := e.raw.Append(piece); appendErr != nil {
@@ -49,9 +51,11 @@
 		if err != nil {
 			return event{}, raw, err
 		}
-		if len(bytes.TrimRight(raw[lineStart:], "\r\n")) == 0 && len(bytes.TrimSpace(raw)) > 0 {
+		line := raw[lineStart:]
+		if hasText && len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event{raw: raw, id: eventID(raw)}, nil, nil
 		}
+		hasText = hasText || len(bytes.TrimSpace(line)) > 0
 		lineStart = len(raw)
 	}
 }
--- a/internal/front/serve/events_test.go
+++ b/internal/front/serve/events_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -66,6 +68,43 @@
 	must.ErrorIs(t, err, bound.ErrTooLong)
 }
 
+// answerBound is the shortest timeout of a route that users describe, with the time in which its answer is due after it.
+const answerBound = 5500 * time.Millisecond
+
+// Guards against requests without an answer in time, because an engine that sends empty lines without end takes all processor time.
+func TestEmptyLinesWithoutEndAreCutOff(t *testing.T) {
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := newEventReader(strings.NewReader(strings.Repeat("\n", 2*maxEventBytes)), memory()).next()
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		must.ErrorIs(t, err, bound.ErrTooLong)
+	case <-time.After(answerBound):
+		t.Fatal("empty lines are still being read")
+	}
+}
+
+// BenchmarkEventsWithoutEnd reads text that never becomes an event. The time grows with the length.
+func BenchmarkEventsWithoutEnd(b *testing.B) {
+	for name, line := range map[string]string{"empty lines": "\n", "short fields": "a:\n", "comments": ": c\n"} {
+		for _, size := range []int{1 << 10, 32 << 10, maxEventBytes} {
+			text := strings.Repeat(line, size/len(line))
+			b.Run(fmt.Sprintf("%s/%d", name, size), func(b *testing.B) {
+				b.SetBytes(int64(len(text)))
+				for b.Loop() {
+					reader := newEventReader(strings.NewReader(text), memory())
+					if _, _, err := reader.next(); err == nil {
+						b.Fatal("an event")
+					}
+					reader.release()
+				}
+			})
+		}
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
