--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -40,9 +40,9 @@
 		return pauseProcess(s.routers[n].process)
 	}},
 	{"router stopped", onRouter, true, stopGracePeriod, stopGracePeriod + 2*sec, func(s *edgeSite, n int) func() error {
-		s.routers[n].signal(syscall.SIGTERM)
+		kill := s.routers[n].terminate()
 		return func() error {
-			s.routers[n].kill()
+			kill()
 			return s.routers[n].start()
 		}
 	}},
--- a/internal/trial/soak/process.go
+++ b/internal/trial/soak/process.go
@@ -105,6 +105,23 @@
 
 const killTimeout = 5 * time.Second
 
+// terminate sends SIGTERM and returns a function that kills the program unless it has exited since, and waits for the exit. A program
+// that was started in the meantime is left alone.
+func (p *process) terminate() (kill func()) {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	exited := p.exited
+	return func() {
+		p.mu.Lock()
+		same := p.exited == exited
+		p.mu.Unlock()
+		if same {
+			p.kill()
+		}
+	}
+}
+
 // wait waits for the program to exit.
 func (p *process) wait(timeout time.Duration) error {
 	p.mu.Lock()
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -10,19 +12,63 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestRunEdgeShort runs one short seed against real processes.
-func TestRunEdgeShort(t *testing.T) {
+// root is the root of the repository.
+const root = "../../.."
+
+// buildRouter builds the router from the source in a folder and returns the folder of the program.
+func buildRouter(t *testing.T, source string) string {
+	t.Helper()
 	programs := t.TempDir()
-	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(programs, "skylarkedge"), "../../../cmd/skylarkedge").CombinedOutput()
+	cmd := exec.CommandContext(t.Context(), "go", "build", "-o", filepath.Join(programs, "skylarkedge"), "./cmd/skylarkedge")
+	cmd.Dir = source
+	out, err := cmd.CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
-	result, err := RunEdge(t.Context(), Settings{
-		Programs: programs, Folder: t.TempDir(), Seed: 11, Length: 8 * time.Second,
-		Size: Size{Routers: 5, Engines: 4, Services: 2, Callers: 10}, Log: logr.Discard(),
-	})
+	return programs
+}
+
+// runShort runs one short seed against real processes.
+func runShort(t *testing.T, s Settings) Result {
+	t.Helper()
+	s.Folder, s.Log = t.TempDir(), logr.Discard()
+	s.Size = Size{Routers: 5, Engines: 4, Services: 2, Callers: 10}
+	result, err := RunEdge(t.Context(), s)
 	must.NoError(t, err)
 	for _, v := range result.Violations {
 		t.Errorf("%s: %s %s", v.Promise, v.ID, v.Text)
 	}
 	must.Positive(t, result.Served)
 	must.Positive(t, result.Runs)
+	return result
+}
+
+func TestRunEdgeShort(t *testing.T) {
+	runShort(t, Settings{Programs: buildRouter(t, root), Seed: 11, Length: 8 * time.Second})
+}
+
+// productionLine is the line of the deploy file that names the commit of the version in production.
+var productionLine = regexp.MustCompile(`(?m)^production = "([0-9a-f]+)"$`)
+
+// buildProduction builds the router of the version in production from the history.
+func buildProduction(t *testing.T) string {
+	t.Helper()
+	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
+	must.NoError(t, err)
+	match := productionLine.FindSubmatch(deploy)
+	must.NotNil(t, match)
+	source := filepath.Join(t.TempDir(), "source")
+	for _, args := range [][]string{
+		{"clone", "--quiet", "--shared", "--no-checkout", root, source}, {"-C", source, "checkout", "--quiet", string(match[1])},
+	} {
+		out, err := exec.CommandContext(t.Context(), "git", args...).CombinedOutput()
+		must.NoError(t, err, must.Sprint(string(out)))
+	}
+	return filepath.Join(buildRouter(t, source), "skylarkedge")
+}
+
+// The routers begin with the version in production and are replaced one after the other, some at the same time.
+func TestRunEdgeDuringAnUpgrade(t *testing.T) {
+	result := runShort(t, Settings{
+		Programs: buildRouter(t, root), Earlier: buildProduction(t), Seed: 3, Length: 12 * time.Second, OnlyFault: "router stopped",
+	})
+	must.SliceNotEmpty(t, result.Injections)
 }
