Read the date of a restore after the operators' rows, and go on without it

By reading: the follower of the operators' rows could not confirm the document while the table with the date of the restore was away, or rejected the write; and a later restore could be undone by the date of the one before. The date is read after the rows, only in an epoch above zero, a failure is logged, and it is applied under the lock of the epoch.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -108,7 +108,7 @@
 	// epochs holds the store's epoch. registerAgain makes the instance write its row again after a restore.
 	epochs        epochTracker
 	registerAgain chan struct{}
-	// restoreRead is the epoch in which followOperators has last read when the store was restored.
+	// restoreRead is the latest epoch whose restore followOperators has read or recorded in the store.
 	restoreRead int64
 	// following reports whether this instance reads changes of the operators' rows from the store.
 	following atomic.Bool
@@ -129,7 +129,7 @@
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
 		holders: holder.NewTracker(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
-		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1), restoreRead: unknownEpoch - 1,
+		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closeMetrics = scope, closer.Close
--- a/internal/app/edge/epoch.go
+++ b/internal/app/edge/epoch.go
@@ -41,15 +41,15 @@
 	return previous, previous != unknownEpoch
 }
 
-// date sets when the restore to an epoch became known, unless that is over.
-func (t *epochTracker) date(epoch int64, at time.Duration) bool {
+// date sets when the restore to an epoch became known, and calls apply, unless the epoch is over or the date no earlier than the known
+// one.
+func (t *epochTracker) date(epoch int64, at time.Duration, apply func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if epoch != t.current || at >= t.restoredAt {
-		return false
+	if epoch == t.current && at < t.restoredAt {
+		t.restoredAt = at
+		apply()
 	}
-	t.restoredAt = at
-	return true
 }
 
 // get returns the epoch and when the latest restore became known; zero if there was none.
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -116,9 +116,19 @@
 		live = true
 		epoch, version = rows.Epoch, max(version, rows.Version)
 		e.following.Store(true)
-		if e.replica.Document() != nil {
-			e.replica.Confirm(confirmed)
+		e.confirm(confirmed)
+		if err := e.readRestore(ctx, epoch); err != nil {
+			e.log.Info("store: date of the restore neither read nor written", "epoch", epoch, "error", err.Error())
 		}
+		// Now the store may be known to have been restored long enough before.
+		e.confirm(confirmed)
+	}
+}
+
+// confirm records that the store had no newer document at a time.
+func (e *Edge) confirm(at time.Duration) {
+	if e.replica.Document() != nil {
+		e.replica.Confirm(at)
 	}
 }
 
@@ -126,9 +136,6 @@
 // the time at which the store had nothing newer. That is the start of the request, because a freeze may pass between the store's
 // response and its read.
 func (e *Edge) readOperators(ctx context.Context, version int64) (platform.Rows, time.Duration, error) {
-	if err := e.readRestore(ctx); err != nil {
-		return platform.Rows{}, 0, err
-	}
 	requestedAt := clock.SinceBoot()
 	if version < 0 {
 		rows, err := e.readTable(ctx, platform.OperatorTable)
--- a/internal/app/edge/restore.go
+++ b/internal/app/edge/restore.go
@@ -25,10 +25,9 @@
 	SinceMs int64 `json:"since"`
 }
 
-// readRestore reads when the store was restored, once in each epoch, and records it in the store if no instance has. It returns an error
-// if the store cannot be read.
-func (e *Edge) readRestore(ctx context.Context) error {
-	if epoch, _ := e.epochs.get(); e.restoreRead == epoch {
+// readRestore reads when the store was restored to an epoch, once, and records it in the store if no instance has.
+func (e *Edge) readRestore(ctx context.Context, epoch int64) error {
+	if epoch == 0 || epoch == e.restoreRead {
 		return nil
 	}
 	requestedAt := clock.SinceBoot()
@@ -36,11 +35,10 @@
 	if err != nil {
 		return err
 	}
-	e.storeClock.observe(requestedAt, rows.Clock)
-	epoch, _ := e.epochs.get()
-	if rows.Epoch < epoch {
+	if rows.Epoch != epoch {
 		return errOldEpoch
 	}
+	e.storeClock.observe(requestedAt, rows.Clock)
 	var latest restoreRow
 	version := int64(0)
 	for _, row := range rows.Rows {
@@ -52,26 +50,20 @@
 			e.log.Info("store: cannot decode the row of the latest restore", "row", row.Version, "error", err.Error())
 		}
 	}
-	switch {
-	case rows.Epoch == 0:
-	case latest.Epoch == rows.Epoch:
-		e.dateRestore(clock.SinceBoot(), rows.Epoch, rows.Clock-time.Duration(latest.SinceMs)*time.Millisecond)
-	default:
-		if err := e.saveRestore(ctx, rows.Epoch, version); err != nil {
-			return err
-		}
+	if latest.Epoch == epoch {
+		e.dateRestore(clock.SinceBoot(), epoch, rows.Clock-time.Duration(latest.SinceMs)*time.Millisecond)
+	} else if err := e.saveRestore(ctx, epoch, version); err != nil {
+		return err
 	}
-	e.restoreRead = rows.Epoch
+	e.restoreRead = epoch
 	return nil
 }
 
 // dateRestore records that an instance had learned of the restore to an epoch a while before.
 func (e *Edge) dateRestore(boot time.Duration, epoch int64, age time.Duration) {
 	at := max(1, boot-max(0, age))
-	if !e.epochs.date(epoch, at) {
-		return
-	}
-	e.replica.Restored(at + policy.RestoreSettleTime)
+	// A later restore must not be undone here.
+	e.epochs.date(epoch, at, func() { e.replica.Restored(at + policy.RestoreSettleTime) })
 	e.log.Info("store: date of the restore read", "epoch", epoch, "age_ms", age.Milliseconds())
 }
 
