--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -69,8 +69,11 @@
 	}
 }
 
-func (r *router) isReady() bool {
-	resp, err := http.Get("http://" + r.settings.Ready + "/readiness")
+func (r *router) isReady() bool { return isReady(r.settings) }
+
+// isReady reports whether the router with the settings says that it is ready.
+func isReady(s Settings) bool {
+	resp, err := http.Get("http://" + s.Ready + "/readiness")
 	if err != nil {
 		return false
 	}
--- a/internal/app/edge/lease_test.go
+++ b/internal/app/edge/lease_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,54 +11,46 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/roll/leader"
 	"github.com/skylarkquay/skylarkquay/platform"
+	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
-// delayedStore is a store without rows whose responses to a call are read a while after they were sent, as after a freeze.
-type delayedStore struct {
-	started time.Time
-	call    string
-	delay   time.Duration
-	// late is by how much the time of renewal in a write was before the store's clock.
-	late []time.Duration
-}
-
-func (s *delayedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	clock := time.Since(s.started)
-	if r.URL.Path == "/rows-tx" {
-		var tx struct {
-			Puts []struct{ Value []byte }
-		}
-		var row leader.Row
-		if json.NewDecoder(r.Body).Decode(&tx) != nil || len(tx.Puts) != 1 || json.Unmarshal(tx.Puts[0].Value, &row) != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		s.late = append(s.late, clock-time.Duration(row.Renewed)*time.Millisecond)
-	}
-	if r.URL.Path == s.call {
-		time.Sleep(s.delay)
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"Rows": []any{}, "RowVersion": 7, "CurrentTimeMs": clock.Milliseconds()})
+// newStoreEdge returns an instance of which only the client of a store is used.
+func newStoreEdge(t *testing.T) (*Edge, *fake.Store) {
+	t.Helper()
+	s := fake.NewStore()
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return &Edge{store: platform.NewStore(server.Listener.Addr().String(), func(string) {}, func(int64) {})}, s
 }
 
 // Guards against a holder that dates its renewal back after a freeze, so that another instance acquires the lease while its orders
 // are fresh (ReviewCase2).
 func TestRenewalIsNotDatedBackAfterADelay(t *testing.T) {
-	for _, call := range []string{"/rows-get", "/rows-tx"} {
-		t.Run(call, func(t *testing.T) {
-			s := &delayedStore{started: time.Now().Add(-time.Minute), call: call, delay: leader.Margin + 200*time.Millisecond}
-			server := httptest.NewServer(s)
-			defer server.Close()
-			e := &Edge{store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string) {}, func(int64) {})}
+	const lag = leader.Margin + 200*time.Millisecond
+	for name, c := range map[string]struct {
+		call string
+		// beforeWrite is how long before the write its instance read the store.
+		beforeWrite time.Duration
+	}{
+		"after the read":  {fake.CallGet, lag},
+		"after the write": {fake.CallTransact, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, s := newStoreEdge(t)
+			s.SetLag(c.call, lag)
 			r := newRollout(e)
-			for range 2 {
+			for attempt := range 2 {
+				started := s.Clock()
+				if attempt == 0 {
+					// A renewal reads nothing.
+					started += c.beforeWrite
+				}
 				wait, err := r.acquire(context.Background(), r.lease)
 				must.NoError(t, err)
 				must.Zero(t, wait)
-			}
-			must.SliceLen(t, 2, s.late)
-			for _, late := range s.late {
-				must.Less(t, leader.Margin, late)
+				var row leader.Row
+				must.NoError(t, json.Unmarshal(s.Row(leaseTable, leaseKey), &row))
+				must.GreaterEq(t, started-leader.Margin, time.Duration(row.Renewed)*time.Millisecond)
 			}
 		})
 	}
--- a/internal/app/edge/operators_test.go
+++ b/internal/app/edge/operators_test.go
@@ -4,36 +4,31 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
-	"github.com/skylarkquay/skylarkquay/platform"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
 // Guards against keys that are accepted after they were withdrawn, because a response that was sent before a freeze and read after it
 // confirms the document.
 func TestDelayedResponseConfirmsNoLaterThanItsRequest(t *testing.T) {
-	const freeze = changesWait + storeTimeout - 200*time.Millisecond
-	var decidedAt time.Duration
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		decidedAt = clock.SinceBoot()
-		time.Sleep(freeze)
-		_, _ = io.WriteString(w, `{"Rows":[],"RowVersion":5,"CurrentTimeMs":1}`)
-	}))
-	defer server.Close()
-	e := &Edge{store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), func(string) {}, func(int64) {})}
-	_, confirmed, err := e.readOperators(context.Background(), 5)
+	e, s := newStoreEdge(t)
+	s.SetLag(fake.CallChanges, changesWait+storeTimeout-200*time.Millisecond)
+	version := s.Put("op", "row", 1)
+	decided := make(chan time.Duration, 1)
+	time.AfterFunc(50*time.Millisecond, func() {
+		decided <- clock.SinceBoot()
+		s.Put("op", "row", 2)
+	})
+	_, confirmed, err := e.readOperators(context.Background(), version)
 	must.NoError(t, err)
-	must.LessEq(t, decidedAt, confirmed)
+	must.LessEq(t, <-decided, confirmed)
 }
 
 // Guards against a newer confirmation that vouches for an older document: a request whose body is late is judged by the latest one.
--- a/internal/app/edge/origins.go
+++ b/internal/app/edge/origins.go
@@ -67,7 +67,7 @@
 	return originAnswer{Build: build, Known: known, Builds: e.fleet.Builds(now, service), Complete: complete}
 }
 
-// askOrigin asks the instances that have heard of most streams, one after the other until one knows the stream or all builds. It
+// askOrigin asks the instances that have records of most streams, one after the other until one knows the stream or all builds. It
 // returns what those that responded know together.
 func (e *Edge) askOrigin(ctx context.Context, service, id string) (from string, known originAnswer, err error) {
 	for _, from = range e.exchange.Live(maxOriginAsked) {
@@ -102,8 +102,8 @@
 	return e.list.isCurrent(boot) && (restoredAt == 0 || boot-restoredAt >= policy.RestoreSettleTime)
 }
 
-// needsRecord reports whether a stream of a service needs a record of its build: upstreams of several builds serve or did lately, or
-// may do so unknown to this instance.
+// needsRecord reports whether a stream of a service needs a record of its build: upstreams of several builds serve, have recently served,
+// or may serve unknown to this instance.
 func (e *Edge) needsRecord(boot time.Duration, now time.Time, service string) bool {
 	return len(e.fleet.Builds(now, service)) > 1 || !e.hasCurrentList(boot)
 }
--- a/internal/app/edge/step_test.go
+++ b/internal/app/edge/step_test.go
@@ -46,18 +46,8 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	})
-	p := &routerProcess{settings: settings, process: cmd.Process}
-	eventually(t, "ready", p.isReady)
-	return p
-}
-
-func (p *routerProcess) isReady() bool {
-	resp, err := http.Get("http://" + p.settings.Ready + "/readiness")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	eventually(t, "ready", func() bool { return isReady(settings) })
+	return &routerProcess{settings: settings, process: cmd.Process}
 }
 
 func (p *routerProcess) signal(t *testing.T, s syscall.Signal) {
--- a/internal/front/detour/frame.go
+++ b/internal/front/detour/frame.go
@@ -73,7 +73,7 @@
 	return n, unexpectedEnd(err)
 }
 
-// unmarkedReader reads bytes without frames. Their end cannot be told from that of the instance that sent them.
+// unmarkedReader reads bytes without frames, whose end looks the same as that of the instance that sent them.
 type unmarkedReader struct{ io.Reader }
 
 // Read implements io.Reader.
