--- a/internal/peer/gossip/exchange.go
+++ b/internal/peer/gossip/exchange.go
@@ -62,7 +62,8 @@
 type peer struct {
 	Instance
 	addr *net.UDPAddr
-	// stamp is the stamp of the latest message, receivedAt is when it was read, and sentAfter is not later than the state in it.
+	// stamp is the stamp of the latest message, and receivedAt is when it was read. SentAfter is not later than the state in it, or
+	// when it was read if the sender had no message of this instance yet.
 	stamp      int64
 	receivedAt time.Duration
 	sentAfter  time.Duration
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -70,7 +70,7 @@
 	MinVersion int64
 	// Build is the only build of the upstreams' software that may run the request; nil for any.
 	Build *string
-	// AvoidNewBuilds makes upstreams of new builds be used only if there are no others.
+	// AvoidNewBuilds ranks upstreams of new builds with those that load weights, behind the others.
 	AvoidNewBuilds bool
 	// Avoid holds the upstreams that already received this request.
 	Avoid map[string]bool
