Log what marked the end of an upstream's answer, and whether it was relayed

The incident's hypotheses differ in how an answer was delimited and whether it passed through another instance; the log said neither. `route: answered` and `route: send brought no answer` have `framing` and `relayed` now. No decision changes.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -246,10 +246,28 @@
 // Reused reports whether the request was sent on a pooled connection.
 func (r *Response) Reused() bool { return r.reused }
 
-// Delimited reports whether the response shows where its body ends. The end of any other body cannot be told from a connection that
-// the upstream closed early.
-func (r *Response) Delimited() bool {
-	return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 || r.raw.Body == http.NoBody
+// Framing is what marks the end of a response's body.
+type Framing string
+
+const (
+	// ByLength: the head states the length.
+	ByLength Framing = "length"
+	// ByChunks: the last chunk marks the end.
+	ByChunks Framing = "chunks"
+	// ByConnection: the body ends with its connection. That cannot be told from a connection that was closed early.
+	ByConnection Framing = "connection"
+)
+
+// Framing returns what marks the end of the body.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.raw.TransferEncoding) > 0:
+		return ByChunks
+	case r.raw.ContentLength >= 0 || r.raw.Body == http.NoBody:
+		return ByLength
+	default:
+		return ByConnection
+	}
 }
 
 // Done returns the connection to the pool after the body has been read to EOF.
--- a/internal/front/link/watch_test.go
+++ b/internal/front/link/watch_test.go
@@ -15,24 +15,24 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
-func TestDelimited(t *testing.T) {
+func TestFraming(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 	for _, c := range []struct {
 		name, method, response string
-		want                   bool
+		want                   Framing
 	}{
-		{"length", http.MethodPost, response("1", "abc"), true},
-		{"no content", http.MethodPost, head + "Content-Length: 0\r\n\r\n", true},
-		{"chunks", http.MethodPost, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
-		{"neither", http.MethodPost, head + "\r\n", false},
-		{"neither, to HEAD", http.MethodHead, head + "\r\n", true},
+		{"length", http.MethodPost, response("1", "abc"), ByLength},
+		{"no content", http.MethodPost, head + "Content-Length: 0\r\n\r\n", ByLength},
+		{"chunks", http.MethodPost, head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ByChunks},
+		{"neither", http.MethodPost, head + "\r\n", ByConnection},
+		{"neither, to HEAD", http.MethodHead, head + "\r\n", ByLength},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := request(respondWith(t, c.response), "1")
 			r.Method = c.method
 			resp, err := newTestPool(0).Send(context.Background(), time.Now(), r)
 			must.NoError(t, err)
-			must.Eq(t, c.want, resp.Delimited())
+			must.Eq(t, c.want, resp.Framing())
 			resp.Abort()
 		})
 	}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -43,6 +43,14 @@
 // relayed reports whether a call that failed passed through another instance.
 func (c *call) relayed(err error) bool { return link.Relayed(err) || c.resp != nil && c.resp.Relayed() }
 
+// logFields returns the fields of a log line about the end of a call.
+func (c *call) logFields() []any {
+	if c.resp == nil {
+		return nil
+	}
+	return []any{"framing", string(c.resp.Framing()), "relayed", c.resp.Relayed()}
+}
+
 // open sends the request to one upstream and reads the head of the response. The call is nil unless the result is answered or
 // failed; otherwise it must be ended after the body has been read or aborted.
 func (x *exchange) open(ctx context.Context, choice place.Choice) (*call, result, error) {
@@ -111,14 +119,14 @@
 			resp.Abort()
 		}
 		err := fmt.Errorf("upstream %s declined with status %d", choice.ID, resp.Status)
-		x.logSend(r, choice, err)
+		x.logSend(r, choice, err, c.logFields()...)
 		return r, err
 	case broken:
 		x.counts.Ran++
 		resp.Abort()
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
 		err := fmt.Errorf("upstream %s sent an answer without a signature, status %d", choice.ID, resp.Status)
-		x.logSend(r, choice, err)
+		x.logSend(r, choice, err, c.logFields()...)
 		return r, err
 	}
 	x.counts.Ran++
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -181,7 +181,7 @@
 	if x.streaming && r == answered {
 		c.resp.Abort()
 		err := fmt.Errorf("upstream %s resumed the stream with status %d", choice.ID, c.resp.Status)
-		x.logSend(failed, choice, err)
+		x.logSend(failed, choice, err, c.logFields()...)
 		return failed, err
 	}
 	return x.relayBuffered(ctx, c, r)
@@ -226,7 +226,7 @@
 // recordBroken updates the fleet state after an upstream sent no complete response. If the caller disconnected or the
 // deadline passed, only a long idle time counts against the upstream.
 func (x *exchange) recordBroken(ctx context.Context, c *call, err error) {
-	x.logSend(broken, c.choice, err)
+	x.logSend(broken, c.choice, err, c.logFields()...)
 	now := time.Now()
 	if ctx.Err() != nil {
 		if !x.streaming && now.Sub(c.sentAt) >= minIdleTimeout {
@@ -247,9 +247,12 @@
 }
 
 // logSend logs a send without a usable response.
-func (x *exchange) logSend(r result, choice place.Choice, err error) {
-	x.Log.Info("route: send brought no answer", "id", x.info.ID, "upstream", choice.ID, "result", string(r), "error", errorText(err),
-		"sends", x.counts.Sends, "ran", x.counts.Ran, "left_ms", x.remaining().Milliseconds())
+func (x *exchange) logSend(r result, choice place.Choice, err error, more ...any) {
+	fields := []any{
+		"id", x.info.ID, "upstream", choice.ID, "result", string(r), "error", errorText(err), "sends", x.counts.Sends, "ran", x.counts.Ran,
+		"left_ms", x.remaining().Milliseconds(),
+	}
+	x.Log.Info("route: send brought no answer", append(fields, more...)...)
 }
 
 // relayBuffered reads the whole response before forwarding it, so that a broken one can be retried on another upstream.
@@ -274,7 +277,7 @@
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
-	x.respond(resp.Status, resp.Header, body, answered)
+	x.respond(resp.Status, resp.Header, body, answered, c.logFields()...)
 	return answered, nil
 }
 
@@ -289,7 +292,7 @@
 }
 
 // respond sends a buffered response to the caller.
-func (x *exchange) respond(status int, header http.Header, body []byte, r result) {
+func (x *exchange) respond(status int, header http.Header, body []byte, r result, more ...any) {
 	x.copyHeader(header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
@@ -297,7 +300,7 @@
 		x.logResult("route: response could not be written to the caller", status, "left", "error", err.Error())
 		return
 	}
-	x.logResult("route: answered", status, string(r))
+	x.logResult("route: answered", status, string(r), more...)
 }
 
 // copyHeader copies the headers of an upstream's response that are forwarded to the caller.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
 
 var (
@@ -103,7 +105,7 @@
 		return err
 	case len(rest) > 0:
 		return errUnfinished
-	case first && !c.resp.Delimited():
+	case first && c.resp.Framing() == link.ByConnection:
 		return errNoEvent
 	default:
 		return nil
@@ -148,7 +150,8 @@
 	x.sendHead(time.Now(), c)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
-	x.logResult("route: answered", c.resp.Status, "answered", "first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID)
+	more := []any{"first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID}
+	x.logResult("route: answered", c.resp.Status, "answered", append(more, c.logFields()...)...)
 	return answered, nil
 }
 
