Tests of answers that end with a killed upstream, and of empty resumptions (known red)

An upstream stand-in writes given bytes and ends as a killed process does: its listener and all connections are closed, with FIN.

--- /dev/null
+++ b/internal/app/edge/ended_test.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/platform/fake"
+)
+
+// scriptedEngine replaces the first engine of a site by one that answers as given. The others get no new streams, but take them up.
+func scriptedEngine(t *testing.T, s *fake.Site, r *router, answer fake.Answer) *fake.ScriptedUpstream {
+	t.Helper()
+	u := registerScripted(t, s, s.Engines[0], func(*http.Request) fake.Answer { return answer })
+	eventually(t, "the upstream's address is in force", func() bool { return r.fleet.ServiceAt(u.Address()) != "" })
+	for _, other := range s.Engines[1:] {
+		r.fleet.SetSwitching(other.ID, time.Now().Add(2*time.Second))
+	}
+	return u
+}
+
+// registerScripted replaces an upstream of a site by one that answers with the given function.
+func registerScripted(t *testing.T, s *fake.Site, u *fake.Upstream, answer func(*http.Request) fake.Answer) *fake.ScriptedUpstream {
+	t.Helper()
+	scripted, err := fake.NewScriptedUpstream(answer)
+	must.NoError(t, err)
+	t.Cleanup(scripted.Close)
+	s.RegisterAt(u, scripted.Address())
+	return scripted
+}
+
+var (
+	unboundedHead = fake.SignedHead("HTTP/1.1 200 OK") + "\r\n"
+	chunkedHead   = fake.SignedHead("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+// chunk is one chunk of a body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// An upstream that is killed closes its connections as at the end of an answer without a length: the part of a stream that it had
+// sent was given to the caller as the whole.
+func TestStreamOfKilledUpstreamIsIncomplete(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		path     string
+		bytes    string
+		end      fake.End
+		body     string
+		complete bool
+	}{
+		{"killed, resumable", fake.QuotePath, unboundedHead + events(1, 3), fake.Exit, events(1, 5), true},
+		{"killed, not resumable", fake.BriefPath, unboundedHead + events(1, 3), fake.Exit, events(1, 3), false},
+		{"killed after the last event, resumable", fake.QuotePath, unboundedHead + events(1, 5), fake.Exit, events(1, 5), true},
+		{"reset, resumable", fake.QuotePath, unboundedHead + events(1, 3), fake.ResetConn, events(1, 5), true},
+		{"reset, not resumable", fake.BriefPath, unboundedHead + events(1, 3), fake.ResetConn, events(1, 3), false},
+		{"ended by the upstream", fake.BriefPath, unboundedHead + events(1, 5), fake.CloseConn, events(1, 5), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := startSite(t, 2, 1)
+			scriptedEngine(t, s, r, fake.Answer{Bytes: c.bytes, End: c.end})
+			reply := r.send(t, newPromptCall(c.path+"1"))
+			must.Eq(t, http.StatusOK, reply.Status)
+			must.Eq(t, c.body, reply.Body)
+			must.Eq(t, c.complete, reply.Complete)
+		})
+	}
+}
+
+// The same with answers that are read to their end before they are forwarded.
+func TestResponseOfKilledUpstreamIsNotForwarded(t *testing.T) {
+	const whole = "the whole answer"
+	for _, c := range []struct {
+		name   string
+		path   string
+		bytes  string
+		end    fake.End
+		status int
+		body   string
+	}{
+		{"killed, repeatable", fake.LookPath, unboundedHead + whole[:7], fake.Exit, http.StatusOK, "GET "},
+		{"killed, not repeatable", fake.BookPath, unboundedHead + whole[:7], fake.Exit, http.StatusBadGateway, ""},
+		{"reset, not repeatable", fake.BookPath, unboundedHead + whole[:7], fake.ResetConn, http.StatusBadGateway, ""},
+		{"ended by the upstream", fake.BookPath, unboundedHead + whole, fake.CloseConn, http.StatusOK, whole},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := startSite(t, 1, 2)
+			scripted := registerScripted(t, s, s.Jobs[0], func(*http.Request) fake.Answer { return fake.Answer{Bytes: c.bytes, End: c.end} })
+			s.Jobs[1].SetFaults(fake.Faults{Shed: c.path == fake.BookPath})
+			eventually(t, "the request reaches the upstream", func() bool {
+				method := http.MethodGet
+				if c.path == fake.BookPath {
+					method = http.MethodPost
+				}
+				reply := r.send(t, newCall(method, c.path+"1"))
+				if len(scripted.Requests()) == 0 {
+					return false
+				}
+				must.Eq(t, c.status, reply.Status, must.Sprint(reply.Body))
+				if c.body != "" {
+					must.Eq(t, c.body, reply.Body)
+				}
+				return true
+			})
+		})
+	}
+}
+
+// A stream that broke off within an event was taken up at an upstream that sent no event, and ended as if it were complete.
+func TestResumptionWithoutTheUnfinishedEventIsIncomplete(t *testing.T) {
+	const half = "id: 3\ndata: tok"
+	for _, c := range []struct {
+		name string
+		// second is the answer of the upstream that takes up the stream.
+		second   fake.Answer
+		body     string
+		complete bool
+	}{
+		{"no event", fake.Answer{Bytes: chunkedHead + "0\r\n\r\n"}, events(1, 2), false},
+		{"the events before", fake.Answer{Bytes: chunkedHead + chunk(events(1, 2)) + "0\r\n\r\n"}, events(1, 2), false},
+		{"the other events", fake.Answer{Bytes: chunkedHead + chunk(events(3, 5)) + "0\r\n\r\n"}, events(1, 5), true},
+		{"an error", fake.Answer{Bytes: fake.SignedHead("HTTP/1.1 500 Internal Server Error") + "Content-Length: 5\r\n\r\nerror"}, events(1, 2), false},
+		{"half of a head", fake.Answer{Bytes: "HTTP/1.1 200 OK\r\nX-Ser", End: fake.CloseConn}, events(1, 2), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := startSite(t, 2, 1)
+			registerScripted(t, s, s.Engines[1], func(*http.Request) fake.Answer { return c.second })
+			scriptedEngine(t, s, r, fake.Answer{Bytes: chunkedHead + chunk(events(1, 2)+half), End: fake.CloseConn})
+			reply := r.send(t, newPromptCall(fake.QuotePath+"1"))
+			must.Eq(t, c.body, reply.Body)
+			must.Eq(t, c.complete, reply.Complete)
+		})
+	}
+}
