Take the end of a connection for that of an answer only if the upstream still runs

Callers saw: streams that end as complete after a part of their events, and half of a booking's or look-up's answer with status 200, the upstream's signature and its own length.

Cause: an answer may have neither a length nor chunks and end with its connection. The kernel closes the connections of a process that is killed in the same way, if nothing is unread there. The end was taken for the upstream's word that the answer is whole.

Change: after such an end the router connects to the upstream, if need be through another instance. An upstream that accepts has not been killed; its connection is kept for the next request, which would have made one. Otherwise the answer counts as broken off: a resumable stream goes on elsewhere, another one ends incomplete; a repeatable request is sent again, another one fails with 502.

An upstream that ends right after a whole answer is not told from one that was killed within it.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -343,10 +343,8 @@
 		}
 		p.discard(c)
 	}
-	if limit := p.limit(r.Address); limit > 0 && !p.reserve(r.Address, limit) {
+	if !p.reserve(r.Address, p.limit(r.Address)) {
 		return nil, false, ErrConnLimit
-	} else if limit <= 0 {
-		p.reserve(r.Address, 1<<30)
 	}
 	raw, err := p.dialer.Dial(ctx, detour.Target{ID: r.Upstream, Address: r.Address}, dialTimeout)
 	if err != nil {
@@ -354,10 +352,15 @@
 		return nil, false, err
 	}
 	p.onOpen()
+	return newConn(raw, r.Address), false, nil
+}
+
+// newConn returns a connection that has not carried a request.
+func newConn(raw net.Conn, address string) *conn {
 	watch := &idleWatch{Conn: raw}
 	head := &headLimiter{Conn: watch, remaining: unlimited}
 	_, relayed := raw.(*detour.Conn)
-	return &conn{Conn: raw, relayed: relayed, watch: watch, head: head, address: r.Address, reader: bufio.NewReaderSize(head, readBufferBytes)}, false, nil
+	return &conn{Conn: raw, relayed: relayed, watch: watch, head: head, address: address, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
 
 // popIdle returns the most recently used connection, or nil.
@@ -412,10 +415,11 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// reserve counts one more connection, or returns false if that would exceed the limit. Zero means no limit.
 func (p *Pool) reserve(address string, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open[address] >= limit {
+	if limit > 0 && p.open[address] >= limit {
 		return false
 	}
 	p.open[address]++
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -260,7 +260,11 @@
 	choice, resp := c.choice, c.resp
 	buffer := x.Memory.Buffer(maxBufferedBytes)
 	defer buffer.Release()
-	if _, err := buffer.ReadFrom(resp.Body); err != nil {
+	_, err := buffer.ReadFrom(resp.Body)
+	if err == nil {
+		err = x.checkEnd(ctx, c)
+	}
+	if err != nil {
 		resp.Abort()
 		x.recordBroken(ctx, c, err)
 		return broken, err
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -54,6 +54,9 @@
 		other.stop()
 		if err != nil {
 			if err = c.streamError(err, rest, first); err == nil {
+				err = x.checkEnd(ctx, c)
+			}
+			if err == nil {
 				if !first {
 					x.recordSurvival(time.Now())
 				}
