End no stream as complete without an event that an upstream had begun

Callers saw: a stream that broke off within an event ended as if it were complete, without that event.

Cause: a resumption that brings no event counts as the end of the stream, whatever was left of the stream that broke off. Nothing left is right if that one broke off after its last event; a part of an event proves that there is more.

Change: the router remembers that an event was begun until a new event has been forwarded. A stream that ends before that is broken off.

--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +17,8 @@
 	errUnfinished = errors.New("the stream ended within an event")
 	// errNoEvent is returned when a connection that would also end a complete stream ends before the first event.
 	errNoEvent = errors.New("the connection ended before the first event")
+	// errEventMissing is returned when a stream that broke off within an event goes on without this event.
+	errEventMissing = errors.New("the stream ended without an event that another upstream had begun")
 )
 
 // relayStream forwards the events of a call, and of those that replace it while its upstream is silent. If the last stream ends
@@ -47,13 +50,17 @@
 	first := true
 	for {
 		ev, rest, err := c.next()
+		x.eventBegun = x.eventBegun || err != nil && len(bytes.TrimSpace(rest)) > 0
 		if other.replacement != nil {
 			c.resp.Abort()
 			return other.replacement, broken, nil
 		}
 		other.stop()
 		if err != nil {
-			if err = c.streamError(err, rest, first); err == nil {
+			if err = c.streamError(err, rest, first); err == nil && x.eventBegun {
+				err = errEventMissing
+			}
+			if err == nil {
 				err = x.checkEnd(ctx, c)
 			}
 			if err == nil {
@@ -85,6 +92,7 @@
 			c.resp.Abort()
 			x.abortDisconnected()
 		}
+		x.eventBegun = false
 		if ev.id != "" {
 			x.lastEventID = ev.id
 		}
