Take no stream up behind events that the caller has not got

Callers saw: a resumed stream that went on at a later event than the next one, with nothing that shows that events are missing.

Cause: events of a resumption were judged by whether the caller has them already, not by whether they follow.

Evidence: TestResumptionThatSkipsEventsIsIncomplete failed before: events 1, 2, 4, 5, complete.

Change: the first new event of a resumption that leaves out ids breaks it off, and what is left of the attempts decides as for other breaks.

--- a/internal/app/edge/ended_test.go
+++ b/internal/app/edge/ended_test.go
@@ -134,3 +134,15 @@
 		})
 	}
 }
+
+// A stream was taken up at an upstream that went on behind the next event: the caller missed events without a sign.
+func TestResumptionThatSkipsEventsIsIncomplete(t *testing.T) {
+	s, r := startSite(t, 2, 1)
+	registerScripted(t, s, s.Engines[1], func(*http.Request) fake.Answer {
+		return fake.Answer{Bytes: chunkedHead + chunk(events(4, 5)) + "0\r\n\r\n"}
+	})
+	scriptedEngine(t, s, r, fake.Answer{Bytes: chunkedHead + chunk(events(1, 2)), End: fake.ResetConn})
+	reply := r.send(t, newPromptCall(fake.QuotePath+"1"))
+	must.Eq(t, events(1, 2), reply.Body)
+	must.False(t, reply.Complete)
+}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -136,6 +136,8 @@
 	build *string
 	// lastEventID is the id of the last event that was forwarded to the caller.
 	lastEventID string
+	// numbering describes the ids of the events that were forwarded.
+	numbering numbering
 	// eventBegun reports whether an upstream has sent a part of the event after lastEventID, but not all of it.
 	eventBegun bool
 	// streaming reports whether the head of a streamed response has been sent to the caller.
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -17,6 +17,8 @@
 	errUnfinished = errors.New("the stream ended within an event")
 	// errNoEvent is returned when a connection that would also end a complete stream ends before the first event.
 	errNoEvent = errors.New("the connection ended before the first event")
+	// errEventsSkipped is returned when an upstream that resumes a stream does not go on with the next event.
+	errEventsSkipped = errors.New("the upstream skipped events when it resumed the stream")
 	// errEventMissing is returned when a stream that broke off within an event goes on without this event.
 	errEventMissing = errors.New("the stream ended without an event that another upstream had begun")
 )
@@ -47,6 +49,8 @@
 	if other.timeout > 0 {
 		c.resp.WatchIdle(ctx, other.timeout, other.onIdle)
 	}
+	// goingOn reports whether the next new event is the first one after those of another call.
+	goingOn := x.lastEventID != ""
 	first := true
 	for {
 		ev, rest, err := c.next()
@@ -88,6 +92,12 @@
 		if !x.isNewEvent(ev.id) {
 			continue
 		}
+		if goingOn && x.numbering.skips(ev.id) {
+			c.resp.Abort()
+			x.recordBroken(ctx, c, errEventsSkipped)
+			return nil, broken, errEventsSkipped
+		}
+		goingOn = false
 		if !x.writeEvent(ev.raw) {
 			c.resp.Abort()
 			x.abortDisconnected()
@@ -95,6 +105,7 @@
 		x.eventBegun = false
 		if ev.id != "" {
 			x.lastEventID = ev.id
+			x.numbering.add(ev.id)
 		}
 	}
 }
