Callers of HTTP/1.0 see that a response was broken off

What callers saw: a caller of HTTP/1.0 gets streams, and answers that are forwarded as they arrive, without chunks and without a length. When the upstream broke off, or this process was killed, the connection ended with FIN, as it does after a whole response: status 200 with 2 of 5 events, with nothing that shows that the rest is missing. Both skylarkedge and skylarkquay.

Cause: net/http aborts a handler's response by closing the connection, which tells the end of an incomplete chunked body or one with a length, but is the only mark of the end where there is neither.

Change: the caller's connection is set to be reset on close before the handler runs, and this is taken back in Close, after the server has sent what the handler wrote, only if the handler returned. An aborted handler panics, so its connection is reset; the kernel resets that of a killed process. Done for requests of HTTP/1.0 only. A kept connection of HTTP/1.0 is reset too if the process is killed while it is idle. resetOnClose moves from package detour to package socket.

Evidence: before, TestStreamToCallerOfHTTP10/cut (skylarkedge) and TestAnswerToCallerOfHTTP10/cut (skylarkquay) failed with "expected non-nil error; got nil"; both pass now, as do the cases of complete answers. Test of the test: without the reset, TestResponsesWithoutLength/abort, TestResponseOfKilledProcessIsReset (kills a process) and TestKeptConnection fail; if it is not taken back, the whole responses of TestResponsesWithoutLength fail.

--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/admin"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
+	"github.com/skylarkquay/skylarkquay/internal/front/whole"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 )
 
@@ -26,7 +27,7 @@
 		MaxHeaderBytes:    s.HeaderBytes + headerSlackBytes,
 	}
 	return []server{
-		{"callers", callers, r.listeners.callers},
+		{"callers", callers, whole.Listener(callers, r.listeners.callers)},
 		{"peers", &http.Server{Handler: r.peerRoutes(), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout}, r.listeners.peers},
 		{"admin", &http.Server{Handler: r.adminRoutes(), ReadHeaderTimeout: s.HeaderTimeout}, r.listeners.admin},
 	}
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/front/serve"
+	"github.com/skylarkquay/skylarkquay/internal/front/whole"
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
@@ -225,9 +227,11 @@
 	}
 	front := servers[0]
 	front.ConnState = e.countConn
+	listeners := slices.Clone(e.listeners)
+	listeners[0] = whole.Listener(front, listeners[0])
 	for i, s := range servers {
 		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
-		go func() { serveErrs <- s.Serve(e.listeners[i]) }()
+		go func() { serveErrs <- s.Serve(listeners[i]) }()
 	}
 	var err error
 	select {
--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -34,3 +34,17 @@
 	}
 	return UserTimeout(unacked)("", "", raw)
 }
+
+// ResetOnClose sets whether the close of a connection resets it, which includes the close by the kernel when the process ends.
+// Connections that are not TCP are left as they are.
+func ResetOnClose(c net.Conn, reset bool) error {
+	tcp, ok := c.(*net.TCPConn)
+	switch {
+	case !ok:
+		return nil
+	case reset:
+		return tcp.SetLinger(0)
+	default:
+		return tcp.SetLinger(-1)
+	}
+}
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -68,7 +68,7 @@
 	defer func() { _ = caller.Close() }()
 	until := time.Now().Add(relayTime(query.Get("left")))
 	framed := query.Get(framedName) != ""
-	err = errors.Join(caller.SetDeadline(until), upstream.SetDeadline(until), socket.SetUserTimeout(caller, unackedTimeout), resetOnClose(caller, true))
+	err = errors.Join(caller.SetDeadline(until), upstream.SetDeadline(until), socket.SetUserTimeout(caller, unackedTimeout), socket.ResetOnClose(caller, true))
 	if err == nil {
 		_, err = io.WriteString(caller, responseHead(framed))
 	}
@@ -117,7 +117,7 @@
 	fromUpstream := io.TeeReader(upstream, &headObserver{relay: r, target: t, connected: time.Now()})
 	if err := copyResponse(caller, fromUpstream, framed); err == nil {
 		// If it fails, the close resets the connection.
-		_ = resetOnClose(caller, false)
+		_ = socket.ResetOnClose(caller, false)
 	}
 	_ = caller.Close()
 	<-ended
@@ -141,19 +141,6 @@
 	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, relayBufferBytes))
 }
 
-// resetOnClose sets whether the close of a connection resets it, which includes the close by the kernel when the process ends.
-func resetOnClose(c net.Conn, reset bool) error {
-	tcp, ok := c.(*net.TCPConn)
-	switch {
-	case !ok:
-		return nil
-	case reset:
-		return tcp.SetLinger(0)
-	default:
-		return tcp.SetLinger(-1)
-	}
-}
-
 // headObserver parses the head of a response that passes by.
 type headObserver struct {
 	relay  *Relay
