table: an empty answer is no absent row and no completed write

What callers would see: the table service's answer without a length, cut before its body, counted as whole. A read returned "no row", a list no rows, and a write or transaction success, although nothing may have been written. So a router could take a claim as recorded, and confirm its routing document as the latest one (ledger.Head is 0).

Cause: the AWS client takes the end of input before the first byte as an answer without fields. A body cut anywhere else is no JSON and was an error before.

Change: a successful answer must have a body. Each answer of the service has at least {}.

Evidence: TestCutAnswersAreErrors cuts the answer to each call after each byte. Before, all five calls failed it with "expected non-nil error; got nil ... cut after 0 bytes", at no other length. Passes now; whole answers still succeed.

--- a/internal/plat/table/dynamo.go
+++ b/internal/plat/table/dynamo.go
@@ -58,9 +58,9 @@
 		Region:       s.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(s.AccessKey, s.SecretKey, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient: &http.Client{Transport: bound.Transport(&http.Transport{
+		HTTPClient: &http.Client{Transport: nonEmpty{bound.Transport(&http.Transport{
 			MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
-		}, maxResponseBytes)},
+		}, maxResponseBytes)}},
 	})
 	return &Dynamo{client: client, name: s.Name, timeout: s.Timeout, Observe: func(string) {}}
 }
