relay: a body that ended because its upstream was killed is not whole

What callers of skylarkquay saw: a plain service answers without a length or chunks and is killed half way. The caller got status 200 and half of the body with a proper end; a call that must run once had half of its answer stored and replayed as the whole one. An answer whose connection ended right after the head became an empty whole one.

Cause: the kernel closes the connections of a killed process with FIN, which is also how an upstream ends such a body.

Change: below all users of the pool, a body without a length or chunks ends with io.EOF only if it is not empty and the upstream accepts a connection within 250 ms afterwards. A killed process' listener is closed with its connections. Forwarded calls are then aborted, calls that run once end with outcome_unknown, prompts without stream are tried on another engine. Not told apart: an upstream that is started again at its address within the time of the check, or whose listener another process shares.

Evidence: before, TestResponsesThatEndWithTheirConnection failed for "killed", "empty" and "HTTP/1.0, killed" (pooled and once), and TestCutAnswerOfService in all four cases ("expected non-nil error; got nil" for forwarded calls, status 200 for bookings, 504 wanted). Pass now, with whole bodies, lengths, chunks, 204, 304 and HEAD unchanged. Test of the test: without the rule for empty bodies, "empty" fails.

--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -84,14 +84,23 @@
 
 // Do sends a request over a pooled connection. It follows no redirect.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) {
-	return p.transport(req.URL.Host).RoundTrip(req)
+	return p.send(p.transport(req.URL.Host), req)
 }
 
 // DoOnce sends a request over a new connection, so that the transport does not retry it and it is not lost on a broken
 // idle connection.
 func (p *Pool) DoOnce(req *http.Request) (*http.Response, error) {
 	req.GetBody = nil
-	return p.unpooled.RoundTrip(req)
+	return p.send(p.unpooled, req)
+}
+
+// send sends a request. The body of the response ends with io.EOF only if the upstream is known to have ended it.
+func (p *Pool) send(t *http.Transport, req *http.Request) (*http.Response, error) {
+	res, err := t.RoundTrip(req)
+	if err == nil && endsWithConnection(req, res) {
+		res.Body = &closedBody{ReadCloser: res.Body, ctx: req.Context(), address: req.URL.Host, dial: p.dial}
+	}
+	return res, err
 }
 
 // CloseIdle closes the idle connections to an address, after one of its connections has stopped responding.
--- a/internal/trial/site/whole_test.go
+++ b/internal/trial/site/whole_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -16,10 +18,16 @@
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
-// startScriptedService starts a site whose only plain service gives an answer to each call.
+// startScriptedService starts a site whose only plain service gives an answer to each call from now on.
 func startScriptedService(t *testing.T, answer fake.Answer) *Site {
 	t.Helper()
-	u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer { return answer })
+	var started atomic.Bool
+	u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+		if started.Load() {
+			return answer
+		}
+		return fake.Answer{Bytes: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", End: fake.KeepOpen}
+	})
 	must.NoError(t, err)
 	t.Cleanup(u.Close)
 	s := startSite(t, Options{Routers: 1, Engines: 1, Services: 1})
@@ -31,6 +39,7 @@
 		}
 		return len(u.Requests()) > 0
 	})))
+	started.Store(true)
 	return s
 }
 
@@ -63,3 +72,32 @@
 		})
 	}
 }
+
+// Answers without a length of a service that was killed, or whose answer was empty, counted as whole.
+func TestCutAnswerOfService(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	for name, answer := range map[string]fake.Answer{
+		"killed": {Bytes: head + "half", End: fake.Exit},
+		"empty":  {Bytes: head, End: fake.CloseConn},
+	} {
+		t.Run("idempotent, "+name, func(t *testing.T) {
+			s := startScriptedService(t, answer)
+			res, err := http.Get(s.Routers[0].URL() + "/catalogue")
+			if err == nil {
+				defer func() { _ = res.Body.Close() }()
+				_, err = io.ReadAll(res.Body)
+			}
+			must.Error(t, err)
+		})
+		t.Run("once, "+name, func(t *testing.T) {
+			s := startScriptedService(t, answer)
+			for range 2 {
+				res := post(t, s.Routers[0], s.Keys["acme"], "/bookings", bookingBody(1), idempotencyHeader("k"))
+				must.Eq(t, http.StatusGatewayTimeout, res.StatusCode)
+				text, err := io.ReadAll(res.Body)
+				must.NoError(t, err)
+				must.False(t, strings.Contains(string(text), "half"))
+			}
+		})
+	}
+}
