chat: a resumed stream that is shorter than what the caller has is not complete

What callers saw: an engine breaks off after event 5; the next one sends its answer from the first event, which has 3 events, and [DONE]. The caller got events 1 to 5 of the first answer and [DONE], as if one engine had given it.

Cause: events up to the last one that was sent are skipped by their ID, and the end mark was taken whatever had been skipped.

Change: [DONE] carries the ID of the event before it. If that is less than the number of events sent, the attempt has failed. An engine that sends only [DONE], because all events were skipped, still completes the stream.

Evidence: before, TestStreamsThatBreakOff/the_next_engine's_answer_is_shorter failed with "1 2 3 4 5 [DONE]", "1 2 3 4 5" and an error wanted. The other cases of the test, with the rest elsewhere, from the first event, missing, or begun later, passed before and after.

--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -18,6 +18,9 @@
 // errMissingEvent is returned when an event ID is skipped.
 var errMissingEvent = errors.New("an event is missing from the engine's stream")
 
+// errShorter is returned for a stream that is complete with fewer events than the caller has.
+var errShorter = errors.New("the engine's answer is shorter than what the caller has")
+
 // errCallerWrite is returned when a write to the caller fails.
 var errCallerWrite = errors.New("the caller does not read")
 
@@ -127,6 +130,9 @@
 // receive implements output. It skips events that were already sent.
 func (o *eventWriter) receive(e relay.Event) (bool, error) {
 	if e.Done() {
+		if e.ID != 0 && e.ID < o.sent {
+			return false, errShorter
+		}
 		return true, o.writeDone()
 	}
 	if e.ID != 0 && e.ID <= o.sent {
--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -21,7 +21,8 @@
 
 // Event is one server-sent event of an engine.
 type Event struct {
-	// ID is the event's number in the stream, from 1, or 0 when the engine sends none.
+	// ID is the event's number in the stream, from 1, or 0 when the engine sends none. That of the [DONE] event is the number of the
+	// last event before it.
 	ID   int64
 	Data []byte
 }
@@ -34,6 +35,8 @@
 // EventReader reads server-sent events.
 type EventReader struct {
 	scanner *bufio.Scanner
+	// lastID is the ID of the event that was read last.
+	lastID int64
 }
 
 // NewEventReader returns a reader of the events in r.
@@ -54,6 +57,10 @@
 				continue
 			}
 			event.Data = data
+			if event.Done() {
+				event.ID = e.lastID
+			}
+			e.lastID = event.ID
 			return event, nil
 		}
 		field, value, _ := bytes.Cut(line, []byte(":"))
