--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -10,6 +10,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
 
 // crashSuspectTime is the time from the head of a response in which its request may be the cause of a crash. A request whose
@@ -44,6 +45,10 @@
 		return
 	}
 	finding := x.Pool.Examine(ctx, detour.Target{ID: c.choice.ID, Address: c.choice.Address})
+	// An upstream that runs and writes bytes that are no answer has not crashed.
+	if finding != detour.Ended && errors.Is(err, link.ErrMalformed) {
+		return
+	}
 	// A relayed connection to an upstream that runs may have broken off at the other instance.
 	if finding == detour.PathBroken || finding == detour.Reachable && c.relayed(err) {
 		return
