An event whose id is missing or does not rise after events with ids breaks the stream

Callers of a stream with events 1 to 3 and then "event: error" without an id got that text as an event between tokens; with event 3 once more, the stream counted as sound and complete. After a take-up at event 3, an upstream that wrote events without ids had all of them forwarded.

Cause: the id decided only whether an event was passed over, and none at all meant new.

Change: eventOrder. Within the answer of one upstream, ids rise, though not by one; events without an id come only before the first one with an id; two ids in one event are no event. A stream that was taken up after an id needs ids. Repeated events after a take-up are passed over as before. Comments and retry delays need no id. Ids that are no numbers only have to differ.

--- a/internal/app/edge/late_test.go
+++ b/internal/app/edge/late_test.go
@@ -175,3 +175,38 @@
 		must.Eq(t, http.StatusBadGateway, r.send(t, c).Status, must.Sprint(i))
 	}
 }
+
+// Events without an id, or with one that is not higher than that of the event before, were forwarded or passed over as if the stream
+// were sound.
+func TestEventOutOfOrderBreaksTheStream(t *testing.T) {
+	for name, answer := range framings {
+		for _, text := range []string{"event: error\ndata: out of memory\n\n", "id: 3\ndata: token 3\n\n"} {
+			t.Run(fmt.Sprintf("%s, %q", name, text), func(t *testing.T) {
+				t.Parallel()
+				checkBrokenAfter(t, answer(events(1, 3)+text+events(4, 5)), 3)
+			})
+		}
+	}
+}
+
+// Events without an id that came from the upstream that took up a stream were forwarded.
+func TestEventWithoutIDAfterTakeUpIsNoEvent(t *testing.T) {
+	s := &script{first: fake.Answer{Bytes: openHead + events(1, 3) + "id: 4\nda", End: fake.CloseConn}}
+	site := newSite(t, 2, 1)
+	for _, u := range site.Engines {
+		scripted, err := fake.NewScriptedUpstream(func(r *http.Request) fake.Answer {
+			if r.Header.Get("Last-Event-Id") != "" {
+				return fake.Answer{Bytes: withLength("data: token 4\n\ndata: token 5\n\n")}
+			}
+			return s.answer(r)
+		})
+		must.NoError(t, err)
+		t.Cleanup(scripted.Close)
+		site.RegisterAt(u, scripted.Address())
+	}
+	r := startRouter(t, testSettings(t, site))
+	eventually(t, "ready", r.isReady)
+	reply := r.send(t, newPromptCall(fake.QuotePath+"1"))
+	must.Eq(t, events(1, 3), reply.Body)
+	must.False(t, reply.Complete)
+}
--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -17,6 +17,9 @@
 // errNoField is returned for a line of a stream that is neither blank nor a comment nor a field, and so belongs to no event.
 var errNoField = fmt.Errorf("%w: the stream has a line that belongs to no event", link.ErrMalformed)
 
+// errEventOrder is returned for an event whose id does not follow that of the event before, or is missing after events with ids.
+var errEventOrder = fmt.Errorf("%w: an event of the stream is out of order", link.ErrMalformed)
+
 // event is one event of a stream.
 type event struct {
 	// raw is the event's bytes on the wire, including the terminating blank line. It is valid until the next event is read.
@@ -29,6 +32,7 @@
 type eventReader struct {
 	reader *bufio.Reader
 	raw    *bound.Buffer
+	order  eventOrder
 }
 
 // newEventReader returns a reader of the events in r. It must be released after its last use.
@@ -36,6 +40,13 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), raw: memory.Buffer(maxEventBytes)}
 }
 
+// readEvents returns a reader of the events of a call.
+func (x *exchange) readEvents(c *call) *eventReader {
+	e := newEventReader(c.resp.Body, x.Memory)
+	e.order.resumed = x.lastEventID
+	return e
+}
+
 func (e *eventReader) release() { e.raw.Release() }
 
 // next returns the next event. At EOF it returns io.EOF, with the bytes after the last event in rest. After any error the stream
@@ -59,7 +70,7 @@
 		}
 		line := bytes.TrimRight(raw[lineStart:], "\r\n")
 		if hasText && len(line) == 0 {
-			return event{raw: raw, id: eventID(raw)}, nil, nil
+			return e.check(raw)
 		}
 		if !isEventLine(line) {
 			return event{}, nil, errNoField
@@ -69,6 +80,19 @@
 	}
 }
 
+// check returns the event with these bytes if it may follow the events before it.
+func (e *eventReader) check(raw []byte) (ev event, rest []byte, err error) {
+	ids, isEvent := eventIDs(raw)
+	if isEvent && !e.order.follow(ids) {
+		return event{}, nil, errEventOrder
+	}
+	ev = event{raw: raw}
+	if len(ids) > 0 {
+		ev.id = ids[0]
+	}
+	return ev, nil, nil
+}
+
 // isEventLine reports whether a line, without its end, may stand in a stream.
 func isEventLine(line []byte) bool {
 	if len(line) == 0 || line[0] == ':' || string(line) == "data" {
@@ -78,12 +102,19 @@
 	return ok
 }
 
-func eventID(raw []byte) string {
+// eventIDs returns the values of the id lines. isEvent reports whether there are lines other than comments and retry delays, which
+// need no id.
+func eventIDs(raw []byte) (ids []string, isEvent bool) {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
-		if string(name) == "id" {
-			return string(bytes.TrimPrefix(value, []byte(" ")))
+		switch string(name) {
+		case "", "retry":
+		case "id":
+			ids = append(ids, string(bytes.TrimPrefix(value, []byte(" "))))
+			isEvent = true
+		default:
+			isEvent = true
 		}
 	}
-	return ""
+	return ids, isEvent
 }
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -159,7 +159,7 @@
 	if !c.isStream(r, x.route) {
 		return false
 	}
-	c.events = newEventReader(c.resp.Body, x.Memory)
+	c.events = x.readEvents(c)
 	ev, rest, err := c.events.next()
 	if err == nil {
 		c.first = &ev
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -34,7 +34,7 @@
 // relayEvents forwards complete events of one call as they arrive. It returns the call that replaces it, if any.
 func (x *exchange) relayEvents(ctx context.Context, c *call) (*call, result, error) {
 	if c.events == nil {
-		c.events = newEventReader(c.resp.Body, x.Memory)
+		c.events = x.readEvents(c)
 	}
 	defer c.events.release()
 	other := &standby{x: x, ctx: ctx, silent: c, timeout: x.idleTimeout()}
