A body without a length that holds the head of another response is not given out

An upstream that answers a booking or look-up without a length or chunks and then once more, late, on the same connection: callers got 200, signed, with "whole", the second head and its body, and the length of all that. The same held for a second answer to another request, an error, an interim response and a head that is cut.

Cause: such a body is all that comes before the connection closes; nothing looked at it.

Change: link.BodyHoldsHead searches bodies without a length or chunks, and only those, for a status line, also behind other text, with header lines that carry a request ID or a signature. At the end of a body it also takes a cut head (status line with CRLF and nothing but header lines after it) and the head of an interim response, which has no such lines. The call counts as broken: what may be repeated is sent again, anything else is answered with 502. A body that only names the protocol, or quotes a head of other origin, is forwarded as before (TestBodiesOfAllFormsAreForwarded). Not found: a second status line that is cut before its CRLF, and a second response without ID and signature that is whole; bytes like these may be those of a sound body.

The search reads each line once.

--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -263,6 +263,11 @@
 		return broken, err
 	}
 	body := buffer.Bytes()
+	if err := x.checkBody(resp, body); err != nil {
+		resp.Abort()
+		x.recordBroken(ctx, c, err)
+		return broken, err
+	}
 	resp.Done(time.Now())
 	if r == failed {
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
