An event that holds the head of another response breaks the stream

An upstream that stops within an event and writes a second answer on the same connection: callers of a stream without a length got "data: tokHTTP/1.1 200 OK" with the header lines as event 4, and the second answer's event 5 after it.

Cause: behind "data:" any text may stand, and header lines have the form of fields, so that the grammar of events accepts them.

Change: events of bodies without a length or chunks are searched for a head as whole bodies are (link.HoldsHead). Text that quotes heads of other origin is forwarded. Not found: a head without ID and signature within an event's data line.

Test of the test: before the change that test fails.

--- a/internal/app/edge/late_test.go
+++ b/internal/app/edge/late_test.go
@@ -210,3 +210,18 @@
 	must.Eq(t, events(1, 3), reply.Body)
 	must.False(t, reply.Complete)
 }
+
+// The head of a response within an event that its upstream had not finished was forwarded as a part of the event.
+func TestLateResponseWithinAnEventIsNoEvent(t *testing.T) {
+	for name, late := range map[string]string{
+		"within an event":                   "id: 4\ndata: tok" + openHead + events(4, 5),
+		"within an event, after a line":     "id: 4\n" + openHead + events(4, 5),
+		"error within an event":             "id: 4\ndata: tok" + fake.SignedHead("HTTP/1.1 500 Internal Server Error") + "\r\n",
+		"after the beginning of a new line": "id: 4\ndata: tok\nda" + openHead + events(4, 5),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkBrokenAfter(t, openHead+events(1, 3)+late, 3)
+		})
+	}
+}
--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
@@ -33,6 +34,8 @@
 	reader *bufio.Reader
 	raw    *bound.Buffer
 	order  eventOrder
+	// isAnswer reports whether header lines are those of a response; nil if the body shows where it ends.
+	isAnswer func(http.Header) bool
 }
 
 // newEventReader returns a reader of the events in r. It must be released after its last use.
@@ -44,6 +47,9 @@
 func (x *exchange) readEvents(c *call) *eventReader {
 	e := newEventReader(c.resp.Body, x.Memory)
 	e.order.resumed = x.lastEventID
+	if !c.resp.Delimited() {
+		e.isAnswer = x.isAnswer
+	}
 	return e
 }
 
@@ -82,6 +88,9 @@
 
 // check returns the event with these bytes if it may follow the events before it.
 func (e *eventReader) check(raw []byte) (ev event, rest []byte, err error) {
+	if e.isAnswer != nil && link.HoldsHead(raw, e.isAnswer) {
+		return event{}, nil, errLateResponse
+	}
 	ids, isEvent := eventIDs(raw)
 	if isEvent && !e.order.follow(ids) {
 		return event{}, nil, errEventOrder
