--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -4,14 +4,23 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
 
 // maxEventBytes limits the size of one event.
 const maxEventBytes = 1 << 20
 
+// errNoField is returned for a line of a stream that is neither blank nor a comment nor a field, and so belongs to no event.
+var errNoField = fmt.Errorf("%w: the stream has a line that belongs to no event", link.ErrMalformed)
+
+// errEventOrder is returned for an event whose id does not follow that of the event before, or is missing after events with ids.
+var errEventOrder = fmt.Errorf("%w: an event of the stream is out of order", link.ErrMalformed)
+
 // event is one event of a stream.
 type event struct {
 	// raw is the event's bytes on the wire, including the terminating blank line. It is valid until the next event is read.
@@ -20,10 +29,13 @@
 	id string
 }
 
-// eventReader reads complete events, so that a partial one is never forwarded.
+// eventReader reads complete events, so that a partial one, or text that is none, is never forwarded.
 type eventReader struct {
 	reader *bufio.Reader
 	raw    *bound.Buffer
+	order  eventOrder
+	// isAnswer reports whether header lines are those of a response; nil if the body shows where it ends.
+	isAnswer func(http.Header) bool
 }
 
 // newEventReader returns a reader of the events in r. It must be released after its last use.
@@ -31,13 +43,24 @@
 	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10), raw: memory.Buffer(maxEventBytes)}
 }
 
+// readEvents returns a reader of the events of a call.
+func (x *exchange) readEvents(c *call) *eventReader {
+	e := newEventReader(c.resp.Body, x.Memory)
+	e.order.resumed = x.lastEventID
+	if !c.resp.Delimited() {
+		e.isAnswer = x.isAnswer
+	}
+	return e
+}
+
 func (e *eventReader) release() { e.raw.Release() }
 
-// next returns the next event. At EOF it returns io.EOF, with the bytes after the last event in rest.
+// next returns the next event. At EOF it returns io.EOF, with the bytes after the last event in rest. After any error the stream
+// cannot be read any further.
 func (e *eventReader) next() (ev event, rest []byte, err error) {
 	e.raw.Reset()
 	lineStart := 0
-	// hasText reports whether a line before the current one is more than white space.
+	// hasText reports whether a line before the current one is not blank.
 	hasText := false
 	for {
 		piece, err := e.reader.ReadSlice('\n')
@@ -51,21 +74,56 @@
 		if err != nil {
 			return event{}, raw, err
 		}
-		line := raw[lineStart:]
-		if hasText && len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event{raw: raw, id: eventID(raw)}, nil, nil
+		line := bytes.TrimRight(raw[lineStart:], "\r\n")
+		if hasText && len(line) == 0 {
+			return e.check(raw)
+		}
+		if !isEventLine(line) {
+			return event{}, nil, errNoField
 		}
-		hasText = hasText || len(bytes.TrimSpace(line)) > 0
+		hasText = hasText || len(line) > 0
 		lineStart = len(raw)
 	}
 }
 
-func eventID(raw []byte) string {
+// check returns the event with these bytes if it may follow the events before it.
+func (e *eventReader) check(raw []byte) (ev event, rest []byte, err error) {
+	if e.isAnswer != nil && link.HoldsHead(raw, e.isAnswer) {
+		return event{}, nil, errLateResponse
+	}
+	ids, isEvent := eventIDs(raw)
+	if isEvent && !e.order.follow(ids) {
+		return event{}, nil, errEventOrder
+	}
+	ev = event{raw: raw}
+	if len(ids) > 0 {
+		ev.id = ids[0]
+	}
+	return ev, nil, nil
+}
+
+// isEventLine reports whether a line, without its end, may stand in a stream.
+func isEventLine(line []byte) bool {
+	if len(line) == 0 || line[0] == ':' || string(line) == "data" {
+		return true
+	}
+	_, _, ok := link.FieldLine(line)
+	return ok
+}
+
+// eventIDs returns the values of the id lines. isEvent reports whether there are lines other than comments and retry delays, which
+// need no id.
+func eventIDs(raw []byte) (ids []string, isEvent bool) {
 	for line := range bytes.SplitSeq(raw, []byte("\n")) {
 		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
-		if string(name) == "id" {
-			return string(bytes.TrimPrefix(value, []byte(" ")))
+		switch string(name) {
+		case "", "retry":
+		case "id":
+			ids = append(ids, string(bytes.TrimPrefix(value, []byte(" "))))
+			isEvent = true
+		default:
+			isEvent = true
 		}
 	}
-	return ""
+	return ids, isEvent
 }
