Keep an event begun when other bytes follow it, so that the stream does not end without it

Merging the checks of lines and of unfinished events left a gap: of an event that is followed by bytes that are no field nothing was reported, so that a resumption without any event ended the stream as complete. The reader returns the bytes of that event now.

TestResumptionWithoutTheUnfinishedEventIsIncomplete has the case (an error's text within event 3). TestEventLines wanted nothing to be returned with the error; it now wants exactly the line before, which is as strict: the bytes that are no field still never come out.

--- a/internal/front/serve/body.go
+++ b/internal/front/serve/body.go
@@ -18,7 +18,7 @@
 
 // checkBody returns an error if a body may not be the one of its response.
 func (x *exchange) checkBody(resp *link.Response, body []byte) error {
-	if resp.Delimited() {
+	if resp.Framing() != link.ByConnection {
 		return nil
 	}
 	if link.BodyHoldsHead(body, x.isAnswer) {
--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -47,7 +47,7 @@
 func (x *exchange) readEvents(c *call) *eventReader {
 	e := newEventReader(c.resp.Body, x.Memory)
 	e.order.resumed = x.lastEventID
-	if !c.resp.Delimited() {
+	if c.resp.Framing() == link.ByConnection {
 		e.isAnswer = x.isAnswer
 	}
 	return e
@@ -55,8 +55,8 @@
 
 func (e *eventReader) release() { e.raw.Release() }
 
-// next returns the next event. At EOF it returns io.EOF, with the bytes after the last event in rest. After any error the stream
-// cannot be read any further.
+// next returns the next event. With an error it returns the bytes of an event that was begun in rest, and at io.EOF all bytes after the
+// last event. After any error the stream cannot be read any further.
 func (e *eventReader) next() (ev event, rest []byte, err error) {
 	e.raw.Reset()
 	lineStart := 0
@@ -79,7 +79,7 @@
 			return e.check(raw)
 		}
 		if !isEventLine(line) {
-			return event{}, nil, errNoField
+			return event{}, raw[:lineStart], errNoField
 		}
 		hasText = hasText || len(line) > 0
 		lineStart = len(raw)
