chat: an event that other bytes have cut off is none

What callers saw: an engine writes part of an event and then the head of an error response into the same stream. The blank line that ends the head ended the event: the caller got {"text": "haHTTP/1.1 500 Internal Server Error as event 3, or [DONE]HTTP/1.1 500 ..., and the next engine went on with event 4, so that event 3 was missing for good.

Cause: data of events was forwarded without a look at it. Events are JSON in the engines' API.

Change: an event whose data is not JSON fails the attempt, and the next engine goes on after the last whole event.

Evidence: before, "a head within an event" and "a head within the mark" of TestStreamsThatBreakOff failed with the texts above, with "1 2 3 4 5 [DONE]" wanted. A head between two events was skipped before as now, and a cut mark is no end.

--- a/internal/front/chat/resume_test.go
+++ b/internal/front/chat/resume_test.go
@@ -80,6 +80,8 @@
 		{"the next engine begins elsewhere", []string{numbered(1, 2), numbered(4, 5) + doneEvent}, "1 2", false},
 		{"the next engine's answer is shorter", []string{numbered(1, 5), numbered(1, 3) + doneEvent}, "1 2 3 4 5", false},
 		{"a head between two events", []string{numbered(1, 2) + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
+		{"a head within an event", []string{numbered(1, 2) + "id: 3\ndata: {\"text\": \"ha" + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
+		{"a head within the mark", []string{numbered(1, 2) + "data: [DONE]" + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
 		{"a cut mark", []string{numbered(1, 5) + "data: [DONE]\n", numbered(1, 5) + "data: [DO"}, "1 2 3 4 5", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -21,6 +21,9 @@
 // errShorter is returned for a stream that is complete with fewer events than the caller has.
 var errShorter = errors.New("the engine's answer is shorter than what the caller has")
 
+// errMalformed is returned for an event whose data is not JSON, such as one that was cut off by other bytes.
+var errMalformed = errors.New("an event of the engine is not JSON")
+
 // errCallerWrite is returned when a write to the caller fails.
 var errCallerWrite = errors.New("the caller does not read")
 
@@ -141,9 +144,20 @@
 	if e.ID != 0 && e.ID != o.sent+1 {
 		return false, errMissingEvent
 	}
+	if err := checkData(e.Data); err != nil {
+		return false, err
+	}
 	return false, o.writeEvent(e)
 }
 
+// checkData returns an error if the data of an event is no part of an answer.
+func checkData(data []byte) error {
+	if !json.Valid(data) {
+		return errMalformed
+	}
+	return nil
+}
+
 func (o *eventWriter) writeEvent(e relay.Event) error {
 	o.writeHeader()
 	if err := o.write("data: %s\n\n", e.Data); err != nil {
