chat: an error that an engine reports within its stream is no event

What callers saw: an engine sends two events and then {"error": {...}}, as engines of the OpenAI API do when they fail within a stream. The caller got the error's text as event 3 and then event 4 of the next engine, so that event 3 was missing; or, if [DONE] followed, a complete answer of two events and an error.

Cause: the error counted as an event of the answer, also for the offset at which the next engine goes on.

Change: an event whose JSON has "error" at the top fails the attempt before it is forwarded. The next engine goes on; if none is left, the caller gets the router's own error event without [DONE], as after any other break-off.

Evidence: before, "a failure within the stream" and "a failure, then the mark" of TestStreamsThatBreakOff failed with "1 2 {"error": {"message": "out of memory"}} 4 5 [DONE]" and "1 2 {"error": {"message": "out of memory"}} [DONE]"; "1 2 3 4 5 [DONE]" wanted.

--- a/internal/front/chat/resume_test.go
+++ b/internal/front/chat/resume_test.go
@@ -65,6 +65,7 @@
 }
 
 func TestStreamsThatBreakOff(t *testing.T) {
+	const failure = "data: {\"error\": {\"message\": \"out of memory\"}}\n\n"
 	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 	whole := numbered(1, 5) + doneEvent
 	for _, c := range []struct {
@@ -79,6 +80,8 @@
 		{"the next engine sends nothing", []string{numbered(1, 2), ""}, "1 2", false},
 		{"the next engine begins elsewhere", []string{numbered(1, 2), numbered(4, 5) + doneEvent}, "1 2", false},
 		{"the next engine's answer is shorter", []string{numbered(1, 5), numbered(1, 3) + doneEvent}, "1 2 3 4 5", false},
+		{"a failure within the stream", []string{numbered(1, 2) + failure, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
+		{"a failure, then the mark", []string{numbered(1, 2) + failure + doneEvent, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
 		{"a head between two events", []string{numbered(1, 2) + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
 		{"a head within an event", []string{numbered(1, 2) + "id: 3\ndata: {\"text\": \"ha" + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
 		{"a head within the mark", []string{numbered(1, 2) + "data: [DONE]" + head, numbered(3, 5) + doneEvent}, "1 2 3 4 5 [DONE]", true},
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -1,6 +1,7 @@
 package chat
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,6 +25,9 @@
 // errMalformed is returned for an event whose data is not JSON, such as one that was cut off by other bytes.
 var errMalformed = errors.New("an event of the engine is not JSON")
 
+// errEngine is returned for an event by which the engine reports that it has failed.
+var errEngine = errors.New("the engine reported an error within its stream")
+
 // errCallerWrite is returned when a write to the caller fails.
 var errCallerWrite = errors.New("the caller does not read")
 
@@ -155,6 +159,15 @@
 	if !json.Valid(data) {
 		return errMalformed
 	}
+	if !bytes.Contains(data, []byte(`"error"`)) {
+		return nil
+	}
+	var failure struct {
+		Error json.RawMessage `json:"error"`
+	}
+	if json.Unmarshal(data, &failure) == nil && len(failure.Error) > 0 && string(failure.Error) != "null" {
+		return errEngine
+	}
 	return nil
 }
 
