plain: a second answer of a service does not go to the next caller

What callers of skylarkquay saw: a plain service answers a call twice on a connection that is kept. The second answer went to whichever caller's call was sent next on that connection: the caller of order 1003 got order 1002, of any workspace.

Cause: an answer of a plain service names no call; only its place on the connection tells whose it is. net/http closes a connection with unsolicited bytes only if they arrive while no request is open on it.

Change: each call to a plain service has a connection of its own, as calls that run once had before. It costs one round trip in the zone. Answers to prompts name their request and are checked, so engines keep their connections. TestTrailersAreForwarded and its neighbours call send without the function that is gone; they check the same.

--- a/internal/front/plain/forward_test.go
+++ b/internal/front/plain/forward_test.go
@@ -25,7 +25,7 @@
 	h := &Handler{Pool: relay.NewPool(relay.DialTCP), Fleet: status.NewFleet(1)}
 	router := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{method: r.Method, path: r.URL.Path, query: r.URL.Query(), header: r.Header, caller: gate.Caller{Workspace: "w", Key: "k"}, route: rules.Route{}}
-		res, err := h.send(r.Context(), w, c, status.View{Address: strings.TrimPrefix(server.URL, "http://")}, h.Pool.Do)
+		res, err := h.send(r.Context(), w, c, status.View{Address: strings.TrimPrefix(server.URL, "http://")})
 		if err != nil {
 			w.WriteHeader(http.StatusBadGateway)
 			return
--- a/internal/front/plain/once.go
+++ b/internal/front/plain/once.go
@@ -63,7 +63,7 @@
 			break
 		}
 		tried[v.Name] = true
-		res, err := h.send(ctx, w, c, v, h.Pool.DoOnce)
+		res, err := h.send(ctx, w, c, v)
 		if relay.NotSent(err) {
 			h.Fleet.Failed(time.Now(), v.Name)
 			continue
--- a/internal/front/plain/plain.go
+++ b/internal/front/plain/plain.go
@@ -159,7 +159,7 @@
 			break
 		}
 		tried[v.Name] = true
-		res, err := h.send(ctx, w, c, v, h.Pool.Do)
+		res, err := h.send(ctx, w, c, v)
 		if err == nil {
 			h.Fleet.Succeeded(time.Now(), v.Name, "")
 			h.copyResponse(w, res)
@@ -167,9 +167,6 @@
 		}
 		mayHaveRun = mayHaveRun || !relay.NotSent(err)
 		lastErr = err
-		if ctx.Err() != nil {
-			h.Pool.CloseIdle(v.Address)
-		}
 		h.Fleet.Failed(time.Now(), v.Name)
 		h.Log.Info("route: upstream failed", "request", c.id, "route", c.routeName, "upstream", v.Name, "reason", err.Error())
 		if ctx.Err() != nil {
@@ -214,14 +211,15 @@
 	return a.Zone == h.Zone && b.Zone != h.Zone
 }
 
-// send sends a call to one upstream.
-func (h *Handler) send(ctx context.Context, w http.ResponseWriter, c *call, v status.View, do func(*http.Request) (*http.Response, error)) (*http.Response, error) {
+// send sends a call to one upstream, over a connection of its own: an answer names no call, so that a second one on a kept connection
+// would go to the next caller.
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, c *call, v status.View) (*http.Response, error) {
 	req, err := newRequest(httptrace.WithClientTrace(ctx, forwardEarlyHints(w)), c, v.Address)
 	if err != nil {
 		return nil, err
 	}
 	h.Fleet.RequestSent(time.Now(), v.Name, 0)
-	return do(req)
+	return h.Pool.DoOnce(req)
 }
 
 // forwardEarlyHints forwards 103 Early Hints responses to the caller.
