--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -94,6 +94,8 @@
 	// Draining reports whether the instance is about to stop, Closed whether it accepts no more requests.
 	Draining atomic.Bool
 	Closed   atomic.Bool
+	// Stop says when a planned stop ends.
+	Stop *Stop
 	// Memory is the memory for responses that are buffered.
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
@@ -160,7 +162,7 @@
 	h.OpenRequests.Add(1)
 	defer h.OpenRequests.Add(-1)
 	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool), sent: make(map[string]bool), chains: make(map[int64][]uint64)}
-	if h.Draining.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// Request smuggling: bytes after a chunked body that also had a length could be parsed as another caller's request.
 		w.Header().Set("Connection", "close")
 	}
@@ -273,6 +275,7 @@
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
 	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
+	inTime := x.refuseAtStop()
 	var err error
 	if x.r.ContentLength > 0 {
 		x.body = make([]byte, x.r.ContentLength)
@@ -280,6 +283,9 @@
 	} else {
 		x.body, err = io.ReadAll(reader)
 	}
+	if !inTime() {
+		return fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance stops before the body has arrived")
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
@@ -306,14 +312,19 @@
 	return d.Sum64()
 }
 
-// context returns the context for sends to upstreams. Non-idempotent requests run to completion even if the caller
-// disconnects.
+// context returns the context for sends to upstreams, which ends in time for a response before the instance stops. Non-idempotent
+// requests run to completion even if the caller disconnects.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
 	parent := x.r.Context()
 	if x.route.Kind == policy.NonIdempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, x.deadline)
+	ctx, cancel := context.WithDeadline(parent, x.Stop.due(x.deadline))
+	stop := context.AfterFunc(x.Stop.sends, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // respondError sends an error response that originates in the router.
@@ -331,6 +342,7 @@
 	head := x.w.Header()
 	x.Dialect.SetErrorHeader(head, x.info.ID, spreadRetryAfter(retry, x.info.ID))
 	head.Set("Content-Type", "text/plain; charset=utf-8")
+	x.closeAtStop()
 	x.w.WriteHeader(a.Status)
 	// A failed write cannot be reported to anyone: the caller may have disconnected.
 	_, _ = fmt.Fprintln(x.w, e.Error())
--- a/internal/front/whole/whole.go
+++ b/internal/front/whole/whole.go
@@ -12,9 +12,14 @@
 )
 
 // Listener returns a listener for the server, and makes the server reset the connections of responses that are not whole. It is
-// called before the server serves.
+// called before the server serves. Connections may be wrapped once more if the wrapper has a method NetConn.
 func Listener(s *http.Server, l net.Listener) net.Listener {
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+			c = wrapper.NetConn()
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	s.Handler = handler{s.Handler}
 	return listener{l}
 }
