Soak: upstreams that end amid answers, stutter or write another head; stops that slow calls outlast

The soak did not find the answers that callers got cut or mixed. Its upstreams never ended as a killed process does while they answered without a length (the kernel closes with FIN, which looks as the end of the answer), wrote no answer twice, no head into a body, and no call outlasted a planned stop.

Six faults: "upstream killed" (answers without a length in halves, listener and connections ended with FIN, back after half a second, every second time elsewhere), the same "in chunks", "upstream stutters" (answers, refusals and failures twice, with a length, chunks or neither), "upstream writes another head" (between, within and after events, in a body, or a head that stops), "upstreams break off and fail" (a stream cut within an event, taken up by 200 without events, 403, 500 or half a head), "router stopped, services slow" (services take 2.4 to 4.8 s, the grace period is 5 s). A fifth of the calls have a deadline of 8 s, and callers use idle connections also to routers that are not ready. "own" covers the ID of every answer.

--- a/internal/trial/soak/callers.go
+++ b/internal/trial/soak/callers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
@@ -18,9 +20,16 @@
 	maxRetryDelay = 500 * time.Millisecond
 	// reuseRatio is the share of calls for which a caller reuses its open connection instead of choosing a router again.
 	reuseRatio = 0.85
-	// deadlineMs is the deadline that callers send, callTimeout is how long they wait.
-	deadlineMs   = 3000
-	callTimeout  = 4 * time.Second
+	// openRatio is the share of the other calls that use any open connection, also to a router that is not ready.
+	openRatio = 0.5
+	// deadlineMs is the deadline that callers send. longDeadlineMs exceeds the grace period of a router; longRatio is the share of
+	// calls that send it.
+	deadlineMs     = 3000
+	longDeadlineMs = 8000
+	longRatio      = 0.2
+	// patience is how long callers wait beyond the deadline, dialTimeout how long for a connection.
+	patience     = time.Second
+	dialTimeout  = 4 * time.Second
 	promptTokens = 400
 )
 
@@ -71,7 +80,7 @@
 	}
 	record := &CallRecord{Kind: draw(), Router: router, At: time.Now()}
 	record.Call = c.newCall(record.Kind)
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(record.Deadline)*time.Millisecond+patience)
 	defer cancel()
 	var open bool
 	var err error
@@ -90,12 +99,15 @@
 	if conn := c.conns[c.lastRouter]; conn != nil && c.rng.Float64() < reuseRatio {
 		return c.lastRouter, conn
 	}
-	router, ok := c.site.pickRouter(c.rng)
+	router, ok := c.openRouter()
+	if !ok || c.rng.Float64() >= openRatio {
+		router, ok = c.site.pickRouter(c.rng)
+	}
 	if !ok {
 		return 0, nil
 	}
 	if c.conns[router] == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		conn, err := fake.Dial(ctx, c.site.routers[router].listen)
 		if err != nil {
@@ -107,6 +119,15 @@
 	return router, c.conns[router]
 }
 
+// openRouter returns a random router to which a connection is open, or false if there is none.
+func (c *caller) openRouter() (int, bool) {
+	open := slices.Sorted(maps.Keys(c.conns))
+	if len(open) == 0 {
+		return 0, false
+	}
+	return open[c.rng.IntN(len(open))], true
+}
+
 func (c *caller) drawKind() Kind {
 	at := c.rng.Float64()
 	for _, m := range callMix {
@@ -123,6 +144,9 @@
 	call := fake.Call{
 		Method: http.MethodPost, Path: fake.BookPath + id, ID: id, Key: fake.Key, Body: "call " + id, Deadline: deadlineMs,
 	}
+	if c.rng.Float64() < longRatio {
+		call.Deadline = longDeadlineMs
+	}
 	switch k {
 	case Look:
 		call.Method, call.Path, call.Key = http.MethodGet, fake.OpenPath+id, ""
--- a/internal/trial/soak/check.go
+++ b/internal/trial/soak/check.go
@@ -188,12 +188,12 @@
 
 func checkResponse(_ *History, c *CallRecord, _ []RunRecord) string {
 	switch {
+	case c.Answered && c.Reply.ID != c.ID && (c.Reply.ID != "" || c.served()):
+		return "response to call " + c.Reply.ID
 	case !c.served():
 		return ""
 	case !c.Reply.Signed:
 		return "success response without an upstream's signature"
-	case c.Reply.ID != c.ID:
-		return "response to call " + c.Reply.ID
 	case !c.Kind.streams() && c.Reply.Body != c.Method+" "+c.Body:
 		return fmt.Sprintf("unexpected body %.60q", c.Reply.Body)
 	}
--- a/internal/trial/soak/check_test.go
+++ b/internal/trial/soak/check_test.go
@@ -40,6 +40,10 @@
 	servesNothing          flaw = "serves nothing"
 	dropsCalls             flaw = "drops calls at a planned stop"
 	usesDraining           flaw = "uses draining upstreams"
+	truncatesBody          flaw = "sends half of a body without an error"
+	appendsResponse        flaw = "appends another response to a stream"
+	mixesRefusals          flaw = "refuses with the ID of another call"
+	dropsSlowCalls         flaw = "drops slow calls at the end of a planned stop"
 )
 
 // flawedRouter is an in-process router with one flaw.
@@ -74,6 +78,13 @@
 	case c.flaw == dropsCalls && stopping:
 		time.Sleep(bounds.CloseRace + 100*time.Millisecond)
 		panic(http.ErrAbortHandler)
+	case c.flaw == dropsSlowCalls && stopping && r.Method == http.MethodPost:
+		time.Sleep(1500 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	case c.flaw == mixesRefusals:
+		id += "0"
+		reject(http.StatusServiceUnavailable)
+		return
 	case !valid && c.flaw != acceptsRevokedKey, c.flaw == rejectsValid && r.Method == http.MethodPost:
 		reject(http.StatusUnauthorized)
 		return
@@ -131,6 +142,10 @@
 		text = strings.Replace(text, "id: 3\ndata: token 3\n\n", "", 1)
 	case c.flaw == truncatesStream && len(text) > 100:
 		text = text[:strings.Index(text, "id: 4\n")]
+	case c.flaw == truncatesBody:
+		text = text[:len(text)/2]
+	case c.flaw == appendsResponse:
+		text += errorHead
 	case c.flaw == mixesResponses:
 		own := id
 		if prev := c.lastResponseID.Swap(&own); prev != nil {
@@ -207,7 +222,7 @@
 		if f == usesDraining {
 			drainUpstream(s, 1)
 		}
-		if f == dropsCalls {
+		if f == dropsCalls || f == dropsSlowCalls {
 			recordEnd := s.recordFault(FaultPeriod{Fault: "router stopped", Planned: true, From: time.Now()})
 			drainUpstream(s, 1)
 			must.NoError(t, sleep.For(ctx, time.Second))
@@ -225,7 +240,7 @@
 	for f, want := range map[flaw]Promise{
 		noFlaw: "", repeatsBooking: AtMostOnce, rejectsAfterRun: NotRun, unsigned: OwnResponse, mixesResponses: OwnResponse, changesBody: RequestIntact, wrongWorkspace: RequestIntact, leaksKey: RequestIntact,
 		dropsEvent: StreamOrder, truncatesStream: StreamOrder, acceptsRevokedKey: KeyRevocation, missesAddedRoute: DocumentApplied, rejectsValid: ValidAccepted, ignoresRate: RateLimit, keepsSupersededWeights: LatestWeights,
-		servesNothing: Recovered, dropsCalls: LosslessStop, usesDraining: Drained,
+		servesNothing: Recovered, dropsCalls: LosslessStop, dropsSlowCalls: LosslessStop, usesDraining: Drained, truncatesBody: OwnResponse, appendsResponse: StreamOrder, mixesRefusals: OwnResponse,
 	} {
 		t.Run(string(f), func(t *testing.T) {
 			t.Parallel()
--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -40,10 +42,19 @@
 		return pauseProcess(s.routers[n].process)
 	}},
 	{"router stopped", onRouter, true, stopGracePeriod, stopGracePeriod + 2*sec, func(s *edgeSite, n int) func() error {
-		kill := s.routers[n].terminate()
+		return stopRouter(s, n)
+	}},
+	{"router stopped, services slow", onRouter, true, stopGracePeriod, stopGracePeriod + 2*sec, func(s *edgeSite, n int) func() error {
+		stop := inBackground(turnTime, func(int) {
+			for i, u := range s.Jobs {
+				u.SetFaults(fake.Faults{Work: slowWork[i%len(slowWork)]})
+			}
+		})
+		start := stopRouter(s, n)
 		return func() error {
-			kill()
-			return s.routers[n].start()
+			stop()
+			clearFaults(s.Jobs)
+			return start()
 		}
 	}},
 	{"settings read again", onRouter, true, 10 * ms, 100 * ms, func(s *edgeSite, n int) func() error {
@@ -86,6 +97,11 @@
 	{"upstream crashes at calls", onUpstream, false, 200 * ms, 4 * sec, upstreamFault(fake.Faults{Crash: true})},
 	{"upstream hangs", onUpstream, false, 500 * ms, 5 * sec, upstreamFault(fake.Faults{Hang: true})},
 	{"upstream names no length", onUpstream, false, sec, 6 * sec, upstreamFault(fake.Faults{NoLength: true})},
+	{"upstream killed", onUpstream, false, 2 * sec, 6 * sec, killUpstream(fake.Faults{NoLength: true, Pause: 40 * ms})},
+	{"upstream killed in chunks", onUpstream, false, 2 * sec, 6 * sec, killUpstream(fake.Faults{Pause: 40 * ms})},
+	{"upstream stutters", onUpstream, false, 2 * sec, 6 * sec, alternate(stutters...)},
+	{"upstream writes another head", onUpstream, false, 2 * sec, 6 * sec, alternate(strayHeads...)},
+	{"upstreams break off and fail", onUpstream, false, 2 * sec, 6 * sec, breakResumption},
 	{"upstream has an odd entry", onUpstream, false, 10 * ms, 100 * ms, oddEntry},
 	{"upstream leaves", onUpstream, false, 3 * sec, 9 * sec, drainUpstream},
 	{"key withdrawn", onAll, true, 10 * ms, 100 * ms, operatorAction(revokeKey)},
@@ -137,6 +153,132 @@
 	}
 }
 
+// alternate gives an upstream faults that take turns.
+func alternate(all ...fake.Faults) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, n int) func() error {
+		u := s.Upstreams()[n]
+		stop := inBackground(turnTime, func(turn int) { u.SetFaults(all[turn%len(all)]) })
+		return noError(func() {
+			stop()
+			u.SetFaults(fake.Faults{})
+		})
+	}
+}
+
+// turnTime is how long each of several faults lasts.
+const turnTime = 150 * ms
+
+// inBackground calls do at once and after every gap until the returned function is called, which waits for the last call.
+func inBackground(gap time.Duration, do func(turn int)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		turn := 0
+		runEvery(ctx, gap, func() {
+			do(turn)
+			turn++
+		})
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// slowWork are the times that services take for a call while a router stops. Calls that come after its stop outlast its grace period.
+var slowWork = []time.Duration{2400 * ms, 3600 * ms, 4800 * ms}
+
+// stutters write refusals, failures and successes twice.
+var stutters = []fake.Faults{
+	{Stutter: fake.FramedByLength}, {Stutter: fake.FramedByLength, Shed: true}, {Stutter: fake.FramedByLength, Shed: true, ShedStatus: http.StatusMisdirectedRequest},
+	{Stutter: fake.FramedByChunks}, {Stutter: fake.FramedByChunks, Shed: true}, {Stutter: fake.FramedByLength, Fail: true}, {Stutter: fake.FramedByClose},
+}
+
+const errorHead = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\ninternal error\n"
+
+// strayHeads end answers with the head of another one, between and within events, or within their own head.
+var strayHeads = []fake.Faults{
+	{NoLength: true, CutAfter: 5, Tail: errorHead}, {NoLength: true, CutAfter: 5, Tail: "id: 6\nda" + errorHead}, {NoLength: true, CutHead: true},
+	{NoLength: true, CutAfter: streamEvents, Tail: errorHead},
+}
+
+// breakResumption lets an engine break its streams off, while the others answer their resumption with no event or a failure.
+func breakResumption(s *edgeSite, n int) func() error {
+	broken := s.Engines[n%len(s.Engines)]
+	stop := inBackground(turnTime, func(turn int) {
+		for _, u := range s.Engines {
+			u.SetFaults(fake.Faults{Resumed: &resumptions[turn%len(resumptions)]})
+		}
+		broken.SetFaults(fake.Faults{CutAfter: 5, NoLength: turn%2 == 0})
+	})
+	return noError(func() {
+		stop()
+		clearFaults(s.Engines)
+	})
+}
+
+// resumptions are the faults of engines that cannot go on with a stream.
+var resumptions = []fake.Faults{{NoEvents: true}, {NoEvents: true, NoLength: true}, {Fail: true}, {Deny: true}, {NoLength: true, CutHead: true}}
+
+func clearFaults(upstreams []*fake.Upstream) {
+	for _, u := range upstreams {
+		u.SetFaults(fake.Faults{})
+	}
+}
+
+const (
+	// upTime is how long a process of an upstream lasts, downTime the time until the next one starts.
+	upTime   = 500 * ms
+	downTime = 500 * ms
+)
+
+// killUpstream ends the process of an upstream again and again. Each second one has another address.
+func killUpstream(f fake.Faults) func(*edgeSite, int) func() error {
+	return func(s *edgeSite, n int) func() error {
+		u := s.Upstreams()[n]
+		u.SetFaults(f)
+		var errs error
+		stop := inBackground(upTime, func(turn int) { errs = errors.Join(errs, s.restartUpstream(u, turn%2 == 1)) })
+		return func() error {
+			stop()
+			u.SetFaults(fake.Faults{})
+			return errs
+		}
+	}
+}
+
+// restartUpstream ends the process of an upstream and starts the next one.
+func (s *edgeSite) restartUpstream(u *fake.Upstream, move bool) error {
+	p := s.upstreamProxies[u.ID]
+	if !p.kill() {
+		return nil
+	}
+	time.Sleep(downTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Another process may have taken the address.
+	if move || p.revive(p.addr()) != nil {
+		if err := p.revive("127.0.0.1:0"); err != nil {
+			return err
+		}
+	}
+	u.Incarnation++
+	if !s.draining[u.ID] {
+		s.RegisterAt(u, p.addr())
+	}
+	return nil
+}
+
+// stopRouter stops a router as planned and returns the function that starts it again.
+func stopRouter(s *edgeSite, n int) (start func() error) {
+	kill := s.routers[n].terminate()
+	return func() error {
+		kill()
+		return s.routers[n].start()
+	}
+}
+
 // unlistDelay is the time from the drain notice of an upstream to its removal from the list.
 const unlistDelay = 1500 * ms
 
--- a/internal/trial/soak/proxy.go
+++ b/internal/trial/soak/proxy.go
@@ -30,15 +30,18 @@
 // proxy forwards TCP connections over loopback. Data held back is delivered once the mode allows it, as after TCP
 // retransmissions on a real network.
 type proxy struct {
+	target string
+
+	mu       sync.Mutex
 	listener net.Listener
-	target   string
-
-	mu      sync.Mutex
-	mode    mode
-	changed chan struct{}
-	conns   map[net.Conn]bool
-	closed  bool
-	wg      sync.WaitGroup
+	mode     mode
+	changed  chan struct{}
+	// conns holds the open connections and whether the proxy has accepted them.
+	conns map[net.Conn]bool
+	// killed reports whether the proxy behaves as a target whose process has ended.
+	killed bool
+	closed bool
+	wg     sync.WaitGroup
 }
 
 // newProxy listens on address and forwards to target.
@@ -48,11 +51,50 @@
 		return nil, err
 	}
 	p := &proxy{listener: l, target: target, mode: passThrough, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	p.wg.Go(p.accept)
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
-func (p *proxy) addr() string { return p.listener.Addr().String() }
+func (p *proxy) addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// kill ends the listener and all connections as the kernel does when a process ends: with FIN. It returns false if that has been done
+// already.
+func (p *proxy) kill() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed || p.closed {
+		return false
+	}
+	p.killed = true
+	_ = p.listener.Close()
+	// The connections to the target are closed by the goroutines that copy.
+	for c, accepted := range p.conns {
+		if accepted {
+			_ = c.Close()
+		}
+	}
+	return true
+}
+
+// revive listens at an address after kill.
+func (p *proxy) revive(addr string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return err
+	}
+	if p.closed {
+		return l.Close()
+	}
+	p.listener, p.killed = l, false
+	p.wg.Go(func() { p.accept(l) })
+	return nil
+}
 
 // setMode changes the mode; reset also resets all open connections.
 func (p *proxy) setMode(m mode) {
@@ -91,20 +133,24 @@
 	for c := range p.conns {
 		abort(c)
 	}
-	p.mu.Unlock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.wg.Wait()
 }
 
-// track adds a connection. It aborts it and returns false if the proxy is closed or resets connections.
-func (p *proxy) track(c net.Conn) bool {
+// track adds a connection. It ends it and returns false if the proxy is closed or killed or resets connections.
+func (p *proxy) track(c net.Conn, accepted bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.mode == reset {
+	switch {
+	case p.closed || p.mode == reset:
 		abort(c)
 		return false
+	case p.killed:
+		_ = c.Close()
+		return false
 	}
-	p.conns[c] = true
+	p.conns[c] = accepted
 	return true
 }
 
@@ -115,9 +161,9 @@
 	_ = c.Close()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -125,7 +171,7 @@
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		if p.track(c) {
+		if p.track(c, true) {
 			p.wg.Go(func() { p.relay(c) })
 		}
 	}
@@ -142,7 +188,7 @@
 		abort(c)
 		return
 	}
-	if !p.track(target) {
+	if !p.track(target, false) {
 		return
 	}
 	defer p.closeConn(target)
--- a/internal/trial/soak/proxy_test.go
+++ b/internal/trial/soak/proxy_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -83,3 +84,36 @@
 		})
 	}
 }
+
+// A proxy that is killed looks as a process that has ended: its connections end with FIN and new ones are refused.
+func TestProxyKill(t *testing.T) {
+	p, err := newProxy("127.0.0.1:0", echo(t))
+	must.NoError(t, err)
+	t.Cleanup(p.close)
+	dial := func() (net.Conn, error) { return net.Dial("tcp4", p.addr()) }
+	roundTrip := func(c net.Conn) {
+		must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err := c.Write([]byte("one"))
+		must.NoError(t, err)
+		_, err = io.ReadFull(c, make([]byte, 3))
+		must.NoError(t, err)
+	}
+	conn, err := dial()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	roundTrip(conn)
+	must.True(t, p.kill())
+	must.False(t, p.kill())
+	_, err = conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+	_, err = dial()
+	must.ErrorIs(t, err, syscall.ECONNREFUSED)
+	for _, addr := range []string{p.addr(), "127.0.0.1:0"} {
+		must.NoError(t, p.revive(addr))
+		again, err := dial()
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = again.Close() })
+		roundTrip(again)
+		must.True(t, p.kill())
+	}
+}
