relay: an answer of HTTP/1.0 with chunks is rejected

What callers of skylarkquay saw: a plain service answers with the status line of HTTP/1.0 and Transfer-Encoding: chunked. The caller got status 200 and a body with the sizes of the chunks in it.

Cause: HTTP/1.0 has no chunks. net/http drops the header and takes all bytes up to the end of the connection for the body, so nothing above it can tell.

Change: connections to upstreams of the own interface read the first head and fail if it has that version and an encoding. Calls to plain services have a connection each. On a kept connection of an engine only the first head is read; later answers that are framed so are no JSON, or have lines without a field name, which are skipped.

Evidence: TestChunksOfHTTP10AreRejected failed before with "expected non-nil error; got nil"; passes now, with heads that end in \r\n or \n and with a length as well.

--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -72,7 +72,7 @@
 			if err != nil {
 				return nil, &DialError{Err: err}
 			}
-			return c, nil
+			return &headConn{Conn: c}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
