A response of another version than HTTP/1.1 is malformed

An upstream that answers as HTTP/1.0 with "Transfer-Encoding: chunked": callers got 200 with the sizes of the chunks in the body or stream.

Cause: HTTP/1.0 has no chunks; net/http drops the header there and takes the body to end with the connection, or with a Content-Length beside it, which counts the chunks' frames or not.

Change: link accepts HTTP/1.1 only, the version that users describe. A rule for answers without a length would leave a length beside chunks, which cannot be seen after net/http has read the head; a parser of heads of our own is not worth it. The request counts as possibly run.

--- a/internal/front/link/field_test.go
+++ b/internal/front/link/field_test.go
@@ -1,6 +1,9 @@
 package link
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -18,3 +21,21 @@
 		}
 	}
 }
+
+// HTTP/1.0 knows no chunks, and net/http drops the header that announces them.
+func TestResponsesOfAnotherVersionAreMalformed(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/2.0", "HTTP/0.9", "HTTP/1.2"} {
+		for _, rest := range []string{
+			"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+			"\r\nwhole", "Content-Length: 5\r\n\r\nwhole",
+		} {
+			u := startUpstream(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, version+" 200 OK\r\nId: 1\r\n"+rest)
+				return false
+			})
+			_, err := roundTrip(t, newTestPool(0), request(u, "1"))
+			must.ErrorIs(t, err, ErrMalformed, must.Sprint(version, rest))
+			must.False(t, NotSent(err))
+		}
+	}
+}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -224,6 +224,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if raw.Proto != "HTTP/1.1" {
+			return nil, ErrMalformed
+		}
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
