Answer every request before a planned stop ends, and send none that cannot end in it

What callers saw, as an operator of a similar system reports: requests that came late in the grace period of a planned stop were passed on and cut at its end without an answer, also those that may not be repeated.

Cause: the context for sends was bounded by the request's deadline only, and the end of the stop closed the connections whatever was open on them. First sends, retries and replacements of silent upstreams did not look at the time left.

Change: serve.Stop says when the sends of a stopping instance end: 200 ms before its connections are closed, which is 400 ms before the end of the grace period as before. A request is sent only if its own time ends before that, or, unless it may run once only, if its route's objective is left; else it is refused as not run (draining, Retry-After). That holds for each send. What was sent ends then: 504, or an aborted stream. Upstreams are given no more time than is left, and an unanswered send that the stop ended does not count against its upstream.

A booking needs all its time, since nobody can make up for one of unknown outcome.

Ruled out: refusing everything from the signal on. The load balancer sends new connections for 2 s more, and a refusal costs a caller a retry.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -146,7 +146,7 @@
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
-		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor),
+		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor), Stop: serve.NewStop(),
 	}
 	e.handler.Origins = e
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
@@ -232,7 +232,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		e.shutdown(front)
+		e.shutdown(time.Now(), front)
 	case err = <-serveErrs:
 		err = oops.Wrapf(err, "HTTP server failed")
 	}
@@ -255,15 +255,16 @@
 	shutdownMargin = 400 * time.Millisecond
 )
 
-// shutdown reports that the instance is not ready, waits for open requests and closes idle connections.
-func (e *Edge) shutdown(front *http.Server) {
-	started := time.Now()
+// shutdown reports that the instance is not ready, answers all requests within the grace period and closes idle connections.
+func (e *Edge) shutdown(started time.Time, front *http.Server) {
+	grace := seconds(e.settings.Grace)
+	end := started.Add(grace - shutdownMargin)
 	e.handler.Draining.Store(true)
-	e.log.Info("edge: stopping", "open", e.handler.OpenRequests.Load())
+	e.handler.Stop.Begin(started, end)
+	e.log.Info("edge: stopping", "open", e.handler.OpenRequests.Load(), "grace_ms", grace.Milliseconds())
 	e.exchange.TriggerSend()
-	time.Sleep(min(drainNotice, seconds(e.settings.Grace)/2))
-	remaining := seconds(e.settings.Grace) - shutdownMargin - time.Since(started)
-	ctx, cancel := context.WithTimeout(context.Background(), max(0, remaining))
+	time.Sleep(min(drainNotice, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	e.closeConnections(ctx, front)
 	e.exchange.Send()
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -105,7 +105,7 @@
 
 // forwardInfo returns the metadata for a send to the chosen upstream.
 func (x *exchange) forwardInfo(now time.Time, choice place.Choice) ForwardInfo {
-	f := ForwardInfo{Upstream: choice.ID, Timeout: x.deadline.Sub(now), LastEventID: x.info.LastEventID}
+	f := ForwardInfo{Upstream: choice.ID, Timeout: max(time.Millisecond, x.Stop.due(x.deadline).Sub(now)), LastEventID: x.info.LastEventID}
 	if x.lastEventID != "" {
 		f.LastEventID = x.lastEventID
 	}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -39,6 +39,10 @@
 	}
 	x.Budget.Earn(x.started, x.service)
 	for {
+		if x.stopsTooSoon(time.Now()) {
+			x.failNotRun(ctx, errStopping)
+			return
+		}
 		choice, ok := x.place(time.Now())
 		if !ok {
 			x.failNotRun(ctx, errNoUpstream)
@@ -95,7 +99,7 @@
 		}
 		return fail
 	}
-	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.deadline.Sub(now), func() bool { return x.spendRetry(now) })
+	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.timeToSend(now), func() bool { return x.spendRetry(now) })
 }
 
 // spendRetry takes one retry from the service's budget, or returns false when none is left.
@@ -118,7 +122,12 @@
 		x.abortDisconnected()
 		return
 	}
-	x.respondError(fault.NewRetryAfter(fault.NoUpstream, x.retryAfterUnplaced(time.Now()), "%s", err))
+	now := time.Now()
+	if x.stopsTooSoon(now) {
+		x.refuseStopping(now)
+		return
+	}
+	x.respondError(fault.NewRetryAfter(fault.NoUpstream, x.retryAfterUnplaced(now), "%s", err))
 }
 
 // retryAfterUnplaced returns when to retry a request that could not be placed: when the first upstream accepts requests again, if
@@ -139,17 +148,22 @@
 	if x.streaming {
 		reason := errorText(err)
 		if ctx.Err() != nil {
-			reason = "the time was up"
+			reason = x.endReason(time.Now())
 		}
 		x.logResult("route: cut", http.StatusOK, "cut", "reason", reason)
 		panic(http.ErrAbortHandler)
 	}
+	now := time.Now()
+	if x.counts.Ran == 0 && x.stopsTooSoon(now) {
+		x.refuseStopping(now)
+		return
+	}
 	if ctx.Err() != nil && x.counts.Ran == 0 {
 		x.respondError(fault.NewRetryAfter(fault.NoUpstream, minRetryAfter, "the time was up before an upstream took the request"))
 		return
 	}
 	if ctx.Err() != nil {
-		x.respondError(fault.New(fault.OutcomeUnknown, "no answer in time"))
+		x.respondError(fault.New(fault.OutcomeUnknown, "no answer: %s", x.endReason(now)))
 		return
 	}
 	x.respondError(fault.New(fault.UpstreamFailed, "%s", errorText(err)))
@@ -224,12 +238,12 @@
 }
 
 // recordBroken updates the fleet state after an upstream sent no complete response. If the caller disconnected or the
-// deadline passed, only a long idle time counts against the upstream.
+// deadline passed, only a long idle time counts against the upstream, and nothing if this instance stops.
 func (x *exchange) recordBroken(ctx context.Context, c *call, err error) {
 	x.logSend(broken, c.choice, err)
 	now := time.Now()
 	if ctx.Err() != nil {
-		if !x.streaming && now.Sub(c.sentAt) >= minIdleTimeout {
+		if !x.streaming && !x.endedByStop(now) && now.Sub(c.sentAt) >= minIdleTimeout {
 			x.Fleet.Unanswered(now, c.choice.ID)
 		}
 		return
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -94,6 +94,8 @@
 	// Draining reports whether the instance is about to stop, Closed whether it accepts no more requests.
 	Draining atomic.Bool
 	Closed   atomic.Bool
+	// Stop says when a planned stop ends.
+	Stop *Stop
 	// Memory is the memory for responses that are buffered.
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
@@ -302,14 +304,19 @@
 	return d.Sum64()
 }
 
-// context returns the context for sends to upstreams. Non-idempotent requests run to completion even if the caller
-// disconnects.
+// context returns the context for sends to upstreams, which ends in time for a response before the instance stops. Non-idempotent
+// requests run to completion even if the caller disconnects.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
 	parent := x.r.Context()
 	if x.route.Kind == policy.NonIdempotent {
 		parent = context.WithoutCancel(parent)
 	}
-	return context.WithDeadline(parent, x.deadline)
+	ctx, cancel := context.WithDeadline(parent, x.Stop.due(x.deadline))
+	stop := context.AfterFunc(x.Stop.sends, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // respondError sends an error response that originates in the router.
--- /dev/null
+++ b/internal/front/serve/stop.go
@@ -0,0 +1,91 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
+)
+
+// errStopping is the reason of a request for which a stopping instance has no time.
+var errStopping = errors.New("the instance stops too soon")
+
+// answerMargin is the time before the end of a planned stop in which the requests that are still open get their responses.
+const answerMargin = 200 * time.Millisecond
+
+// Stop is the planned stop of an instance. It is safe for concurrent use.
+type Stop struct {
+	// last is when all sends end; nil before the stop has begun.
+	last atomic.Pointer[time.Time]
+	// sends is done when all sends have ended.
+	sends context.Context
+	end   context.CancelFunc
+}
+
+// NewStop returns a stop that has not begun.
+func NewStop() *Stop {
+	s := &Stop{}
+	s.sends, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// Begin begins a stop of an instance whose connections are closed at the given time.
+func (s *Stop) Begin(now, closed time.Time) {
+	last := closed.Add(-answerMargin)
+	s.last.Store(&last)
+	time.AfterFunc(last.Sub(now), s.end)
+}
+
+// due returns when the sends of a request end that is due at the given time.
+func (s *Stop) due(deadline time.Time) time.Time {
+	if last := s.last.Load(); last != nil && last.Before(deadline) {
+		return *last
+	}
+	return deadline
+}
+
+// stopsTooSoon reports whether the instance stops before the request can be expected to end.
+func (x *exchange) stopsTooSoon(now time.Time) bool {
+	return !fits(x.Stop.due(x.deadline).Sub(now), x.deadline.Sub(now), x.route.Objective, x.route.Kind)
+}
+
+// timeToSend returns the time for a send, or zero if the instance stops too soon for it.
+func (x *exchange) timeToSend(now time.Time) time.Duration {
+	if x.stopsTooSoon(now) {
+		return 0
+	}
+	return x.Stop.due(x.deadline).Sub(now)
+}
+
+// fits reports whether a request with that time remaining can be expected to end in the time left. Most end within their route's
+// objective. If the outcome of one that may not be repeated is unknown, neither this instance nor its caller can make up for it, so it
+// needs all its time. How long a stream lasts after its first event is not known.
+func fits(left, remaining, objective time.Duration, kind policy.Kind) bool {
+	if remaining <= left {
+		return true
+	}
+	return kind != policy.NonIdempotent && objective > 0 && objective <= left
+}
+
+// refuseStopping sends the error response of a request that has not run and for which the instance has no time.
+func (x *exchange) refuseStopping(now time.Time) {
+	x.respondError(fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance stops in %s, the request has %s left",
+		x.Stop.due(x.deadline).Sub(now).Round(time.Millisecond), x.deadline.Sub(now).Round(time.Millisecond)))
+}
+
+// endedByStop reports whether the context for sends has ended because the instance stops.
+func (x *exchange) endedByStop(now time.Time) bool {
+	due := x.Stop.due(x.deadline)
+	return due.Before(x.deadline) && !now.Before(due)
+}
+
+// endReason returns why the context for sends has ended, other than by the caller.
+func (x *exchange) endReason(now time.Time) string {
+	if x.endedByStop(now) {
+		return "the instance stops"
+	}
+	return "the time was up"
+}
