Say in all responses during a planned stop that their connections are closed

Cause, by a test: the header was set when a request arrived, so that the response to one from before the signal left its connection open. The caller's next request on it could cross the close.

Change: the header is set when a response is written.

Evidence: TestResponsesDuringAStopCloseTheirConnections failed before (the connection could be used again) and passes. With the rule taken out it fails, and so does TestFirstRequestLateInShutdownIsRefused.

--- a/internal/app/edge/stop_test.go
+++ b/internal/app/edge/stop_test.go
@@ -172,6 +172,23 @@
 	must.Zero(t, s.Engines[1].Requests())
 }
 
+// A response to a request from before the stop did not say that its connection is closed, so that the next request could cross the close.
+func TestResponsesDuringAStopCloseTheirConnections(t *testing.T) {
+	s, r := startStoppable(t, 1, 1, 4)
+	s.Jobs[0].SetFaults(fake.Faults{Work: 500 * time.Millisecond})
+	conn, err := fake.Dial(context.Background(), r.settings.Listen)
+	must.NoError(t, err)
+	defer conn.Close()
+	opens := make(chan bool, 1)
+	go func() {
+		reply, _, open, err := conn.Send(context.Background(), newBookCall())
+		opens <- open || err != nil || reply.Status != http.StatusOK
+	}()
+	eventually(t, "the request runs", func() bool { return s.Jobs[0].Requests() == 1 })
+	r.stop()
+	must.False(t, <-opens)
+}
+
 // Guards against requests of other instances that are lost because the instance that relays them stops.
 func TestRelayedRequestsOutliveTheStopOfTheirRelay(t *testing.T) {
 	s, routers, paths := startCutSite(t, 1, 1, 2)
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -320,4 +320,5 @@
 	for name, values := range x.Dialect.ResponseHeader(header) {
 		head[name] = values
 	}
+	x.closeAtStop()
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -158,7 +158,7 @@
 	h.OpenRequests.Add(1)
 	defer h.OpenRequests.Add(-1)
 	x := &exchange{Handler: h, w: w, r: r, started: time.Now(), avoid: make(map[string]bool), sent: make(map[string]bool), chains: make(map[int64][]uint64)}
-	if h.Draining.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// Request smuggling: bytes after a chunked body that also had a length could be parsed as another caller's request.
 		w.Header().Set("Connection", "close")
 	}
@@ -334,6 +334,7 @@
 	head := x.w.Header()
 	x.Dialect.SetErrorHeader(head, x.info.ID, spreadRetryAfter(retry, x.info.ID))
 	head.Set("Content-Type", "text/plain; charset=utf-8")
+	x.closeAtStop()
 	x.w.WriteHeader(a.Status)
 	// A failed write cannot be reported to anyone: the caller may have disconnected.
 	_, _ = fmt.Fprintln(x.w, e.Error())
--- a/internal/front/serve/stop.go
+++ b/internal/front/serve/stop.go
@@ -76,6 +76,14 @@
 		x.Stop.due(x.deadline).Sub(now).Round(time.Millisecond), x.deadline.Sub(now).Round(time.Millisecond)))
 }
 
+// closeAtStop makes the response the last one on its connection if the instance is about to stop. The caller then sends its next request
+// to another instance.
+func (x *exchange) closeAtStop() {
+	if x.Draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // endedByStop reports whether the context for sends has ended because the instance stops.
 func (x *exchange) endedByStop(now time.Time) bool {
 	due := x.Stop.due(x.deadline)
