Refuse requests that are still arriving when a planned stop ends

What callers saw, by a test: a request of which a part of the head or body had arrived when the grace period ended was cut without an answer; of a request on a kept connection whose head arrived in parts also when the listener was closed.

Cause: the read of a body waited for its caller until the server was closed. Of a part of a head, no handler knows; net/http counts its connection as idle and closes it.

Change: the read of a body ends with the sends of the stop, and the request is refused as not run. The connections of callers know whether bytes of a request have arrived, so that only unused ones are closed, and the others get a refusal once the sends have ended. Nothing else is written after it, and the handler refuses all requests by then, so that the promise holds if the head is completed meanwhile.

Ruled out: the server's own close of idle connections (SetKeepAlivesEnabled), which does not tell these from unused ones; a refusal on every open connection, which would answer requests that nobody sent.

Evidence: TestArrivingRequestsAreRefusedAtTheEndOfTheGrace failed before in all 6 cases (unexpected EOF) and passes. Tests of the test: without the end of the body's read, 4 cases failed; without the refusal of heads 2; with connections closed although a head arrives 1.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -96,8 +96,7 @@
 	closeMetrics func() error
 	socket       *net.UDPConn
 	listeners    []net.Listener
-	// openConns counts the open connections of callers.
-	openConns atomic.Int64
+	callers      *callerConns
 	// newerDocument queues the address of an instance that has a newer routing document.
 	newerDocument chan string
 	// documentRow is the row of the routing document in force.
@@ -128,7 +127,7 @@
 		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
 		holders: holder.NewTracker(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
-		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(),
+		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(), callers: newCallerConns(),
 		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
@@ -224,15 +223,19 @@
 		{Handler: e.handler}, {Handler: http.HandlerFunc(e.handleReady)}, {Handler: e.metricsHandler()}, {Handler: e.peerHandler()},
 	}
 	front := servers[0]
-	front.ConnState = e.countConn
+	front.ConnState = e.callers.observe
 	for i, s := range servers {
 		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
-		go func() { serveErrs <- s.Serve(e.listeners[i]) }()
+		listener := e.listeners[i]
+		if s == front {
+			listener = callerListener{listener}
+		}
+		go func() { serveErrs <- s.Serve(listener) }()
 	}
 	var err error
 	select {
 	case <-ctx.Done():
-		e.shutdown(time.Now(), front)
+		e.shutdown(time.Now())
 	case err = <-serveErrs:
 		err = oops.Wrapf(err, "HTTP server failed")
 	}
@@ -256,7 +259,7 @@
 )
 
 // shutdown reports that the instance is not ready, answers all requests within the grace period and closes idle connections.
-func (e *Edge) shutdown(started time.Time, front *http.Server) {
+func (e *Edge) shutdown(started time.Time) {
 	grace := seconds(e.settings.Grace)
 	end := started.Add(grace - shutdownMargin)
 	e.handler.Draining.Store(true)
@@ -266,7 +269,7 @@
 	time.Sleep(min(drainNotice, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	e.closeConnections(ctx, front)
+	e.closeConnections(ctx)
 	e.exchange.Send()
 }
 
@@ -276,26 +279,26 @@
 // closeConnections stops listening and closes connections when they become idle, until none is left, also of those that are relayed
 // for other instances, or the context ends. Requests that still arrive on open connections are refused; http.Server.Shutdown would close
 // these without an answer.
-func (e *Edge) closeConnections(ctx context.Context, front *http.Server) {
+func (e *Edge) closeConnections(ctx context.Context) {
 	e.handler.Closed.Store(true)
 	// The listener is not used again, so an error does not matter.
 	_ = e.listeners[0].Close()
-	for e.openConns.Load() > 0 || e.relay.Open() > 0 {
-		front.SetKeepAlivesEnabled(false)
+	for e.callers.count() > 0 || e.relay.Open() > 0 {
+		e.callers.closeUnused()
+		if e.handler.Stop.Over() {
+			e.refuseArriving(time.Now())
+		}
 		if sleep.For(ctx, connCheckInterval) != nil {
-			e.log.Info("edge: connections are still open", "open", e.openConns.Load(), "requests", e.handler.OpenRequests.Load(), "relayed", e.relay.Open())
+			e.log.Info("edge: connections are still open", "open", e.callers.count(), "requests", e.handler.OpenRequests.Load(), "relayed", e.relay.Open())
 			return
 		}
 	}
 }
 
-// countConn counts the open connections of callers.
-func (e *Edge) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		e.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.openConns.Add(-1)
+// refuseArriving refuses the requests of which only a part of the head has arrived. The handler refuses the others.
+func (e *Edge) refuseArriving(now time.Time) {
+	if n := e.callers.refuseArriving(now, e.handler.WriteRefusal); n > 0 {
+		e.log.Info("edge: refused requests that had not arrived", "requests", n)
 	}
 }
 
--- a/internal/app/edge/stop_test.go
+++ b/internal/app/edge/stop_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -284,6 +285,43 @@
 		ids.Add(1), fake.HeaderDeadline, more)
 }
 
+// Requests of which a part had arrived at the end of the grace period were cut without an answer.
+func TestArrivingRequestsAreRefusedAtTheEndOfTheGrace(t *testing.T) {
+	for name, c := range map[string]struct {
+		part string
+		// kept sends a whole request on the connection before.
+		kept bool
+	}{
+		"head":             {part: rawHead(fake.LookPath, "")},
+		"head, second":     {part: rawHead(fake.LookPath, ""), kept: true},
+		"body":             {part: rawHead(fake.LookPath, "Content-Length: 10\r\n\r\n12345")},
+		"body, second":     {part: rawHead(fake.BookPath, "Content-Length: 10\r\n\r\n12345"), kept: true},
+		"body in chunks":   {part: rawHead(fake.BookPath, "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n")},
+		"body not allowed": {part: rawHead(fake.BookPath, "Content-Length: 10\r\nExpect: 100-continue\r\n\r\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, r := startStoppable(t, 1, 1, 2)
+			caller := r.dialRaw(t)
+			before := 0
+			if c.kept {
+				before = 1
+				caller.write(rawHead(fake.LookPath, "Content-Length: 0\r\n\r\n"))
+				must.Eq(t, http.StatusOK, caller.read().Status)
+			}
+			caller.write(c.part)
+			time.Sleep(100 * time.Millisecond)
+			r.stop()
+			reply := caller.read()
+			if strings.Contains(c.part, "Expect") && reply.Status == http.StatusContinue {
+				reply = caller.read()
+			}
+			checkRefused(t, reply)
+			must.Eq(t, before, s.Jobs[0].Requests())
+		})
+	}
+}
+
 // A request whose body came late in a planned stop was sent to an upstream although no time was left for it.
 func TestRequestsWithoutTimeLeftAreNotSent(t *testing.T) {
 	for _, path := range []string{fake.BookPath, fake.LookPath} {
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -271,6 +271,7 @@
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
 	}
 	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
+	inTime := x.refuseAtStop()
 	var err error
 	if x.r.ContentLength > 0 {
 		x.body = make([]byte, x.r.ContentLength)
@@ -278,6 +279,9 @@
 	} else {
 		x.body, err = io.ReadAll(reader)
 	}
+	if !inTime() {
+		return fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance stops before the body has arrived")
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
--- a/internal/front/serve/stop.go
+++ b/internal/front/serve/stop.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +42,9 @@
 	time.AfterFunc(last.Sub(now), s.end)
 }
 
+// Over reports whether all sends have ended.
+func (s *Stop) Over() bool { return s.sends.Err() != nil }
+
 // due returns when the sends of a request end that is due at the given time.
 func (s *Stop) due(deadline time.Time) time.Time {
 	if last := s.last.Load(); last != nil && last.Before(deadline) {
@@ -97,3 +103,26 @@
 	}
 	return "the time was up"
 }
+
+// refuseAtStop makes the read of the request's body fail once all sends have ended. The returned function ends that, and reports
+// whether the body may still be used.
+func (x *exchange) refuseAtStop() (inTime func() bool) {
+	return context.AfterFunc(x.Stop.sends, func() {
+		// If it fails, the connection is closed without a response.
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Unix(1, 0))
+	})
+}
+
+// WriteRefusal writes the response to a request of which no handler knows yet, and which is not read any further.
+func (h *Handler) WriteRefusal(w io.Writer) error {
+	err := fault.New(fault.Draining, "the instance stops, the request was not read")
+	header := make(http.Header)
+	h.Dialect.SetErrorHeader(header, "", retryAfterDraining)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	text := err.Error() + "\n"
+	resp := http.Response{
+		StatusCode: fault.ResponseFor(err.Kind).Status, ProtoMajor: 1, ProtoMinor: 1, Header: header, Close: true,
+		ContentLength: int64(len(text)), Body: io.NopCloser(strings.NewReader(text)),
+	}
+	return resp.Write(w)
+}
--- a/internal/front/serve/stop_test.go
+++ b/internal/front/serve/stop_test.go
@@ -36,4 +36,5 @@
 	s.Begin(now, now.Add(time.Minute))
 	must.Eq(t, now.Add(time.Minute-answerMargin), s.due(now.Add(time.Hour)))
 	must.Eq(t, now.Add(time.Second), s.due(now.Add(time.Second)))
+	must.False(t, s.Over())
 }
