skylarkquay: answer the requests that are open at the end of the drain

What callers saw, by a test: requests of language models, bookings and idempotent calls that were open at the end of the drain, queued ones and those whose body was arriving were cut without an answer.

Cause: the stop closed the connections of callers after the drain timeout, whatever was open on them.

Change: the contexts of all requests are then canceled, with the fault of an instance that stops, and their responses are awaited for half a second. A request that may have run is answered as of unknown outcome (504), others as not run (503); a stream that has begun gets an error event and no [DONE], as one whose key is withdrawn. A call that runs to completion although its caller leaves ends as well, and its claim stays recorded. The read of a body ends with the request's context.

Evidence: TestRequestsOpenAtTheEndOfTheDrainAreAnswered (4 cases) and TestUnsentRequestsAtTheEndOfTheDrainAreRefused (4 cases) failed before (unexpected EOF) and pass.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -67,6 +67,9 @@
 	peers   *peers
 
 	listeners listeners
+	// requests is the context of callers' requests; endRequests cancels it when the router stops.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	// started is when the router was built; configured is set once the upstreams of the first document are permitted.
 	started    time.Time
 	configured atomic.Bool
@@ -108,6 +111,7 @@
 		Zone:        s.Zone,
 		Incarnation: fmt.Sprintf("%019d-%s", time.Now().UnixNano(), rand.Text()[:8]),
 	})
+	r.requests, r.endRequests = context.WithCancelCause(context.Background())
 	r.buildDialer()
 	r.buildClients()
 	r.buildComponents()
@@ -230,7 +234,7 @@
 }
 
 // shutdown drains, stops accepting calls, waits for the open requests and the pending claim writes, and then releases the
-// leases. Requests that are still open after DrainTimeout are cut off.
+// leases. Requests that are still open after DrainTimeout are ended with an error response.
 func (r *Router) shutdown(servers []server) {
 	r.Drain()
 	time.Sleep(r.settings.DrainNotice)
@@ -240,6 +244,7 @@
 		if s.name == "callers" {
 			if err := s.http.Shutdown(ctx); err != nil {
 				r.log.Info("router: requests were still open at the end of the drain", "open", r.queue.Running())
+				r.answerOpen(s.http)
 			}
 		}
 	}
@@ -251,6 +256,18 @@
 	}
 }
 
+// answerTimeout bounds the time in which the requests that are open at the end of the drain get their responses.
+const answerTimeout = 500 * time.Millisecond
+
+// answerOpen ends the open requests and waits for their responses.
+func (r *Router) answerOpen(callers *http.Server) {
+	r.endRequests(gate.ErrStopped())
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	// The connections that are still open then are closed.
+	_ = callers.Shutdown(ctx)
+}
+
 // server is one of the router's HTTP servers.
 type server struct {
 	name     string
--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -24,6 +26,7 @@
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes + headerSlackBytes,
+		BaseContext:       func(net.Listener) context.Context { return r.requests },
 	}
 	return []server{
 		{"callers", callers, r.listeners.callers},
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -144,13 +144,13 @@
 		}
 	}
 	if err := h.Queue.Acquire(ctx, j.caller.Workspace, j.queueWeight, j.req.Cost()); err != nil {
-		h.refuse(w, j.caller.Workspace, cancelCause(ctx, err))
+		h.refuse(w, j.caller.Workspace, cancelCause(ctx, false, err))
 		return
 	}
 	defer func() { h.Queue.Release(time.Now()) }()
 	grant, err := h.admit(ctx, j, budget)
 	if err != nil {
-		h.refuse(w, j.caller.Workspace, cancelCause(ctx, err))
+		h.refuse(w, j.caller.Workspace, cancelCause(ctx, false, err))
 		return
 	}
 	var used int64
@@ -218,10 +218,11 @@
 	fault.Write(w, e)
 }
 
-// cancelCause returns the fault by which ctx was canceled when the caller's key was withdrawn, or else err.
-func cancelCause(ctx context.Context, err error) error {
+// cancelCause returns the fault of a request that was canceled because the caller's key was withdrawn or the instance stops, or else err.
+// Sent reports whether an engine may have started the request.
+func cancelCause(ctx context.Context, sent bool, err error) error {
 	if c := context.Cause(ctx); c != nil && fault.Is(c, fault.KeyWithdrawn) {
 		return c
 	}
-	return err
+	return gate.StopFault(ctx, sent, err)
 }
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -47,7 +47,7 @@
 
 // writeFailure ends a request that could not be completed.
 func (h *Handler) writeFailure(ctx context.Context, w http.ResponseWriter, j *job, out *eventWriter, lastErr error) {
-	err := cancelCause(ctx, h.finalError(j, lastErr))
+	err := cancelCause(ctx, j.mayHaveRun, h.finalError(j, lastErr))
 	if out.started {
 		h.Log.Info("route: ended stream early", "request", j.id, "workspace", j.caller.Workspace, "reason", err.Error())
 		_ = out.writeError(err)
@@ -69,7 +69,7 @@
 func (h *Handler) serveBuffered(ctx context.Context, w http.ResponseWriter, j *job) int64 {
 	out := &responseBuffer{}
 	if err := h.relayAnswer(ctx, j, out); err != nil {
-		h.refuse(w, j.caller.Workspace, cancelCause(ctx, h.finalError(j, err)))
+		h.refuse(w, j.caller.Workspace, cancelCause(ctx, j.mayHaveRun, h.finalError(j, err)))
 		if !j.mayHaveRun {
 			return 0
 		}
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -146,7 +146,11 @@
 
 // ReadBody reads the request body up to the size limit.
 func (g *Gate) ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	unlink := endReadAtStop(w, r)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBodyBytes))
+	if !unlink() && isStopped(r.Context()) {
+		return nil, context.Cause(r.Context())
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, fault.New(fault.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
--- a/internal/front/plain/plain.go
+++ b/internal/front/plain/plain.go
@@ -109,7 +109,7 @@
 
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, c *call) {
 	if err := h.Queue.Acquire(ctx, c.caller.Workspace, c.queueWeight, 1); err != nil {
-		h.refuse(w, c.caller.Workspace, err)
+		h.refuse(w, c.caller.Workspace, gate.StopFault(ctx, false, err))
 		return
 	}
 	defer func() { h.Queue.Release(time.Now()) }()
@@ -121,7 +121,7 @@
 		return
 	}
 	// A call that is not idempotent runs to completion, also when the caller disconnects, so that its outcome is stored.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	ctx, cancel := gate.OnceContext(ctx, timeout)
 	defer cancel()
 	h.serveOnce(ctx, w, c)
 }
@@ -177,10 +177,10 @@
 		}
 	}
 	if !mayHaveRun {
-		h.refuse(w, c.caller.Workspace, fault.New(fault.NoUpstream, "no upstream of service %s takes the call", c.route.Service))
+		h.refuse(w, c.caller.Workspace, gate.StopFault(ctx, false, fault.New(fault.NoUpstream, "no upstream of service %s takes the call", c.route.Service)))
 		return
 	}
-	h.refuse(w, c.caller.Workspace, fault.New(fault.UpstreamFailed, "the call failed: %s", lastErr.Error()))
+	h.refuse(w, c.caller.Workspace, gate.StopFault(ctx, true, fault.New(fault.UpstreamFailed, "the call failed: %s", lastErr.Error())))
 }
 
 // choose returns the least loaded upstream that was not tried. It takes an ejected one only when there is no other, and
