skylarkquay: relay nothing new while the instance is about to stop

Cause, by a test: an instance that drained still connected to upstreams for others that had not heard of its leaving, and its end cut these requests.

Change: it declines; the other instance asks the next one.

Evidence: TestDrainingRouterRelaysNothingNew failed before (200, 503 expected) and passes.

--- a/internal/app/daemon/paths.go
+++ b/internal/app/daemon/paths.go
@@ -24,14 +24,18 @@
 func (r *Router) buildDialer() {
 	r.dialer = &detour.Dialer{Direct: relay.DialTCP, Candidates: r.relayCandidates, Paths: detour.NewPaths(), Log: r.log}
 	r.relay = &detour.Relay{
-		Dialer: r.dialer, Max: maxRelayed, Accepts: func(_ time.Time, t detour.Target) bool { return slices.Contains(r.upstreamAddresses(), t.Address) },
-		OnHead: func(_, _ time.Time, _ detour.Target, _ *http.Response) {},
+		Dialer: r.dialer, Max: maxRelayed, Accepts: r.acceptsRelay, OnHead: func(_, _ time.Time, _ detour.Target, _ *http.Response) {},
 	}
 	r.pool = relay.NewPool(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 		return r.dialer.Dial(ctx, detour.Target{Address: address}, timeout)
 	})
 }
 
+// acceptsRelay reports whether this instance may connect to an upstream for another one. One that is about to stop would cut it.
+func (r *Router) acceptsRelay(_ time.Time, t detour.Target) bool {
+	return !r.members.Self().Leaving && slices.Contains(r.upstreamAddresses(), t.Address)
+}
+
 // SetDirect replaces the function that connects to upstreams without another instance. It is called before Run.
 func (r *Router) SetDirect(dial relay.Dial) { r.dialer.Direct = dial }
 
--- a/internal/trial/site/stop_test.go
+++ b/internal/trial/site/stop_test.go
@@ -16,6 +16,7 @@
 	routerOptions "github.com/skylarkquay/skylarkquay/internal/conf/option"
 	"github.com/skylarkquay/skylarkquay/internal/fake/engine"
 	"github.com/skylarkquay/skylarkquay/internal/fake/plain"
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
 // startHanging starts a site whose upstreams do not answer, with one router that waits for open requests for half a second.
@@ -103,3 +104,25 @@
 		})
 	}
 }
+
+// A router that was about to stop connected to upstreams for other routers, whose requests its end then cut.
+func TestDrainingRouterRelaysNothingNew(t *testing.T) {
+	s := startHanging(t, 100)
+	writeRaw(t, s, http.MethodPost, "/bookings", bookingBody(1), len(bookingBody(1)))
+	eventually(t, "the request runs", func() bool { return runCount(s, bookingBody(1)) == 1 })
+	r := s.Routers[0]
+	connect := func() int {
+		conn, err := net.Dial("tcp", r.Settings.Peer)
+		must.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "POST %s?address=%s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", detour.Path, s.upstreams[0].address)
+		must.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+		must.NoError(t, err)
+		return res.StatusCode
+	}
+	must.Eq(t, http.StatusOK, connect())
+	go r.cancel()
+	eventually(t, "the router is not ready", func() bool { return !r.Ready() })
+	must.Eq(t, http.StatusServiceUnavailable, connect())
+}
