A success without a length, chunks or body is broken

An upstream whose connection closed right after the head of a 200 without a length or chunks: callers of bookings and look-ups got 200, signed and empty, as a whole answer.

Cause: nothing shows that such a body is whole; only streams had the rule (errNoEvent).

What may be repeated is sent again, anything else is answered with 502. A 204, a length of 0, empty chunks, and other statuses stay as they are (TestAnswersThatShowThatTheyAreEmpty).

--- a/internal/app/edge/latebody_test.go
+++ b/internal/app/edge/latebody_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -76,3 +77,38 @@
 		})
 	}
 }
+
+// A success without a length whose connection closed after the head was answered as a complete, empty one.
+func TestSuccessWithoutLengthOrBodyIsBroken(t *testing.T) {
+	for _, call := range []fake.Call{newLookCall(), newCall(http.MethodPost, fake.BookPath+"1")} {
+		s := &script{first: fake.Answer{Bytes: fake.SignedHead("HTTP/1.1 200 OK") + "Connection: close\r\n\r\n", End: fake.CloseConn}, body: "whole"}
+		reply := startScriptedSite(t, s).send(t, call)
+		if call.Path == fake.BookPath+"1" {
+			must.Eq(t, http.StatusBadGateway, reply.Status)
+			must.Eq(t, 1, s.sends())
+			continue
+		}
+		must.Eq(t, http.StatusOK, reply.Status)
+		must.Eq(t, "whole", reply.Body)
+	}
+}
+
+// Guards against answers without a body that are taken for broken ones.
+func TestAnswersThatShowThatTheyAreEmpty(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"no content":   fake.SignedHead("HTTP/1.1 204 No Content") + "\r\n",
+		"length":       withLength(""),
+		"chunks":       fake.SignedHead("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"not found":    fake.SignedHead("HTTP/1.1 404 Not Found") + "Connection: close\r\n\r\n",
+		"not modified": fake.SignedHead("HTTP/1.1 304 Not Modified") + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &script{first: fake.Answer{Bytes: bytes, End: fake.CloseConn}}
+			reply := startScriptedSite(t, s).send(t, newCall(http.MethodPost, fake.BookPath+"1"))
+			must.StrContains(t, bytes, fmt.Sprintf("HTTP/1.1 %d ", reply.Status))
+			must.Eq(t, "", reply.Body)
+			must.True(t, reply.Signed)
+		})
+	}
+}
