Bytes that are no answer are not quoted in error responses and logs

An upstream that wrote "secretword" in place of a response: the router's 502 said `upstream_failed: no answer: malformed HTTP response "secretword"`, and so did its log.

Cause: net/http and textproto quote what they cannot parse, and the text of their errors became that of the answer.

Change: link returns ErrMalformed, whose text is fixed, for errors of a head other than the end of the connection, those of the network and the size limit, and for textproto errors of a trailer. Such requests count as before as possibly run; they no longer count as a crash of an upstream that still runs.

Before: TestBytesThatAreNoAnswerAreNotQuoted failed in 8 of 9 cases; two different lengths gave 502 without a quote.

--- a/internal/app/edge/malformed_test.go
+++ b/internal/app/edge/malformed_test.go
@@ -30,3 +30,22 @@
 		}
 	}
 }
+
+// Bytes that are no answer were quoted in the router's error response.
+func TestBytesThatAreNoAnswerAreNotQuoted(t *testing.T) {
+	for _, bytes := range []string{
+		"secretword\r\n\r\n", "HTTP/1.1 secretword\r\n\r\n", "secretword/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nsecretword\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n secretword: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: secretword\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: secretword\r\n\r\n",
+		fake.SignedHead("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n0\r\nsecretword\r\n\r\n",
+		fake.SignedHead("HTTP/1.1 200 OK") + "Content-Length: 1\r\nContent-Length: 2\r\nX: secretword\r\n\r\n",
+	} {
+		t.Run(bytes, func(t *testing.T) {
+			t.Parallel()
+			s := &script{first: fake.Answer{Bytes: bytes, End: fake.CloseConn}}
+			reply := startScriptedSite(t, s).send(t, newCall(http.MethodPost, fake.BookPath+"1"))
+			must.Eq(t, http.StatusBadGateway, reply.Status)
+			must.StrNotContains(t, reply.Body, "secretword")
+		})
+	}
+}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -222,7 +222,7 @@
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.head.remaining = unlimited
 		if err != nil {
-			return nil, err
+			return nil, withoutQuotes(err)
 		}
 		if raw.Proto != "HTTP/1.1" {
 			return nil, ErrMalformed
@@ -231,7 +231,7 @@
 			continue
 		}
 		if r.Matches(raw.Header) {
-			return &Response{Status: raw.StatusCode, Header: raw.Header, Body: raw.Body, pool: p, conn: c, raw: raw}, nil
+			return &Response{Status: raw.StatusCode, Header: raw.Header, Body: quietBody{raw.Body}, pool: p, conn: c, raw: raw}, nil
 		}
 		if raw.Close {
 			return nil, ErrStray
