A response with a status below 100 is malformed

An upstream that writes "HTTP/1.1 099 X" with a Content-Length: the body of that response was read as the next response, so that text in it passed for the answer to the request.

Cause: link.read passes over statuses below 200 as interim, which have no body; net/http reads statuses below 100 with one.

Change: such a response is ErrMalformed. Interim responses, 204 and 304 to other requests and the limit on responses were right; TestResponsesBeforeTheExpectedOne states that.

Before: TestBodyOfAnImpossibleStatusIsNoResponse got "forged" without an error.

--- a/internal/front/link/field_test.go
+++ b/internal/front/link/field_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -39,3 +40,39 @@
 		}
 	}
 }
+
+// The body of a response with a status below 100 was read as the next response.
+func TestBodyOfAnImpossibleStatusIsNoResponse(t *testing.T) {
+	forged := response("1", "forged")
+	for _, status := range []string{"099 X", "000 X", "001 X"} {
+		u := startUpstream(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: "+strconv.Itoa(len(forged))+"\r\n\r\n"+forged)
+			return false
+		})
+		got, err := roundTrip(t, newTestPool(0), request(u, "1"))
+		must.ErrorIs(t, err, ErrMalformed, must.Sprint(got))
+	}
+}
+
+// Interim responses, and late ones to other requests, are passed over up to the limit, whatever their status.
+func TestResponsesBeforeTheExpectedOne(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+	const noContent = "HTTP/1.1 204 No Content\r\nId: other\r\n\r\n"
+	const notModified = "HTTP/1.1 304 Not Modified\r\nId: other\r\nContent-Length: 5\r\n\r\n"
+	for before, want := range map[string]bool{
+		interim: true, noContent: true, notModified: true, interim + response("other", "x"): true, noContent + notModified: true,
+		interim + interim + interim: false, interim + noContent + notModified: false,
+	} {
+		u := startUpstream(t, func(_ int64, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, before+response("1", "one"))
+			return false
+		})
+		got, err := roundTrip(t, newTestPool(0), request(u, "1"))
+		if !want {
+			must.ErrorIs(t, err, ErrStray)
+			continue
+		}
+		must.NoError(t, err)
+		must.Eq(t, "one", got)
+	}
+}
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -224,7 +224,7 @@
 		if err != nil {
 			return nil, withoutQuotes(err)
 		}
-		if raw.Proto != "HTTP/1.1" {
+		if raw.Proto != "HTTP/1.1" || raw.StatusCode < http.StatusContinue {
 			return nil, ErrMalformed
 		}
 		if raw.StatusCode < http.StatusOK {
