Take a whole head of any server in a body without a length for another response

Cause: looked for heads with an ID or a signature only.

Change: in a whole body without a length or chunks, a head counts whatever its lines, if there is one at least and all end with CRLF. Bodies that quote a head with other line ends are forwarded as before. Events are not searched so, since lines with CRLF and "data:" look like such heads.

--- a/internal/front/link/trailing.go
+++ b/internal/front/link/trailing.go
@@ -15,15 +15,19 @@
 	return newHeadScanner(isAnswer).scan(text)
 }
 
-// BodyHoldsHead is HoldsHead for a whole body, at whose end there may also be a head that is cut or that of an interim response.
+// BodyHoldsHead is HoldsHead for a whole body, which may also hold a whole head with any header lines, as servers write for errors
+// before an application sees the request, and end with a head that is cut or that of an interim response.
 func BodyHoldsHead(body []byte, isAnswer func(http.Header) bool) bool {
 	s := newHeadScanner(isAnswer)
+	s.acceptAny = true
 	return s.scan(body) || s.inHead && s.strict || s.afterInterim
 }
 
 // headScanner reads text line by line.
 type headScanner struct {
 	isAnswer func(http.Header) bool
+	// acceptAny reports whether a whole head counts whatever its header lines, if all its lines end with CRLF.
+	acceptAny bool
 	// inHead reports whether a status line and only header lines after it have been read, of the given size.
 	inHead bool
 	header http.Header
@@ -74,6 +78,9 @@
 		}
 		s.inHead = false
 		if len(content) == 0 {
+			if s.acceptAny && s.strict && strict && len(s.header) > 0 && !s.interim {
+				return true
+			}
 			s.afterInterim = s.interim && s.strict && strict
 			return false
 		}
