--- a/internal/app/edge/latebody_test.go
+++ b/internal/app/edge/latebody_test.go
@@ -27,7 +27,7 @@
 		"cut in a header":     whole + "HTTP/1.1 200 OK\r\nX-Att",
 		"error":               whole + fake.SignedHead("HTTP/1.1 500 Internal Server Error") + "\r\nfailed",
 		"bare error":          whole + "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed",
-		"unsigned error":      whole + "HTTP/1.1 503 Full\r\n" + fake.HeaderID + ": other\r\nX-Not-Executed: 1\r\n\r\n",
+		"unsigned error":      whole + "HTTP/1.1 503 Full\r\n" + fake.HeaderID + ": other\r\n" + fake.HeaderNotRun + ": 1\r\n\r\n",
 		"interim":             whole + "HTTP/1.1 100 Continue\r\n\r\n" + whole,
 		"only interim":        whole + "HTTP/1.1 103 Early Hints\r\n\r\n",
 		"after an error":      strings.Replace(whole, "200 OK", "404 Not Found", 1) + whole,
