--- a/internal/app/edge/ended_test.go
+++ b/internal/app/edge/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -150,3 +151,46 @@
 	must.Eq(t, events(1, 2), reply.Body)
 	must.False(t, reply.Complete)
 }
+
+// The same through another instance, which passes on that the connection has ended but not why.
+func TestStreamOfKilledUpstreamThroughInstanceIsIncomplete(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		bytes    string
+		end      fake.End
+		complete bool
+	}{
+		{"killed", unboundedHead + events(1, 3), fake.Exit, false},
+		{"ended by the upstream", unboundedHead + events(1, 5), fake.CloseConn, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, routers, paths := startCutSite(t, 1, 1, 2)
+			u := registerScripted(t, s, s.Engines[0], func(*http.Request) fake.Answer { return fake.Answer{Bytes: c.bytes, End: c.end} })
+			for _, r := range routers {
+				eventually(t, "the upstream's address is in force", func() bool { return r.fleet.ServiceAt(u.Address()) != "" })
+			}
+			paths[0].set(cutRefuse)
+			reply := routers[0].send(t, newPromptCall(fake.BriefPath+"1"))
+			must.SliceLen(t, 1, u.Requests())
+			must.Eq(t, http.StatusOK, reply.Status)
+			must.Eq(t, c.complete, reply.Complete)
+			must.True(t, strings.HasPrefix(events(1, 5), reply.Body))
+		})
+	}
+}
+
+// The same with an upstream that has replaced a silent one.
+func TestStreamOfKilledReplacementIsIncomplete(t *testing.T) {
+	s := newSite(t, 2, 1)
+	s.Engines[0].SetFaults(fake.Faults{PauseAfter: 2, Pause: time.Minute})
+	u := registerScripted(t, s, s.Engines[1], func(*http.Request) fake.Answer {
+		return fake.Answer{Bytes: unboundedHead + events(3, 4), End: fake.Exit}
+	})
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "ready", r.isReady)
+	r.fleet.SetSwitching(s.Engines[1].ID, time.Now().Add(time.Second))
+	reply := r.send(t, newPromptCall(fake.QuotePath+"1"))
+	must.SliceLen(t, 1, u.Requests())
+	must.Eq(t, events(1, 4), reply.Body)
+	must.False(t, reply.Complete)
+}
