Judge all events of a resumed stream by what its caller has

Cause: comments cleared what is known of the event that is due; two of the malformed ends did not return the bytes of the event that they cut; lastEventID did not hold the caller's own Last-Event-Id; and streams without ids counted as resumable after an event.

Change: only events count as events; an unfinished event that the caller has already (a repeated one) or a comment is not missed; the caller's Last-Event-Id is where the stream goes on; after an event without an id no other upstream takes the stream up.

--- a/internal/front/serve/events.go
+++ b/internal/front/serve/events.go
@@ -27,6 +27,8 @@
 	raw []byte
 	// id is the event's id, or "".
 	id string
+	// isEvent is false for lines that only hold comments and retry delays.
+	isEvent bool
 }
 
 // eventReader reads complete events, so that a partial one, or text that is none, is never forwarded.
@@ -89,13 +91,18 @@
 // check returns the event with these bytes if it may follow the events before it.
 func (e *eventReader) check(raw []byte) (ev event, rest []byte, err error) {
 	if e.isAnswer != nil && link.HoldsHead(raw, e.isAnswer) {
-		return event{}, nil, errLateResponse
+		// The head may have cut an event.
+		return event{}, raw, errLateResponse
 	}
 	ids, isEvent := eventIDs(raw)
+	if len(ids) > 1 {
+		// The second id may begin another event, which has cut the first one.
+		return event{}, raw, errEventOrder
+	}
 	if isEvent && !e.order.follow(ids) {
 		return event{}, nil, errEventOrder
 	}
-	ev = event{raw: raw}
+	ev = event{raw: raw, isEvent: isEvent}
 	if len(ids) > 0 {
 		ev.id = ids[0]
 	}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -37,6 +37,9 @@
 		x.respondError(err)
 		return
 	}
+	if x.route.Kind == policy.Streaming && x.route.Resumable {
+		x.lastEventID = x.info.LastEventID
+	}
 	x.Budget.Earn(x.started, x.service)
 	for {
 		if x.stopsTooSoon(time.Now()) {
@@ -99,7 +102,7 @@
 		}
 		return fail
 	}
-	return nextStep(r, x.counts, x.route.Repeatable(), x.route.Attempts, x.timeToSend(now), func() bool { return x.spendRetry(now) })
+	return nextStep(r, x.counts, x.route.Repeatable() && !x.unnumbered, x.route.Attempts, x.timeToSend(now), func() bool { return x.spendRetry(now) })
 }
 
 // spendRetry takes one retry from the service's budget, or returns false when none is left.
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -136,8 +136,10 @@
 	lastChoice place.Choice
 	// build is the build that began the stream and the only one that may go on with it; nil before.
 	build *string
-	// lastEventID is the id of the last event that was forwarded to the caller.
+	// lastEventID is the id of the last event that the caller has, also from an earlier attempt.
 	lastEventID string
+	// unnumbered reports whether the last event that was forwarded has no id, so that no other upstream can go on after it.
+	unnumbered bool
 	// numbering describes the ids of the events that were forwarded.
 	numbering numbering
 	// eventBegun reports whether an upstream has sent a part of the event after lastEventID, but not all of it.
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -91,7 +91,7 @@
 
 func (s *standby) open(now time.Time, spend bool) error {
 	x := s.x
-	if !x.counts.canSend(x.timeToSend(now)) || x.counts.Ran >= x.route.Attempts {
+	if !x.counts.canSend(x.timeToSend(now)) || x.counts.Ran >= x.route.Attempts || x.unnumbered {
 		return errNoAttempt
 	}
 	if x.crashesUpstreams(now) {
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -54,7 +54,7 @@
 	first := true
 	for {
 		ev, rest, err := c.next()
-		x.eventBegun = x.eventBegun || err != nil && len(bytes.TrimSpace(rest)) > 0
+		x.eventBegun = x.eventBegun || err != nil && x.beginsEvent(rest)
 		if other.replacement != nil {
 			c.resp.Abort()
 			return other.replacement, broken, nil
@@ -97,12 +97,14 @@
 			x.recordBroken(ctx, c, errEventsSkipped)
 			return nil, broken, errEventsSkipped
 		}
-		goingOn = false
 		if !x.writeEvent(ev.raw) {
 			c.resp.Abort()
 			x.abortDisconnected()
 		}
-		x.eventBegun = false
+		if ev.isEvent {
+			goingOn, x.eventBegun = false, false
+			x.unnumbered = ev.id == ""
+		}
 		if ev.id != "" {
 			x.lastEventID = ev.id
 			x.numbering.add(ev.id)
@@ -156,6 +158,16 @@
 	x.headDelay = now.Sub(x.started)
 }
 
+// beginsEvent reports whether the bytes after which a stream broke off may be those of an event that the caller has not got.
+func (x *exchange) beginsEvent(rest []byte) bool {
+	lines := rest[:bytes.LastIndexByte(rest, '\n')+1]
+	if ids, _ := eventIDs(lines); len(ids) > 0 && !x.isNewEvent(ids[0]) {
+		return false
+	}
+	_, isEvent := eventIDs(rest)
+	return isEvent
+}
+
 // isNewEvent reports whether an event follows the last forwarded one. An upstream that resumes a stream may repeat
 // events.
 func (x *exchange) isNewEvent(id string) bool {
