End no stream as complete after a resumption that brings nothing

A stream whose first answer has no event counted as complete too.

Change: a stream without a new event may be complete only if the caller itself takes it up. An upstream that breaks off between its last event and the end makes the stream incomplete now, and the caller takes it up once more. An upstream that runs and sends no event has not crashed.

--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -45,8 +45,9 @@
 		return
 	}
 	finding := x.Pool.Examine(ctx, detour.Target{ID: c.choice.ID, Address: c.choice.Address})
-	// An upstream that runs and writes bytes that are no answer has not crashed.
-	if finding != detour.Ended && errors.Is(err, link.ErrMalformed) {
+	// An upstream that runs and writes bytes that are no answer, or no event, has not crashed.
+	noEvent := errors.Is(err, errNoEvent) && c.resp.Framing() != link.ByConnection
+	if finding != detour.Ended && (errors.Is(err, link.ErrMalformed) || noEvent) {
 		return
 	}
 	// A relayed connection to an upstream that runs may have broken off at the other instance.
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -138,6 +138,8 @@
 	build *string
 	// lastEventID is the id of the last event that the caller has, also from an earlier attempt.
 	lastEventID string
+	// begun reports whether an event has been forwarded to the caller.
+	begun bool
 	// unnumbered reports whether the last event that was forwarded has no id, so that no other upstream can go on after it.
 	unnumbered bool
 	// numbering describes the ids of the events that were forwarded.
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -153,7 +153,7 @@
 		"error", errorText(err), "sends", x.counts.Sends, "ran", x.counts.Ran, "left_ms", x.remaining().Milliseconds())
 }
 
-// begin reads the first event of a call. It reports whether the response is a stream that has begun, or is complete without an
+// begin reads the first event of a call. It reports whether the response is a stream that has begun, or may be complete without an
 // event.
 func (x *exchange) begin(ctx context.Context, c *call, r result) bool {
 	if !c.isStream(r, x.route) {
@@ -165,7 +165,7 @@
 		c.first = &ev
 		return true
 	}
-	if err = c.streamError(err, rest, true); err != nil {
+	if err = x.streamError(c, err, rest, false); err != nil {
 		x.recordBroken(ctx, c, err)
 	}
 	return err == nil
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -15,8 +15,8 @@
 var (
 	// errUnfinished is returned when a stream ends within an event.
 	errUnfinished = errors.New("the stream ended within an event")
-	// errNoEvent is returned when a connection that would also end a complete stream ends before the first event.
-	errNoEvent = errors.New("the connection ended before the first event")
+	// errNoEvent is returned when a stream that has to bring an event ends without one.
+	errNoEvent = errors.New("the stream ended without an event")
 	// errEventsSkipped is returned when an upstream that resumes a stream does not go on with the next event.
 	errEventsSkipped = errors.New("the upstream skipped events when it resumed the stream")
 	// errEventMissing is returned when a stream that broke off within an event goes on without this event.
@@ -52,6 +52,8 @@
 	// goingOn reports whether the next new event is the first one after those of another call.
 	goingOn := x.lastEventID != ""
 	first := true
+	// news reports whether the call has brought an event that the caller did not have.
+	news := false
 	for {
 		ev, rest, err := c.next()
 		x.eventBegun = x.eventBegun || err != nil && x.beginsEvent(rest)
@@ -61,10 +63,7 @@
 		}
 		other.stop()
 		if err != nil {
-			if err = c.streamError(err, rest, first); err == nil && x.eventBegun {
-				err = errEventMissing
-			}
-			if err == nil {
+			if err = x.streamError(c, err, rest, news); err == nil {
 				err = x.checkEnd(ctx, c)
 			}
 			if err == nil {
@@ -102,7 +101,7 @@
 			x.abortDisconnected()
 		}
 		if ev.isEvent {
-			goingOn, x.eventBegun = false, false
+			news, goingOn, x.begun, x.eventBegun = true, false, true, false
 			x.unnumbered = ev.id == ""
 		}
 		if ev.id != "" {
@@ -121,21 +120,27 @@
 	return c.events.next()
 }
 
-// streamError returns why a stream that ended with err is not complete, or nil if it is. Rest is what followed the last event,
-// first reports whether there was none.
-func (c *call) streamError(err error, rest []byte, first bool) error {
+// streamError returns why the stream of a call that ended with err is not complete, or nil if it is. Rest is what followed the last
+// event, news reports whether the call has brought an event that the caller did not have.
+func (x *exchange) streamError(c *call, err error, rest []byte, news bool) error {
 	switch {
 	case !errors.Is(err, io.EOF):
 		return err
 	case len(rest) > 0:
 		return errUnfinished
-	case first && c.resp.Framing() == link.ByConnection:
+	case x.eventBegun:
+		return errEventMissing
+	case !news && (c.resp.Framing() == link.ByConnection || !x.mayBeEmpty()):
 		return errNoEvent
 	default:
 		return nil
 	}
 }
 
+// mayBeEmpty reports whether a stream without an event may be complete: if the caller may have had all events before its request. One
+// that has broken off hardly did so after its last event, and its caller can take it up.
+func (x *exchange) mayBeEmpty() bool { return x.info.LastEventID != "" && !x.begun }
+
 // writeEvent writes and flushes an event; it reports whether that succeeded.
 func (x *exchange) writeEvent(raw []byte) bool {
 	if _, err := x.w.Write(raw); err != nil {
