Wait 20 ms for the exit of a process, in one place

The review saw connections accepted by the listener of a killed process for up to 4.7 ms after the end of one of its 100 connections (one trial on loopback).

--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -48,3 +48,6 @@
 		return tcp.SetLinger(-1)
 	}
 }
+
+// ExitTime is the time that the kernel takes to close the listener and all connections of a process that has been killed.
+const ExitTime = 20 * time.Millisecond
--- a/internal/front/relay/end.go
+++ b/internal/front/relay/end.go
@@ -8,14 +8,12 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
+	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 )
 
 // probeTimeout bounds the check whether an upstream that has ended a response still runs.
 const probeTimeout = 250 * time.Millisecond
 
-// exitTime is the time that the kernel takes to close the listener of a process that has been killed after its connections.
-const exitTime = 10 * time.Millisecond
-
 // ErrNoKnownEnd is returned for a response that ended with its connection, which is also how a killed process ends it.
 var ErrNoKnownEnd = errors.New("the connection ended and the upstream may have ended too")
 
@@ -55,7 +53,7 @@
 	if !b.begun {
 		return ErrNoKnownEnd
 	}
-	if err := sleep.For(b.ctx, exitTime); err != nil {
+	if err := sleep.For(b.ctx, socket.ExitTime); err != nil {
 		return errors.Join(ErrNoKnownEnd, err)
 	}
 	conn, err := b.dial(b.ctx, b.address, probeTimeout)
