skylarkquay: end calls that outlast their callers when the instance stops

Found by the review: linked such a call to its request's context, which ends when the caller leaves and not once more at the stop. The call went on, and its outcome was not stored. TestOnceContextEndsAtStopAfterItsCallerLeft failed before; it now makes the base context as the router does. The link goes to the context of the instance.

--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -12,6 +12,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/admin"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
+	"github.com/skylarkquay/skylarkquay/internal/front/gate"
 	"github.com/skylarkquay/skylarkquay/internal/front/whole"
 	"github.com/skylarkquay/skylarkquay/internal/peer/wire"
 )
@@ -27,7 +28,7 @@
 		ReadHeaderTimeout: s.HeaderTimeout,
 		IdleTimeout:       s.IdleTimeout,
 		MaxHeaderBytes:    s.HeaderBytes + headerSlackBytes,
-		BaseContext:       func(net.Listener) context.Context { return r.requests },
+		BaseContext:       func(net.Listener) context.Context { return gate.WithStop(r.requests) },
 	}
 	return []server{
 		{"callers", callers, whole.Listener(callers, r.listeners.callers)},
--- a/internal/front/gate/stop.go
+++ b/internal/front/gate/stop.go
@@ -30,14 +30,19 @@
 	}
 }
 
+// stopKey is the context key of the context that is canceled when the instance stops.
+type stopKey struct{}
+
+// WithStop returns the base context of requests, which knows itself, so that work that outlasts its request ends with the instance.
+func WithStop(ctx context.Context) context.Context { return context.WithValue(ctx, stopKey{}, ctx) }
+
 // OnceContext returns the context of a call that runs to completion, also when its caller disconnects, unless the instance stops.
 func OnceContext(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
-	unlink := context.AfterFunc(parent, func() {
-		if isStopped(parent) {
-			cancel(context.Cause(parent))
-		}
-	})
+	unlink := func() bool { return true }
+	if stop, ok := parent.Value(stopKey{}).(context.Context); ok {
+		unlink = context.AfterFunc(stop, func() { cancel(context.Cause(stop)) })
+	}
 	ctx, release := context.WithTimeout(ctx, timeout)
 	return ctx, func() {
 		unlink()
--- a/internal/front/gate/stop_test.go
+++ b/internal/front/gate/stop_test.go
@@ -11,7 +11,7 @@
 // A call that runs to completion went on after the stop if its caller had left before.
 func TestOnceContextEndsAtStopAfterItsCallerLeft(t *testing.T) {
 	requests, stop := context.WithCancelCause(t.Context())
-	request, leave := context.WithCancel(requests)
+	request, leave := context.WithCancel(WithStop(requests))
 	ctx, release := OnceContext(request, time.Minute)
 	defer release()
 	leave()
