Count no crash when an upstream ends that has announced its stop

Found by the review: an upstream that leaves may end right after the answer, which is then taken for broken off if it ended with its connection.

--- a/internal/app/edge/ended_test.go
+++ b/internal/app/edge/ended_test.go
@@ -230,3 +230,16 @@
 		})
 	}
 }
+
+// Callers were refused as if their request crashed upstreams, after it had ended with upstreams that stopped as planned.
+func TestEndsOfLeavingUpstreamsAreNoCrashes(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	head := fake.SignedHead("HTTP/1.1 200 OK") + fake.HeaderLeaving + ": 1\r\n\r\n"
+	for range maxCrashes + 1 {
+		scriptedEngine(t, s, r, fake.Answer{Bytes: head + events(1, 5), End: fake.Exit})
+		c := newPromptCall(fake.BriefPath + "1")
+		c.ID = "thesameprompt"
+		must.Eq(t, http.StatusOK, r.send(t, c).Status)
+		s.Engines[0].Incarnation++
+	}
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -27,6 +27,8 @@
 	// resp is nil until the head of the response has arrived, at headAt.
 	resp   *link.Response
 	headAt time.Time
+	// leaving reports whether the head announced that the upstream stops.
+	leaving bool
 	// events reads the events of a stream; nil before the first one is read.
 	events *eventReader
 	// first is the first event if it has been read before the call replaced another one.
@@ -107,6 +109,7 @@
 	}
 	c.resp, c.headAt = resp, time.Now()
 	verdict := x.Dialect.ParseResponse(resp.Header)
+	c.leaving = verdict.Leaving
 	x.recordNotices(x.info.ID, c, resp.Status, verdict)
 	r := classify(resp.Status, verdict)
 	switch r {
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -44,6 +44,10 @@
 	if errors.Is(err, bound.ErrTooLong) || nothingLeft {
 		return
 	}
+	// An upstream that has announced that it stops may have ended as planned.
+	if c.leaving {
+		return
+	}
 	finding := x.Pool.Examine(ctx, detour.Target{ID: c.choice.ID, Address: c.choice.Address})
 	// An upstream that runs and writes bytes that are no answer, or no event, has not crashed.
 	noEvent := errors.Is(err, errNoEvent) && c.resp.Framing() != link.ByConnection
