--- a/internal/app/trials/soak.go
+++ b/internal/app/trials/soak.go
@@ -27,7 +27,7 @@
 	Minutes  float64       `long:"minutes" description:"begin no run after so many minutes; 0 for no bound"`
 	Length   time.Duration `long:"length" default:"20s" description:"how long faults begin in a run"`
 	Own      bool          `long:"own" description:"play the product's own interface instead of the platform's"`
-	Fault    string        `long:"fault" description:"play only this kind of fault"`
+	Fault    string        `long:"fault" description:"play only these kinds of fault, separated by commas"`
 	Regress  bool          `long:"regress" description:"play the seeds that ever failed first"`
 	Routers  int           `long:"routers" default:"0" description:"number of routers; 0 draws 5, 13 or 26 by the seed"`
 	Engines  int           `long:"engines" default:"6" description:"number of engines"`
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -25,7 +25,7 @@
 	// Length is the time during which faults are started.
 	Length time.Duration
 	Size   Size
-	// OnlyFault is the name of the only fault to inject; all are injected if it is empty.
+	// OnlyFault names the only faults to inject, separated by commas; all are injected if it is empty.
 	OnlyFault string
 	Log       logr.Logger
 }
