--- a/internal/app/trials/soak.go
+++ b/internal/app/trials/soak.go
@@ -52,14 +52,14 @@
 	}
 	first := seed
 	var results []soak.Result
-	runSeed := func(seed uint64, routers int, length time.Duration) error {
-		result, err := c.runSeed(ctx, seed, routers, length)
+	runSeed := func(seed uint64, routers int, length time.Duration, fault string) error {
+		result, err := c.runSeed(ctx, seed, routers, length, fault)
 		results = append(results, result)
 		return err
 	}
 	if c.Regress && !c.Own {
 		for _, r := range soak.Regressions {
-			if err := runSeed(r.Seed, r.Routers, r.Length); err != nil {
+			if err := runSeed(r.Seed, r.Routers, r.Length, r.Fault); err != nil {
 				return err
 			}
 		}
@@ -73,7 +73,7 @@
 		if routers <= 0 {
 			routers = routerCounts[seed%uint64(len(routerCounts))]
 		}
-		if err := runSeed(seed, routers, c.Length); err != nil {
+		if err := runSeed(seed, routers, c.Length, c.Fault); err != nil {
 			return err
 		}
 	}
@@ -81,7 +81,7 @@
 }
 
 // runSeed runs the faults of one seed and prints the result.
-func (c *soakCommand) runSeed(ctx context.Context, seed uint64, routers int, length time.Duration) (soak.Result, error) {
+func (c *soakCommand) runSeed(ctx context.Context, seed uint64, routers int, length time.Duration, fault string) (soak.Result, error) {
 	folder := filepath.Join(c.Out, fmt.Sprint("seed-", seed))
 	if err := os.RemoveAll(folder); err != nil {
 		return soak.Result{}, err
@@ -99,7 +99,7 @@
 		run = soak.RunQuay
 	}
 	result, err := run(ctx, soak.Settings{
-		Programs: c.Bin, Earlier: c.Earlier, Folder: folder, Seed: seed, Length: length, OnlyFault: c.Fault,
+		Programs: c.Bin, Earlier: c.Earlier, Folder: folder, Seed: seed, Length: length, OnlyFault: fault,
 		Size: soak.Size{Routers: routers, Engines: c.Engines, Services: c.Services, Callers: c.Callers}, Log: logger.New("info", file),
 	})
 	if err != nil {
--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -101,12 +100,7 @@
 	{"upstream killed", onUpstream, false, 2 * sec, 6 * sec, killUpstream(fake.Faults{NoLength: true, Pause: 40 * ms})},
 	{"upstream killed in chunks", onUpstream, false, 2 * sec, 6 * sec, killUpstream(fake.Faults{Pause: 40 * ms})},
 	{"upstream stutters", onUpstream, false, 2 * sec, 6 * sec, alternate(stutters...)},
-	{"upstream writes another head", onUpstream, false, 2 * sec, 6 * sec, func(s *edgeSite, n int) func() error {
-		if s.Upstreams()[n].Model == "" {
-			return alternate(strayHeads...)(s, n)
-		}
-		return alternate(slices.Concat(strayHeads, bareHeads)...)(s, n)
-	}},
+	{"upstream writes another head", onUpstream, false, 2 * sec, 6 * sec, alternate(strayHeads...)},
 	{"upstreams break off and fail", onUpstream, false, 2 * sec, 6 * sec, breakResumption},
 	{"upstream has an odd entry", onUpstream, false, 10 * ms, 100 * ms, oddEntry},
 	{"upstream leaves", onUpstream, false, 3 * sec, 9 * sec, drainUpstream},
@@ -209,14 +203,11 @@
 	eventStart  = "id: 6\nda"
 )
 
-// strayHeads end answers with the head of another one, between, within or after events, or within their own head.
+// strayHeads end answers with the head of another one, between, within or after events, or within their own head. Some heads name no
+// request.
 var strayHeads = []fake.Faults{
 	{NoLength: true, CutAfter: 5, Tail: errorHead + errorText}, {NoLength: true, CutAfter: 5, Tail: eventStart + errorHead + errorText},
 	{NoLength: true, Tail: errorHead}, {NoLength: true, CutAfter: 5, Tail: errorStatus}, {NoLength: true, CutHead: true},
-}
-
-// bareHeads are the same with a head that names no request. In a body that is not a stream such bytes may be its own.
-var bareHeads = []fake.Faults{
 	{NoLength: true, CutAfter: 5, Tail: bareHead + errorText}, {NoLength: true, CutAfter: 5, Tail: eventStart + bareHead + errorText},
 	{NoLength: true, Tail: bareHead + errorText},
 }
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -30,7 +32,7 @@
 func runShort(t *testing.T, s Settings) Result {
 	t.Helper()
 	s.Folder, s.Log = t.TempDir(), logr.Discard()
-	s.Size = Size{Routers: 5, Engines: 4, Services: 2, Callers: 10}
+	s.Size = Size{Routers: 5, Engines: 4, Services: 2, Callers: cmp.Or(s.Size.Callers, 10)}
 	result, err := RunEdge(t.Context(), s)
 	must.NoError(t, err)
 	for _, v := range result.Violations {
@@ -45,6 +47,39 @@
 	runShort(t, Settings{Programs: buildRouter(t, root), Seed: 11, Length: 8 * time.Second})
 }
 
+const (
+	// upstreamEnds are the faults of upstreams that leave in doubt where their answers end.
+	upstreamEnds    = "upstream killed, upstream killed in chunks, upstream stutters, upstream writes another head"
+	resumptionFails = "upstreams break off and fail"
+)
+
+// runFaults runs one short seed that plays all of the faults.
+func runFaults(t *testing.T, seed uint64, length time.Duration, faults string) {
+	t.Helper()
+	result := runShort(t, Settings{Programs: buildRouter(t, root), Seed: seed, Length: length, OnlyFault: faults})
+	played := make(map[string]bool)
+	for _, p := range result.Injections {
+		played[p.Fault] = true
+	}
+	must.MapLen(t, strings.Count(faults, ",")+1, played)
+}
+
+func TestRunEdgeAnswersWithoutTheirEnd(t *testing.T) { runFaults(t, 24, 5*time.Second, upstreamEnds) }
+
+func TestRunEdgeResumptionsFail(t *testing.T) { runFaults(t, 4200, 4*time.Second, resumptionFails) }
+
+// A stream that breaks off between events ends as complete if its resumption brings none.
+func TestRunEdgeResumptionsFailBetweenEvents(t *testing.T) {
+	runFaults(t, 67, 6*time.Second, upstreamEnds+", "+resumptionFails)
+}
+
+func TestRunEdgeStopsAmidSlowCalls(t *testing.T) {
+	result := runShort(t, Settings{
+		Programs: buildRouter(t, root), Seed: 4201, Length: 6 * time.Second, OnlyFault: "router stopped amid slow calls", Size: Size{Callers: 24},
+	})
+	must.SliceNotEmpty(t, result.Injections)
+}
+
 // productionLine is the line of the deploy file that names the commit of the version in production.
 var productionLine = regexp.MustCompile(`(?m)^production = "([0-9a-f]+)"$`)
 
