--- a/internal/app/trials/soak.go
+++ b/internal/app/trials/soak.go
@@ -27,7 +27,7 @@
 	Minutes  float64       `long:"minutes" description:"begin no run after so many minutes; 0 for no bound"`
 	Length   time.Duration `long:"length" default:"20s" description:"how long faults begin in a run"`
 	Own      bool          `long:"own" description:"play the product's own interface instead of the platform's"`
-	Fault    string        `long:"fault" description:"play only this kind of fault"`
+	Fault    string        `long:"fault" description:"play only these kinds of fault, separated by commas"`
 	Regress  bool          `long:"regress" description:"play the seeds that ever failed first"`
 	Routers  int           `long:"routers" default:"0" description:"number of routers; 0 draws 5, 13 or 26 by the seed"`
 	Engines  int           `long:"engines" default:"6" description:"number of engines"`
@@ -52,14 +52,14 @@
 	}
 	first := seed
 	var results []soak.Result
-	runSeed := func(seed uint64, routers int, length time.Duration) error {
-		result, err := c.runSeed(ctx, seed, routers, length)
+	runSeed := func(seed uint64, routers int, length time.Duration, fault string) error {
+		result, err := c.runSeed(ctx, seed, routers, length, fault)
 		results = append(results, result)
 		return err
 	}
 	if c.Regress && !c.Own {
 		for _, r := range soak.Regressions {
-			if err := runSeed(r.Seed, r.Routers, r.Length); err != nil {
+			if err := runSeed(r.Seed, r.Routers, r.Length, r.Fault); err != nil {
 				return err
 			}
 		}
@@ -73,7 +73,7 @@
 		if routers <= 0 {
 			routers = routerCounts[seed%uint64(len(routerCounts))]
 		}
-		if err := runSeed(seed, routers, c.Length); err != nil {
+		if err := runSeed(seed, routers, c.Length, c.Fault); err != nil {
 			return err
 		}
 	}
@@ -81,7 +81,7 @@
 }
 
 // runSeed runs the faults of one seed and prints the result.
-func (c *soakCommand) runSeed(ctx context.Context, seed uint64, routers int, length time.Duration) (soak.Result, error) {
+func (c *soakCommand) runSeed(ctx context.Context, seed uint64, routers int, length time.Duration, fault string) (soak.Result, error) {
 	folder := filepath.Join(c.Out, fmt.Sprint("seed-", seed))
 	if err := os.RemoveAll(folder); err != nil {
 		return soak.Result{}, err
@@ -99,7 +99,7 @@
 		run = soak.RunQuay
 	}
 	result, err := run(ctx, soak.Settings{
-		Programs: c.Bin, Earlier: c.Earlier, Folder: folder, Seed: seed, Length: length, OnlyFault: c.Fault,
+		Programs: c.Bin, Earlier: c.Earlier, Folder: folder, Seed: seed, Length: length, OnlyFault: fault,
 		Size: soak.Size{Routers: routers, Engines: c.Engines, Services: c.Services, Callers: c.Callers}, Log: logger.New("info", file),
 	})
 	if err != nil {
