--- a/internal/trial/soak/seeds.go
+++ b/internal/trial/soak/seeds.go
@@ -24,5 +24,6 @@
 	{4201, 13, 8 * time.Second, "upstream stutters", "the second copy of an answer without a length was given out as its body; a head within a body breaks it (0c1ebda)"},
 	{4200, 5, 8 * time.Second, "upstream writes another head", "an error's head and text were given out as events; bytes that are no event break a stream (40edac8, 00bfe14)"},
 	{4201, 13, 8 * time.Second, "upstreams break off and fail", "a resumption without an event ended a stream that had broken off within one (bc2888d)"},
+	{67, 5, 6 * time.Second, "upstream killed, upstream killed in chunks, upstream stutters, upstream writes another head, upstreams break off and fail", "a resumption without an event ended a stream that had broken off between events (ce26006)"},
 	{4200, 5, 12 * time.Second, "router stopped amid slow calls", "calls open at the end of the grace period lost their connection; they are answered before it (cffd91f)"},
 }
