--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets are stable: demo, test, lint, bench, replay, soak, capacity.
+# Targets are stable: demo, test, crowd, lint, bench, replay, soak, capacity.
 GO ?= go
 TRACE ?=
 FAULT ?=
@@ -6,7 +6,7 @@
 RUNS ?= 5
 MINUTES ?= 0
 
-.PHONY: demo test lint bench replay soak soak-own capacity generate build
+.PHONY: demo test crowd lint bench replay soak soak-own capacity generate build
 
 demo:
 	$(GO) run ./cmd/skylarkload demo
@@ -26,6 +26,11 @@
 test:
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /' || true
 	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./...
+	$(MAKE) crowd
+
+# The memory and descriptors of real processes under many callers at once, apart from other load.
+crowd:
+	$(GO) test -tags crowd -count=1 -p 1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') ./internal/trial/crowd
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchtime 0.5s ./internal/...
@@ -37,6 +42,8 @@
 	test -z "$$(gofmt -l cmd internal platform)"
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	$(GO) vet -tags crowd ./internal/trial/crowd
+	$(GO) tool staticcheck -tags crowd ./internal/trial/crowd
 	cd internal/peer/wire && sha256sum --check --quiet wire.sum
 
 capacity:
