Bound what skylarkedge holds for its callers

Bodies were allocated by their announced length before a byte had come, read before route and key were looked at, and waited for without a deadline; nothing bounded callers' connections but descriptors, and a caller could leave its response unread for ever.

Callers' connections, bodies and buffered answers now count in one account (internal/limit/hold), whose size comes from the memory in the settings. A body grows as it arrives. Route and key are looked up from the head, and the body of a request that will be refused is discarded, up to 64 KB within half a second; a refusal before the end of a body closes the connection. A body without progress for its route's timeout is answered with 408, a response that is unread for 10 s is cut. When memory or descriptors (new setting) run short, connections are cut in the order of hold.Pick, and requests that are not read get 503 with Retry-After.

--- a/internal/app/edge/conns.go
+++ b/internal/app/edge/conns.go
@@ -1,11 +1,14 @@
 package edge
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/limit/hold"
 )
 
 // callerConns are the open connections of callers.
@@ -56,8 +59,13 @@
 	return nil
 }
 
-// NetConn returns the connection that is observed.
-func (c *callerConn) NetConn() net.Conn { return c.Conn }
+// NetConn returns the connection that was accepted.
+func (c *callerConn) NetConn() net.Conn {
+	if held, ok := c.Conn.(*hold.Conn); ok {
+		return held.NetConn()
+	}
+	return c.Conn
+}
 
 func (c *callerConn) setState(state http.ConnState) {
 	c.mu.Lock()
@@ -104,6 +112,14 @@
 	return &callerConn{Conn: conn, state: http.StateNew}, nil
 }
 
+// requestContext returns the context for the requests of a connection, with what the process holds for it.
+func requestContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*callerConn); ok {
+		return hold.NewContext(ctx, c.Conn)
+	}
+	return ctx
+}
+
 // observe is the server's hook for changes of a connection's state.
 func (s *callerConns) observe(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -111,6 +127,9 @@
 		return
 	}
 	c.setState(state)
+	if held, ok := c.Conn.(*hold.Conn); ok {
+		held.Observe(time.Now(), state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/serve"
 	"github.com/skylarkquay/skylarkquay/internal/front/whole"
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
+	"github.com/skylarkquay/skylarkquay/internal/limit/hold"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
@@ -99,6 +100,8 @@
 	socket       *net.UDPConn
 	listeners    []net.Listener
 	callers      *callerConns
+	// account counts what the process holds for callers.
+	account *hold.Account
 	// newerDocument queues the address of an instance that has a newer routing document.
 	newerDocument chan string
 	// documentRow is the row of the routing document in force.
@@ -140,6 +143,10 @@
 	e.engines = platform.NewEngines(e.dialEngine, func(call string) { e.countCall("engine_calls", call) })
 	e.pool = link.NewPool(e.dialer, e.maxConnections, func() { scope.Counter("connections").Inc(1) })
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
+	limits := hold.LimitsFor(s.MemoryMB<<20, s.descriptors())
+	e.account = hold.NewAccount(limits, e.log, func(r hold.Reason) {
+		scope.Tagged(map[string]string{"reason": string(r)}).Counter("connections_cut").Inc(1)
+	})
 	e.handler = &serve.Handler{
 		Settings: serve.Settings{
 			Zone: s.Zone, MaxKeyAge: millis(s.Revocation) - revocationMargin,
@@ -147,7 +154,7 @@
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
-		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor), Stop: serve.NewStop(),
+		Memory: bound.NewBudget(min(s.MemoryMB<<20/bufferMemoryDivisor, limits.Bytes/2)), Stop: serve.NewStop(),
 	}
 	e.handler.Origins = e
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
@@ -227,7 +234,9 @@
 	front := servers[0]
 	front.ConnState = e.callers.observe
 	listeners := slices.Clone(e.listeners)
-	listeners[0] = callerListener{whole.Listener(front, e.listeners[0])}
+	listeners[0] = callerListener{e.account.Listener(whole.Listener(front, e.listeners[0]), e.handler.WriteShortage)}
+	baseContext := front.ConnContext
+	front.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return requestContext(baseContext(ctx, c), c) }
 	for i, s := range servers {
 		s.IdleTimeout, s.ReadHeaderTimeout, s.MaxHeaderBytes = idleTimeout, readHeaderTimeout, maxHeaderBytes
 		go func() { serveErrs <- s.Serve(listeners[i]) }()
@@ -320,10 +329,14 @@
 	return m
 }
 
+// sweepInterval is the interval at which callers are cut that send or read nothing until their deadline.
+const sweepInterval = time.Second
+
 // maintain runs the periodic housekeeping.
 func (e *Edge) maintain(ctx context.Context) {
 	ticker := time.NewTicker(200 * time.Millisecond)
 	defer ticker.Stop()
+	var swept time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -340,6 +353,14 @@
 		for _, id := range e.fleet.EndPauses(now) {
 			e.log.Info("route: upstream accepts requests again", "upstream", id)
 		}
+		if now.Sub(swept) >= sweepInterval {
+			swept = now
+			e.account.Sweep(now)
+			for kind, bytes := range e.account.Used() {
+				e.metrics.Tagged(map[string]string{"kind": string(kind)}).Gauge("held_bytes").Update(float64(bytes))
+			}
+			e.metrics.Gauge("caller_connections").Update(float64(e.account.Count()))
+		}
 		e.checkDetached()
 		e.metrics.Gauge("relayed").Update(float64(e.relay.Open()))
 		e.metrics.Gauge("open").Update(float64(e.handler.OpenRequests.Load()))
--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -2,7 +2,9 @@
 package edge
 
 import (
+	"math"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -26,6 +28,8 @@
 	Store string `yaml:"store" validate:"required,hostname_port"`
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB int64 `yaml:"memory" validate:"gt=0"`
+	// Descriptors is the number of descriptors that the process may open; zero means the limit of the operating system.
+	Descriptors int `yaml:"descriptors" validate:"gte=0"`
 	// Cores is the number of processors, possibly fractional, and Link the bandwidth in Mbit/s. Instances with more of both
 	// are chosen first for tasks on behalf of others.
 	Cores float64 `yaml:"cores" validate:"gt=0"`
@@ -71,6 +75,18 @@
 // size returns the capacity of the machine: the smaller of its cores in thousandths and its link in tenths of a Mbit/s.
 func (s *Settings) size() int { return int(min(s.Cores*1000, s.Link*10)) }
 
+// descriptors returns the number of descriptors that the process may open, or zero if it is not known.
+func (s *Settings) descriptors() int {
+	if s.Descriptors > 0 {
+		return s.Descriptors
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -21,6 +21,7 @@
 	UnknownModel    Kind = "unknown_model"
 	UnknownRoute    Kind = "unknown_route"
 	BodyTooLarge    Kind = "body_too_large"
+	BodyTimeout     Kind = "body_timeout"
 	HeaderTooLarge  Kind = "header_too_large"
 	OverRate        Kind = "over_rate"
 	LimitUnready    Kind = "limit_unready"
@@ -77,6 +78,7 @@
 	UnknownModel:    {http.StatusNotFound, RanNo, 0},
 	UnknownRoute:    {http.StatusNotFound, RanNo, 0},
 	BodyTooLarge:    {http.StatusRequestEntityTooLarge, RanNo, 0},
+	BodyTimeout:     {http.StatusRequestTimeout, RanNo, 0},
 	HeaderTooLarge:  {http.StatusRequestHeaderFieldsTooLarge, RanNo, 0},
 	OverRate:        {http.StatusTooManyRequests, RanNo, retrySoon},
 	LimitUnready:    {http.StatusServiceUnavailable, RanNo, retrySoon},
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -13,6 +13,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/limit/hold"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -303,6 +304,9 @@
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
+	held := hold.NewGrant(x.conn, hold.Answers)
+	held.Note(int64(cap(body)))
+	defer held.Release()
 	x.respond(resp.Status, resp.Header, body, answered, c.logFields()...)
 	return answered, nil
 }
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/limit/budget"
+	"github.com/skylarkquay/skylarkquay/internal/limit/hold"
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
@@ -115,7 +114,12 @@
 	workspace *policy.Workspace
 	service   string
 	body      []byte
-	started   time.Time
+	// conn is the caller's connection, or nil; grant is the memory for the body.
+	conn  *hold.Conn
+	grant *hold.Grant
+	// unread reports whether a part of the body has not been read, discarded whether it has been read but is not known.
+	unread, discarded bool
+	started           time.Time
 	// deadline is when the final response is due.
 	deadline time.Time
 	// docAge is the time since the document was last confirmed.
@@ -170,6 +174,9 @@
 		// Request smuggling: bytes after a chunked body that also had a length could be parsed as another caller's request.
 		w.Header().Set("Connection", "close")
 	}
+	x.conn = hold.FromContext(r.Context())
+	x.grant = hold.NewGrant(x.conn, hold.Bodies)
+	defer x.grant.Release()
 	if err := x.admit(); err != nil {
 		x.respondError(err)
 		return
@@ -213,6 +220,9 @@
 			return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "keys were last confirmed %s ago", age.Round(time.Millisecond))
 		}
 	}
+	if x.discarded || x.unread {
+		return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "the route or key became known while the body arrived")
+	}
 	x.service = x.route.ServiceFor(x.info.streamID())
 	x.deadline = x.started.Add(x.timeout())
 	x.fingerprint = x.requestHash()
@@ -267,43 +277,6 @@
 	return nil
 }
 
-func (x *exchange) readBody() error {
-	if x.r.Body == nil || x.r.ContentLength == 0 {
-		return nil
-	}
-	limit := x.doc.Limits.BodyBytes
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	if x.r.ContentLength > limit {
-		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
-	}
-	reader := http.MaxBytesReader(x.w, x.r.Body, limit)
-	inTime := x.refuseAtStop()
-	var err error
-	if x.r.ContentLength > 0 {
-		x.body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
-	}
-	if !inTime() {
-		return fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance stops before the body has arrived")
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return fault.New(fault.BodyTooLarge, "the body is longer than %d bytes", limit)
-	}
-	if err != nil {
-		return fault.New(fault.BadRequest, "the body could not be read: %s", err)
-	}
-	if x.r.ContentLength > 0 {
-		// net/http detects that the caller disconnects only after the body has been read to EOF.
-		_, _ = x.r.Body.Read(make([]byte, 1))
-	}
-	return nil
-}
-
 // requestHash returns a fingerprint of the request's content; a retry by the caller has the same one.
 func (x *exchange) requestHash() uint64 {
 	d := xxhash.New()
@@ -335,6 +308,7 @@
 func (x *exchange) respondError(err error) {
 	e := fault.From(err)
 	a := fault.ResponseFor(e.Kind)
+	x.endUnread(time.Now())
 	if a.Ran == fault.RanNo && x.units > 0 {
 		x.Quota.Refund(x.workspace.Name, x.units)
 		x.units = 0
--- a/internal/front/serve/stop.go
+++ b/internal/front/serve/stop.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -115,9 +117,19 @@
 
 // WriteRefusal writes the response to a request of which no handler knows yet, and which is not read any further.
 func (h *Handler) WriteRefusal(w io.Writer) error {
-	err := fault.New(fault.Draining, "the instance stops, the request was not read")
+	return h.writeUnread(w, fault.NewRetryAfter(fault.Draining, retryAfterDraining, "the instance stops, the request was not read"))
+}
+
+// WriteShortage writes the response to a request of which no handler knows, and for which there is no memory.
+func (h *Handler) WriteShortage(w io.Writer) error {
+	retry := spreadRetryAfter(fault.ResponseFor(fault.Overloaded).Retry, strconv.FormatUint(rand.Uint64(), 16))
+	return h.writeUnread(w, fault.NewRetryAfter(fault.Overloaded, retry, "no memory for the request, it was not read"))
+}
+
+// writeUnread writes the response to a request that is not read to its end.
+func (h *Handler) writeUnread(w io.Writer, err *fault.Error) error {
 	header := make(http.Header)
-	h.Dialect.SetErrorHeader(header, "", retryAfterDraining)
+	h.Dialect.SetErrorHeader(header, "", err.Retry)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	text := err.Error() + "\n"
 	resp := http.Response{
--- a/internal/limit/hold/conn.go
+++ b/internal/limit/hold/conn.go
@@ -123,6 +123,9 @@
 
 // Begin begins a phase and returns the one before.
 func (c *Conn) Begin(now time.Time, p Phase) Phase {
+	if c == nil {
+		return p
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.phase
