Bound what callers of skylarkquay take before their requests run

A body was read by io.ReadAll, whatever memory was left, with no deadline for a caller that stalls; nothing bounded connections; a header might have 1 MB. Now bodies and headers take from an account as they arrive, beyond 16 KB a request. When the account or the connections run short, idle connections go first, then callers that have been silent within a request for half a second. Callers that go on sending and complete requests are never cut; what has no room is refused as not run (503), a stalled body after body_timeout (408), one over the limit by its announced length or at the byte over it (413). The heap has a soft limit of half of the memory. Settings: memory, connections and body_timeout. The slack for headers is 32 KB. What a caller doesn't read of a response is cut after write_timeout for 64 KB.

--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/feed"
 	"github.com/skylarkquay/skylarkquay/internal/conf/ledger"
 	"github.com/skylarkquay/skylarkquay/internal/conf/option"
+	"github.com/skylarkquay/skylarkquay/internal/front/caller"
 	"github.com/skylarkquay/skylarkquay/internal/front/chat"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/gate"
@@ -61,6 +62,7 @@
 	dialer  *detour.Dialer
 	relay   *detour.Relay
 	queue   *fairq.Queue
+	callers *caller.Conns
 	gate    *gate.Gate
 	chat    *chat.Handler
 	plain   *plain.Handler
@@ -150,6 +152,7 @@
 	r.leases = lease.NewManager(r.table, r.log, self.Address, self.Incarnation, s.Partitions, r.peers)
 	r.limiter = admit.NewLimiter(s.Partitions, share.NewBuckets(), r.leases, r.peers)
 	r.claims = claim.NewManager(r.table, self.Address, r.peers.resolve)
+	r.callers = r.newCallers()
 	r.gate = gate.NewGate(r.feed, r.members.Size, s.HeaderBytes, s.BodyBytes)
 	r.placer = placer.NewPlacer(r.fleet, placerMembers{r.members}, r.peers)
 	r.chat = &chat.Handler{
--- a/internal/app/daemon/main.go
+++ b/internal/app/daemon/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/logger"
+	"github.com/skylarkquay/skylarkquay/internal/base/memory"
 	"github.com/skylarkquay/skylarkquay/internal/conf/option"
 )
 
@@ -54,6 +55,7 @@
 
 func run(s option.Settings, stderr io.Writer) int {
 	log := logger.New(s.LogLevel, stderr)
+	limitHeap(memoryBytes(s, memory.OfMachine()))
 	router, err := New(s, log)
 	if err != nil {
 		log.Error(err, "router: could not start")
--- a/internal/app/daemon/servers.go
+++ b/internal/app/daemon/servers.go
@@ -18,7 +18,7 @@
 )
 
 // headerSlackBytes lets the server read a header beyond the limit, so that the gate rejects it with one of fault's kinds.
-const headerSlackBytes = 1 << 20
+const headerSlackBytes = 32 << 10
 
 // servers builds the HTTP servers for callers, peers and operators.
 func (r *Router) servers() []server {
@@ -31,7 +31,7 @@
 		BaseContext:       func(net.Listener) context.Context { return gate.WithStop(r.requests) },
 	}
 	return []server{
-		{"callers", callers, whole.Listener(callers, r.listeners.callers)},
+		{"callers", callers, r.callers.Listener(callers, whole.Listener(callers, r.listeners.callers))},
 		{"peers", &http.Server{Handler: r.peerRoutes(), ReadHeaderTimeout: s.HeaderTimeout, IdleTimeout: s.IdleTimeout}, r.listeners.peers},
 		{"admin", &http.Server{Handler: r.adminRoutes(), ReadHeaderTimeout: s.HeaderTimeout}, r.listeners.admin},
 	}
--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -22,6 +22,7 @@
 	UnknownRoute    Kind = "unknown_route"
 	BodyTooLarge    Kind = "body_too_large"
 	HeaderTooLarge  Kind = "header_too_large"
+	BodyStalled     Kind = "body_stalled"
 	OverRate        Kind = "over_rate"
 	LimitUnready    Kind = "limit_unready"
 	Overloaded      Kind = "overloaded"
@@ -78,6 +79,7 @@
 	UnknownRoute:    {http.StatusNotFound, RanNo, 0},
 	BodyTooLarge:    {http.StatusRequestEntityTooLarge, RanNo, 0},
 	HeaderTooLarge:  {http.StatusRequestHeaderFieldsTooLarge, RanNo, 0},
+	BodyStalled:     {http.StatusRequestTimeout, RanNo, 0},
 	OverRate:        {http.StatusTooManyRequests, RanNo, retrySoon},
 	LimitUnready:    {http.StatusServiceUnavailable, RanNo, retrySoon},
 	Overloaded:      {http.StatusServiceUnavailable, RanNo, retrySoon},
--- a/internal/conf/option/option.go
+++ b/internal/conf/option/option.go
@@ -36,11 +36,14 @@
 	Partitions    int           `yaml:"partitions" long:"partitions" env:"SKYLARKQUAY_PARTITIONS" description:"partitions of the limits; the same on all instances, at least the number of instances"`
 	BodyBytes     int64         `yaml:"body_bytes" long:"body-bytes" env:"SKYLARKQUAY_BODY_BYTES" description:"largest request body"`
 	HeaderBytes   int           `yaml:"header_bytes" long:"header-bytes" env:"SKYLARKQUAY_HEADER_BYTES" description:"largest request header"`
+	Memory        int           `yaml:"memory" long:"memory" env:"SKYLARKQUAY_MEMORY" description:"memory of this process in MB; 0 takes that of the machine or container"`
+	Connections   int           `yaml:"connections" long:"connections" env:"SKYLARKQUAY_CONNECTIONS" description:"callers' connections, the idle and stalled of which are closed for new ones; 0 takes what memory and descriptors allow"`
 	MaxTokens     int64         `yaml:"max_tokens" long:"max-tokens" env:"SKYLARKQUAY_MAX_TOKENS" description:"output tokens of a request that names no bound"`
 	FirstToken    time.Duration `yaml:"first_token" long:"first-token" env:"SKYLARKQUAY_FIRST_TOKEN" description:"longest wait for an engine's first token"`
 	TokenIdle     time.Duration `yaml:"token_idle" long:"token-idle" env:"SKYLARKQUAY_TOKEN_IDLE" description:"longest silence of an engine within a stream"`
-	WriteTimeout  time.Duration `yaml:"write_timeout" long:"write-timeout" env:"SKYLARKQUAY_WRITE_TIMEOUT" description:"longest time a caller may take to read one event"`
+	WriteTimeout  time.Duration `yaml:"write_timeout" long:"write-timeout" env:"SKYLARKQUAY_WRITE_TIMEOUT" description:"longest time a caller may take to read one event, or 64 KB of a response"`
 	HeaderTimeout time.Duration `yaml:"header_timeout" long:"header-timeout" env:"SKYLARKQUAY_HEADER_TIMEOUT" description:"longest time a caller may take to send a header"`
+	BodyTimeout   time.Duration `yaml:"body_timeout" long:"body-timeout" env:"SKYLARKQUAY_BODY_TIMEOUT" description:"longest silence of a caller within a body"`
 	IdleTimeout   time.Duration `yaml:"idle_timeout" long:"idle-timeout" env:"SKYLARKQUAY_IDLE_TIMEOUT" description:"longest idle time of a caller's connection"`
 	DrainNotice   time.Duration `yaml:"drain_notice" long:"drain-notice" env:"SKYLARKQUAY_DRAIN_NOTICE" description:"time between not ready and closing the listener"`
 	DrainTimeout  time.Duration `yaml:"drain_timeout" long:"drain-timeout" env:"SKYLARKQUAY_DRAIN_TIMEOUT" description:"longest wait for open requests at a planned stop"`
@@ -74,6 +77,7 @@
 		TokenIdle:     2 * time.Second,
 		WriteTimeout:  30 * time.Second,
 		HeaderTimeout: 5 * time.Second,
+		BodyTimeout:   10 * time.Second,
 		IdleTimeout:   2 * time.Minute,
 		DrainNotice:   2 * time.Second,
 		DrainTimeout:  2 * time.Minute,
@@ -129,6 +133,12 @@
 	return oops.Wrapf(decoder.Decode(s), "settings file %s", path)
 }
 
+// minBodies and minHeaders are the least memory, in bodies and headers of the largest size, in which a single request can be served.
+const (
+	minBodies  = 20
+	minHeaders = 16
+)
+
 // Check returns all invalid settings, each with its name.
 func (s *Settings) Check() error {
 	var problems []error
@@ -154,7 +164,7 @@
 	}
 	for name, d := range map[string]time.Duration{
 		"store_timeout": s.StoreTimeout, "first_token": s.FirstToken, "token_idle": s.TokenIdle, "write_timeout": s.WriteTimeout,
-		"header_timeout": s.HeaderTimeout, "idle_timeout": s.IdleTimeout, "drain_timeout": s.DrainTimeout,
+		"header_timeout": s.HeaderTimeout, "body_timeout": s.BodyTimeout, "idle_timeout": s.IdleTimeout, "drain_timeout": s.DrainTimeout,
 	} {
 		if d <= 0 {
 			reject(name, "%s is not a positive duration", d)
@@ -167,5 +177,14 @@
 			reject(name, "%d is not positive", n)
 		}
 	}
+	if s.Memory < 0 {
+		reject("memory", "%d is negative", s.Memory)
+	}
+	if need := minBodies*s.BodyBytes + minHeaders*int64(s.HeaderBytes); s.Memory > 0 && int64(s.Memory)<<20 < need {
+		reject("memory", "%d MB are too few for the largest body and header; at least %d MB", s.Memory, (need+1<<20-1)>>20)
+	}
+	if s.Connections < 0 {
+		reject("connections", "%d is negative", s.Connections)
+	}
 	return errors.Join(problems...)
 }
--- a/internal/conf/option/option_test.go
+++ b/internal/conf/option/option_test.go
@@ -35,6 +35,9 @@
 		{"unknown field", "colour: red\n", "field colour not found"},
 		{"host name", "listen: example:80\n", "listen: \"example:80\" is not an IP address"},
 		{"partitions", "partitions: 0\n", "partitions: 0 is not between"},
+		{"memory", "memory: 64\n", "memory: 64 MB are too few for the largest body and header; at least 81 MB"},
+		{"connections", "connections: -1\n", "connections: -1 is negative"},
+		{"body timeout", "body_timeout: 0s\n", "body_timeout: 0s is not a positive duration"},
 		{"duration", "token_idle: 0s\n", "token_idle: 0s is not a positive duration"},
 		{"type", "body_bytes: many\n", "line 1"},
 	}
--- a/internal/front/chat/chat.go
+++ b/internal/front/chat/chat.go
@@ -75,6 +75,9 @@
 	mayHaveRun bool
 }
 
+// bodyCopies is the memory that parsing takes and keeps, by the size of the body: the fields, the prompt and the body for the engine.
+const bodyCopies = 3
+
 // ServeHTTP serves POST /v1/chat/completions and /v1/completions.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, caller, release, err := h.Gate.Authenticate(r, time.Now())
@@ -88,6 +91,10 @@
 		h.refuse(w, caller.Workspace, err)
 		return
 	}
+	if err := h.Gate.Reserve(r, bodyCopies*int64(len(body))); err != nil {
+		h.refuse(w, caller.Workspace, err)
+		return
+	}
 	j, budget, err := h.prepare(time.Now(), caller, r.URL.Path, body)
 	if err != nil {
 		h.refuse(w, caller.Workspace, err)
--- a/internal/front/gate/gate.go
+++ b/internal/front/gate/gate.go
@@ -5,8 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,6 +12,7 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
+	"github.com/skylarkquay/skylarkquay/internal/front/caller"
 )
 
 // Feed provides the active routing document and checks that it is up to date.
@@ -106,6 +105,7 @@
 		release()
 		return nil, Caller{}, nil, fault.New(fault.BadKey, "the key is not known or was withdrawn")
 	}
+	caller.Of(r.Context()).Authenticated()
 	return ctx, Caller{Workspace: workspace, Key: key, KeyHash: hash}, release, nil
 }
 
@@ -143,20 +143,3 @@
 	defer g.mu.Unlock()
 	return len(g.requests)
 }
-
-// ReadBody reads the request body up to the size limit.
-func (g *Gate) ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	unlink := endReadAtStop(w, r)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBodyBytes))
-	if !unlink() && isStopped(r.Context()) {
-		return nil, context.Cause(r.Context())
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	}
-	if err != nil {
-		return nil, fault.New(fault.BadRequest, "the body could not be read: %s", err.Error())
-	}
-	return body, nil
-}
