--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -23,6 +23,7 @@
 	BodyTooLarge    Kind = "body_too_large"
 	BodyTimeout     Kind = "body_timeout"
 	HeaderTooLarge  Kind = "header_too_large"
+	BodyStalled     Kind = "body_stalled"
 	OverRate        Kind = "over_rate"
 	LimitUnready    Kind = "limit_unready"
 	Overloaded      Kind = "overloaded"
@@ -80,6 +81,7 @@
 	BodyTooLarge:    {http.StatusRequestEntityTooLarge, RanNo, 0},
 	BodyTimeout:     {http.StatusRequestTimeout, RanNo, 0},
 	HeaderTooLarge:  {http.StatusRequestHeaderFieldsTooLarge, RanNo, 0},
+	BodyStalled:     {http.StatusRequestTimeout, RanNo, 0},
 	OverRate:        {http.StatusTooManyRequests, RanNo, retrySoon},
 	LimitUnready:    {http.StatusServiceUnavailable, RanNo, retrySoon},
 	Overloaded:      {http.StatusServiceUnavailable, RanNo, retrySoon},
