--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -48,6 +48,12 @@
 	QuotaWindow    float64 `yaml:"quota_window" validate:"gte=0"`
 	QuotaOvershoot float64 `yaml:"quota_overshoot" validate:"gte=0"`
 	QuotaSlack     float64 `yaml:"quota_slack" validate:"gte=0"`
+	// ExposureShare is the fraction of a service's requests that may reach a bad build of its upstreams, ExposureSlack the number of
+	// requests beyond it, and Rollback the time after which none may once the build has failed often. They are zero where operators
+	// order no moves to other builds.
+	ExposureShare float64 `yaml:"exposure_share" validate:"gte=0,lte=1"`
+	ExposureSlack float64 `yaml:"exposure_slack" validate:"gte=0"`
+	Rollback      int64   `yaml:"rollback" validate:"gte=0"`
 	// Level is the minimum log level.
 	Level string `yaml:"level" validate:"oneof=debug info error"`
 }
--- a/internal/app/edge/settings_test.go
+++ b/internal/app/edge/settings_test.go
@@ -44,6 +44,30 @@
 	must.Eq(t, 272, s.size())
 }
 
+// Deployments without such bounds leave the values out, so that the lines are empty.
+func TestLoadSettingsOfMovesToOtherBuilds(t *testing.T) {
+	for _, c := range []struct {
+		text         string
+		share, slack float64
+		rollback     int64
+	}{
+		{"", 0, 0, 0},
+		{"exposure_share: \nexposure_slack: \nrollback: \n", 0, 0, 0},
+		{"exposure_share: 0.1\nexposure_slack: 50\nrollback: 5000\n", 0.1, 50, 5000},
+		{"exposure_share: 1\nexposure_slack: 50.0\nrollback: 250\n", 1, 50, 250},
+	} {
+		s, err := LoadSettings(writeFile(t, sampleSettings+c.text))
+		must.NoError(t, err)
+		must.Eq(t, c.share, s.ExposureShare)
+		must.Eq(t, c.slack, s.ExposureSlack)
+		must.Eq(t, c.rollback, s.Rollback)
+	}
+	for _, text := range []string{"exposure_share: 1.5\n", "exposure_slack: -1\n", "rollback: -1\n", "rollback: soon\n"} {
+		_, err := LoadSettings(writeFile(t, sampleSettings+text))
+		must.Error(t, err)
+	}
+}
+
 func TestLoadSettingsRejectsInvalidFields(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{"listen: 10.0.0.1:1", "listen: here", "Listen"},
