--- /dev/null
+++ b/internal/roll/shift/judge.go
@@ -0,0 +1,283 @@
+package shift
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Buckets of times to first byte: bucket n begins at firstBucket * 2^(n/2), the last one has no end.
+const Buckets = 24
+
+const firstBucket = 2 * time.Millisecond
+
+// Tally counts the answers of one build on one route.
+type Tally struct {
+	Good  int64          `json:"good,omitempty"`
+	Bad   int64          `json:"bad,omitempty"`  // failures of the upstream, also streams that it broke off
+	Slow  int64          `json:"slow,omitempty"` // good ones that missed the route's own aim
+	Time  time.Duration  `json:"time,omitempty"` // sum of times to first byte of good ones
+	Times [Buckets]int64 `json:"times"`          // good ones by time to first byte
+}
+
+// Answer counts a good answer by its time to first byte.
+func (t *Tally) Answer(took time.Duration, slow bool) {
+	t.Good++
+	t.Time += took
+	if slow {
+		t.Slow++
+	}
+	bucket := 0
+	if took > firstBucket {
+		bucket = int(2 * math.Log2(float64(took)/float64(firstBucket)))
+	}
+	t.Times[min(bucket, Buckets-1)]++
+}
+
+// Fail counts a failure.
+func (t *Tally) Fail() { t.Bad++ }
+
+// Plus is the sum of two tallies.
+func (t Tally) Plus(u Tally) Tally { return t.times(u, 1) }
+
+// Minus is what was counted since u.
+func (t Tally) Minus(u Tally) Tally { return t.times(u, -1) }
+
+func (t Tally) times(u Tally, sign int64) Tally {
+	t.Good, t.Bad, t.Slow = max(0, t.Good+sign*u.Good), max(0, t.Bad+sign*u.Bad), max(0, t.Slow+sign*u.Slow)
+	t.Time = max(0, t.Time+time.Duration(sign)*u.Time)
+	for n := range t.Times {
+		t.Times[n] = max(0, t.Times[n]+sign*u.Times[n])
+	}
+	return t
+}
+
+func (t Tally) answers() int64 { return t.Good + t.Bad }
+
+const (
+	enough     = 12   // answers on a route that a good verdict takes
+	rare       = 0.05 // of the answers: a route below it needs none
+	fewestBad  = 3    // failures that a bad verdict takes
+	fewestSlow = 6    // late answers that a bad verdict takes
+	manyBad    = 30   // bad answers after which less certainty is enough
+
+	// Chance that a build as good as the old one looks so bad.
+	sure      = 1e-3
+	sureSoon  = 2e-2 // after manyBad
+	sureSlow  = 1e-3
+	doubt     = 5e-2 // no step up
+	doubtSlow = 1e-2
+
+	// A failure rate that isn't told from the old one: baseline + baselineFactor times the old one.
+	baseline       = 0.02
+	baselineFactor = 1.5
+	slowBaseline   = 0.1
+	fewestOld      = 20 // answers of the old build to compare times with
+	slowBuckets    = 3  // above the old median's: 2 to 2.8 times as long
+)
+
+// worse tells on which route the new build is surely worse than the old one, and in what.
+func (r Record) worse(e Evidence) (route, why string) {
+	many := total(e.New).Bad >= manyBad
+	for _, c := range r.compare(e) {
+		if c.bad >= fewestBad && (c.failing < sure || many && c.failing < sureSoon) {
+			return c.route, "failures"
+		}
+		if c.slow >= fewestSlow && c.slowing < sureSlow {
+			return c.route, "slow answers"
+		}
+	}
+	return "", ""
+}
+
+// doubtful tells whether the new build may be worse.
+func (r Record) doubtful(e Evidence) bool {
+	return slices.ContainsFunc(r.compare(e), func(c comparison) bool {
+		return c.bad > 1 && c.failing < doubt || c.slow > 2 && c.slowing < doubtSlow
+	})
+}
+
+// comparison of the builds on a route: the chance that a build like the old one gives so many bad and slow answers.
+type comparison struct {
+	route            string
+	failing, slowing float64
+	bad, slow        int64
+}
+
+const allRoutes = "all"
+
+// compare judges each route and all together. Times count once the new upstreams are warm, and while old ones get
+// requests under the same conditions.
+func (r Record) compare(e Evidence) []comparison {
+	var list []comparison
+	var whole, stage, late, missed sample
+	timed := r.Stage == Trial || r.Stage == Load
+	for _, route := range sorted(e.New) {
+		w, s := r.failures(e, route)
+		c := comparison{route: route, slowing: 1}
+		c.failing, c.bad = either(w, s)
+		whole, stage = whole.plus(w), stage.plus(s)
+		if timed {
+			l, m := r.late(e, route)
+			c.slowing, c.slow = either(l, m)
+			late, missed = late.plus(l), missed.plus(m)
+		}
+		list = append(list, c)
+	}
+	if len(list) < 2 {
+		return list
+	}
+	c := comparison{route: allRoutes}
+	c.failing, c.bad = either(whole, stage)
+	c.slowing, c.slow = either(late, missed)
+	return append(list, c)
+}
+
+// sample has count hits in answers where expected ones would be usual.
+type sample struct {
+	answers, hits int64
+	expected      float64
+}
+
+func (s sample) plus(t sample) sample {
+	return sample{s.answers + t.answers, s.hits + t.hits, s.expected + t.expected}
+}
+
+func (s sample) chance() float64 {
+	if s.answers == 0 {
+		return 1
+	}
+	return tail(s.answers, s.hits, s.expected/float64(s.answers))
+}
+
+// either is the sample that says more.
+func either(s, t sample) (float64, int64) {
+	if t.chance() < s.chance() {
+		return t.chance(), t.hits
+	}
+	return s.chance(), s.hits
+}
+
+// good tells whether all requests may go to the new build.
+func (r Record) good(now time.Duration, e Evidence, left time.Duration, p step) bool {
+	if r.doubtful(e) {
+		return false
+	}
+	if 2*e.NewUpstreams < e.OldUpstreams || 5*e.NewUpstreams < 4*e.OldUpstreams && left > ending+settle {
+		return false
+	}
+	if p.fits && total(e.New).Bad == 0 {
+		return true
+	}
+	all := total(e.Old).answers() + total(e.New).answers()
+	for _, route := range sorted(e.Old) {
+		count := e.Old[route].answers() + e.New[route].answers()
+		if float64(count) >= rare*float64(all) && e.New[route].answers() < enough {
+			return false
+		}
+	}
+	return all > 0
+}
+
+// failures are those since the order and those since the stage began, against the higher rate of the old build: a burst
+// that fails requests of both builds says nothing.
+func (r Record) failures(e Evidence, route string) (whole, stage sample) {
+	old, fresh := e.Old[route], e.New[route]
+	newStage := fresh.Minus(r.NewBase[route])
+	rate := max(part(old.Bad, old.answers()), r.stageRate(old.Minus(r.OldBase[route])))
+	likely := min(baseline+baselineFactor*rate, 1)
+	return sample{fresh.answers(), fresh.Bad, likely * float64(fresh.answers())},
+		sample{newStage.answers(), newStage.Bad, likely * float64(newStage.answers())}
+}
+
+// stageRate is the failure rate of a stage with enough answers.
+func (r Record) stageRate(t Tally) float64 {
+	if t.answers() < fewestOld {
+		return 0
+	}
+	return part(t.Bad, t.answers())
+}
+
+// late are the answers since the stage began that took several times the old build's median, and those that missed the
+// route's own aim.
+func (r Record) late(e Evidence, route string) (late, missed sample) {
+	old, fresh := e.Old[route].Minus(r.OldBase[route]), e.New[route].Minus(r.NewBase[route])
+	if old.Good < fewestOld {
+		old = e.Old[route]
+	}
+	if old.Good < fewestOld {
+		return late, missed
+	}
+	limit := median(old) + slowBuckets
+	usual := func(count int64) float64 {
+		return min(slowBaseline+baselineFactor*part(count, old.Good), 1) * float64(fresh.Good)
+	}
+	return sample{fresh.Good, above(fresh, limit), usual(above(old, limit))},
+		sample{fresh.Good, fresh.Slow, usual(old.Slow)}
+}
+
+func part(k, n int64) float64 {
+	if k == 0 {
+		return 0
+	}
+	return float64(k) / float64(n)
+}
+
+func median(t Tally) int {
+	var sum int64
+	for n, count := range t.Times {
+		if sum += count; 2*sum >= t.Good {
+			return n
+		}
+	}
+	return Buckets - 1
+}
+
+func above(t Tally, bucket int) int64 {
+	var sum int64
+	for n := bucket; n < Buckets; n++ {
+		sum += t.Times[n]
+	}
+	return sum
+}
+
+// tail is the chance of at least k in n where each has the chance p.
+func tail(n, k int64, p float64) float64 {
+	if k <= 0 || p >= 1 {
+		return 1
+	}
+	if float64(k) <= p*float64(n) {
+		return 1
+	}
+	logs := func(k int64) float64 {
+		all, _ := math.Lgamma(float64(n) + 1)
+		some, _ := math.Lgamma(float64(k) + 1)
+		rest, _ := math.Lgamma(float64(n-k) + 1)
+		return all - some - rest + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p)
+	}
+	term := math.Exp(logs(k))
+	sum := term
+	for ; k < n && term > 1e-12*sum; k++ {
+		term *= float64(n-k) / float64(k+1) * p / (1 - p)
+		sum += term
+	}
+	return min(sum, 1)
+}
+
+func total(tallies map[string]Tally) Tally {
+	var sum Tally
+	for _, t := range tallies {
+		sum = sum.Plus(t)
+	}
+	return sum
+}
+
+func sorted(tallies map[string]Tally) []string { return slices.Sorted(maps.Keys(tallies)) }
+
+func cloned(tallies map[string]Tally) map[string]Tally {
+	if len(tallies) == 0 {
+		return nil
+	}
+	return maps.Clone(tallies)
+}
--- /dev/null
+++ b/internal/roll/shift/plan.go
@@ -0,0 +1,57 @@
+package shift
+
+import (
+	"math"
+	"time"
+)
+
+// step is what the evidence allows to send.
+type step struct {
+	share   float64
+	spread  int
+	pulse   float64       // share of Load; 0 if the trial itself loads an upstream, or the bounds don't allow it
+	reserve time.Duration // before the deadline, when Full begins
+	fits    bool          // whatever comes until the deadline stays within the bounds
+}
+
+// plan divides the exposure that the bounds allow between the trial and the last step.
+func (r Record) plan(now time.Duration, e Evidence, b Bounds) step {
+	elapsed := max((now - ms(r.Started)).Seconds(), 0.1)
+	left := max((ms(r.Deadline) - now).Seconds(), 0)
+	arrived, exposed := float64(e.Arrived), float64(e.Exposed)
+	rate := arrived / elapsed
+	all := b.Share*(arrived+ratePart*rate*left) + slackPart*b.Slack
+	long := e.Lasting
+	if long == 0 {
+		long = lasting
+	}
+	p := step{reserve: reserve + long, fits: exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
+	if room := time.Duration((all - exposed) / max(rate, 0.01) * float64(time.Second)); room > p.reserve {
+		p.reserve = min(room, p.reserve+2*time.Second)
+	}
+	if exposed >= b.Share*arrived+restPart*b.Slack {
+		return p
+	}
+	spend := max(all-rate*lag.Seconds(), trialPart*all) - exposed
+	trial := max(left-p.reserve.Seconds(), 0.5)
+	p.share = min(max(spend/max(rate*trial, 0.01), leastShare), largestShare)
+	if r.Share > 0 && r.Stage != Load && r.Stage != Alone {
+		p.share = min(p.share, 2*r.Share)
+	}
+	if arrived == 0 {
+		p.share = b.Share / 2
+	}
+	if most := b.Share*arrived + restPart*b.Slack - exposed; p.share > b.Share && p.share*rate*2*lag.Seconds() > most {
+		p.share = b.Share / 2
+	}
+	load := p.share * float64(max(e.OldUpstreams, 1))
+	p.spread = max(1, int(math.Ceil(load)))
+	if p.spread >= e.NewUpstreams {
+		p.spread = 0
+	}
+	if most := min(1/float64(max(e.OldUpstreams, 1)), pulseMax); most > p.share &&
+		exposed+most*rate*(pulse+lag).Seconds() <= b.Share*arrived+restPart*b.Slack {
+		p.pulse = most
+	}
+	return p
+}
