edge: move a service's traffic to another build on the operators' order

The instance that follows the operators' rows on behalf of all decides, by package shift; the record in table shift, written on condition of its version, is what a successor goes on from, and the operators' status follows it. Instances learn the record by messages, send by it while they know it to be current, acknowledge it and report what the builds answer. The stand-in plays the operators.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -93,6 +93,7 @@
 	handler      *serve.Handler
 	exchange     *gossip.Exchange
 	rollout      *rollout
+	decider      *decider
 	counters     *meter.Reporter
 	metrics      tally.Scope
 	closeMetrics func() error
@@ -153,6 +154,8 @@
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
 	e.handler.SendReport = func() { e.exchange.TriggerSend() }
 	e.rollout = newRollout(e)
+	e.decider = newDecider(e)
+	e.handler.Shifts = e.decider
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -215,7 +218,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
-		e.keepBlocks, e.keepOrigins, e.checkPaths,
+		e.keepBlocks, e.keepOrigins, e.checkPaths, e.decider.run,
 	} {
 		start(loop)
 	}
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -36,6 +36,7 @@
 	m.Departures = e.fleet.Departures(now)
 	m.Limits = e.fleet.Limits(now)
 	e.rollout.report(now, m)
+	e.decider.report(boot, m)
 	if doc := e.replica.Document(); doc != nil {
 		m.Revision = doc.Revision
 	}
@@ -78,6 +79,7 @@
 		}
 	}
 	e.rollout.merge(now, m)
+	e.decider.merge(boot, sentAfter, known, m)
 	e.observeEpoch(m.Epoch, m.Address)
 	epoch, _ := e.epochs.get()
 	if m.List != nil {
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -112,6 +112,7 @@
 		outage.recordSuccess()
 		for _, row := range rows.Rows {
 			e.applyOperatorRow(row, live)
+			e.applyRollout(row, rows.Epoch)
 		}
 		live = true
 		epoch, version = rows.Epoch, max(version, rows.Version)
--- /dev/null
+++ b/internal/app/edge/shift_test.go
@@ -0,0 +1,269 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
+	"github.com/skylarkquay/skylarkquay/platform/fake"
+)
+
+const (
+	testShare = 0.1
+	testSlack = 50
+)
+
+// shiftSite is a site with routers whose callers go on during a rollout.
+type shiftSite struct {
+	*fake.Site
+	routers []*router
+	old     []*fake.Upstream
+	fresh   []*fake.Upstream
+	ordered time.Time
+	// lost counts the answers that are no success, sent all of them.
+	lost, sent atomic.Int64
+}
+
+// startShiftSite starts a site with routers and lets callers look up orders at all of them until the test ends.
+func startShiftSite(t *testing.T, routers int) *shiftSite {
+	t.Helper()
+	s := &shiftSite{Site: newSite(t, 1, 4)}
+	s.old = slices.Clone(s.Jobs)
+	for range routers {
+		c := testSettings(t, s.Site)
+		c.ExposureShare, c.ExposureSlack, c.Rollback = testShare, testSlack, 5000
+		s.routers = append(s.routers, startRouter(t, c))
+	}
+	for _, r := range s.routers {
+		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == routers })
+	}
+	return s
+}
+
+// callAll sends requests to the routers until the context ends and returns when all are answered.
+func (s *shiftSite) callAll(ctx context.Context, routers []*router) *sync.WaitGroup {
+	var callers sync.WaitGroup
+	for _, r := range routers {
+		for range 3 {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					reply, err := fake.Send(context.Background(), r.settings.Listen, newCall(http.MethodGet, "/look/1"))
+					s.sent.Add(1)
+					if err != nil || reply.Status != http.StatusOK || !reply.Complete {
+						s.lost.Add(1)
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+	return &callers
+}
+
+// order starts the new build and orders the rollout.
+func (s *shiftSite) order(t *testing.T, duration time.Duration, f fake.Faults) {
+	t.Helper()
+	s.ordered = time.Now()
+	s.OrderRollout(fake.JobsService, "v2", duration)
+	var err error
+	s.fresh, err = s.StartBuild(fake.JobsService, "v2", 4, f)
+	must.NoError(t, err)
+}
+
+// runsAfter returns the requests that upstreams began after a time.
+func runsAfter(upstreams []*fake.Upstream, at time.Time) int {
+	n := 0
+	for _, run := range fake.RunsOf(upstreams) {
+		if run.At.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// follow waits for the verdict.
+func (s *shiftSite) follow(t *testing.T, duration time.Duration) (string, time.Time) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), duration+10*time.Second)
+	defer cancel()
+	return s.FollowRollout(ctx, fake.JobsService, "v2", s.old, s.fresh)
+}
+
+// checkExposure checks that a bad build got no more requests than it may of those since the order.
+func (s *shiftSite) checkExposure(t *testing.T) {
+	t.Helper()
+	exposed, all := runsAfter(s.fresh, s.ordered), runsAfter(s.Jobs, s.ordered)
+	t.Logf("exposed %d of %d", exposed, all)
+	must.LessEq(t, testShare*float64(all)+testSlack, float64(exposed))
+}
+
+// A good build is completed, and no request is lost when the old upstreams stop at once.
+func TestGoodBuildIsCompleted(t *testing.T) {
+	const duration = 12 * time.Second
+	s := startShiftSite(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := s.callAll(ctx, s.routers)
+	s.order(t, duration, fake.Faults{})
+	state, at := s.follow(t, duration)
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	callers.Wait()
+	must.Eq(t, "completed", state)
+	must.Zero(t, runsAfter(s.old, at))
+	must.Positive(t, runsAfter(s.fresh, at))
+	t.Logf("%d requests, %d lost", s.sent.Load(), s.lost.Load())
+	must.Zero(t, s.lost.Load())
+}
+
+// A bad build is rolled back and gets no request after that, and few before.
+func TestBadBuildIsRolledBack(t *testing.T) {
+	for name, f := range map[string]fake.Faults{"fails": {Fail: true}, "is slow": {Work: 300 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			const duration = 20 * time.Second
+			s := startShiftSite(t, 2)
+			ctx, cancel := context.WithCancel(context.Background())
+			callers := s.callAll(ctx, s.routers)
+			s.order(t, duration, f)
+			state, at := s.follow(t, duration)
+			time.Sleep(time.Second)
+			settled := time.Now()
+			time.Sleep(time.Second)
+			cancel()
+			callers.Wait()
+			must.Eq(t, "rolled_back", state)
+			must.Zero(t, runsAfter(s.fresh, settled))
+			t.Logf("after the verdict: %d", runsAfter(s.fresh, at))
+			s.checkExposure(t)
+		})
+	}
+}
+
+// The instance that decides is stopped in the middle, and another one ends the order.
+func TestSuccessorEndsTheOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults fake.Faults
+		want   string
+	}{
+		"good": {fake.Faults{}, "completed"},
+		"bad":  {fake.Faults{Work: 300 * time.Millisecond}, "rolled_back"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const duration = 15 * time.Second
+			s := startShiftSite(t, 3)
+			ctx, cancel := context.WithCancel(context.Background())
+			var deciding *router
+			eventually(t, "an instance decides", func() bool {
+				for _, r := range s.routers {
+					if r.following.Load() && r.ranks.ShouldFollow(time.Now()) {
+						deciding = r
+					}
+				}
+				return deciding != nil
+			})
+			others := slices.DeleteFunc(slices.Clone(s.routers), func(r *router) bool { return r == deciding })
+			callers := s.callAll(ctx, others)
+			s.order(t, duration, c.faults)
+			eventually(t, "running", func() bool { return s.RolloutStatus(fake.JobsService).State == "running" })
+			deciding.kill()
+			state, _ := s.follow(t, duration)
+			cancel()
+			callers.Wait()
+			must.Eq(t, c.want, state)
+			must.Zero(t, s.lost.Load())
+			if c.want == "rolled_back" {
+				s.checkExposure(t)
+			}
+		})
+	}
+}
+
+// An order that cannot be read changes nothing, and one that can be read later counts.
+func TestUnreadableOrderChangesNothing(t *testing.T) {
+	s := startShiftSite(t, 2)
+	s.Store.PutRaw("op", "rollout/"+fake.JobsService, []byte(`{"Service":"jobs","To":`))
+	time.Sleep(500 * time.Millisecond)
+	for _, r := range s.routers {
+		must.False(t, r.decider.active.Load())
+		must.Eq(t, http.StatusOK, r.send(t, newCall(http.MethodGet, "/look/1")).Status)
+	}
+	must.Nil(t, s.Store.Row("status", "rollout/"+fake.JobsService))
+	must.Nil(t, s.Store.Row(shiftsTable, fake.JobsService))
+	s.OrderRollout(fake.JobsService, "v2", time.Minute)
+	eventually(t, "running", func() bool {
+		return s.RolloutStatus(fake.JobsService) == fake.RolloutStatus{State: "running", To: "v2"}
+	})
+}
+
+// Without an order, nothing of moves is stored, sent or asked for.
+func TestNothingOfMovesActsWithoutAnOrder(t *testing.T) {
+	s := startShiftSite(t, 2)
+	before := s.Store.Calls(fake.CallGet)
+	for _, r := range s.routers {
+		must.False(t, r.decider.active.Load())
+		must.Eq(t, http.StatusOK, r.send(t, newCall(http.MethodGet, "/look/1")).Status)
+		must.SliceEmpty(t, r.decider.counter.Reports())
+	}
+	time.Sleep(time.Second)
+	must.Eq(t, before, s.Store.Calls(fake.CallGet))
+	must.Nil(t, s.Store.Row(shiftsTable, fake.JobsService))
+}
+
+// An instance that knows an order but not its record sends nothing to the build on trial.
+func TestNothingIsSentOnTrialWithoutACurrentRecord(t *testing.T) {
+	boot := 10 * time.Second
+	s := newShifts(logr.Discard(), func() time.Duration { return boot })
+	allowed := func() []string {
+		builds, others := s.Builds("s", 1, nil, false)
+		var out []string
+		for _, build := range []string{"v1", "v2"} {
+			if builds.Allows(build) || others != nil && others.Allows(build) {
+				out = append(out, build)
+			}
+		}
+		return out
+	}
+	must.Eq(t, []string{"v1", "v2"}, allowed())
+	must.True(t, s.order(shift.Order{Service: "s", To: "v2", Row: 3}))
+	must.False(t, s.order(shift.Order{Service: "s", To: "v3", Row: 2}))
+	must.Eq(t, []string{"v1"}, allowed())
+	r := shift.Record{Service: "s", To: "v2", Row: 3, Phase: shift.Running, Stage: shift.Trial, Share: 1, Started: 5, Step: 4, Old: []string{"v1"}}
+	s.adopt(boot, r, "test")
+	must.Eq(t, []string{"v1"}, allowed(), must.Sprint("never known to be current"))
+	s.moves["s"].confirmed = boot
+	must.Eq(t, []string{"v1", "v2"}, allowed())
+	boot += shift.Fresh + time.Millisecond
+	must.Eq(t, []string{"v1"}, allowed(), must.Sprint("not current any more"))
+	r.Phase, r.Step = shift.Completed, 5
+	s.adopt(boot, r, "test")
+	must.Eq(t, []string{"v2"}, allowed(), must.Sprint("the verdict"))
+	r.Phase, r.Step = shift.Running, 9
+	s.adopt(boot, r, "test")
+	must.Eq(t, []string{"v2"}, allowed(), must.Sprint("a store that lost the verdict"))
+}
+
+// The record that others are told lacks what only the deciding instance needs, and is bounded.
+func TestMessagesAboutMovesAreRead(t *testing.T) {
+	s := startShiftSite(t, 2)
+	s.OrderRollout(fake.JobsService, "v2", time.Minute)
+	for _, r := range s.routers {
+		eventually(t, "record known", func() bool {
+			r.decider.mu.Lock()
+			defer r.decider.mu.Unlock()
+			m := r.decider.moves[fake.JobsService]
+			return m != nil && m.confirmed > 0 && m.record.To == "v2"
+		})
+	}
+	var record shift.Record
+	must.NoError(t, json.Unmarshal(s.Store.Row(shiftsTable, fake.JobsService), &record))
+	must.Eq(t, []string{"v1"}, record.Old)
+	must.Positive(t, record.Token)
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -62,6 +62,7 @@
 	c.again = x.sent[choice.ID]
 	x.sent[choice.ID] = true
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
+	x.Shifts.Sent(x.service, choice.Build)
 	r, err := x.sendCall(ctx, c)
 	if err != nil {
 		x.end(c)
@@ -128,6 +129,7 @@
 		x.counts.Ran++
 		resp.Abort()
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
+		x.countFailure(c)
 		err := fmt.Errorf("upstream %s sent an answer without a signature, status %d", choice.ID, resp.Status)
 		x.logSend(r, choice, err, c.logFields()...)
 		return r, err
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -45,15 +45,14 @@
 		}
 	}
 	x.Fleet.Want(now, x.service)
-	views := x.Fleet.Views(now, x.service)
 	if q.Model != "" {
 		others, delay := x.Peers()
 		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, x.Costs)
 	}
-	choice, ok := place.Choose(q, views, x.Costs)
-	for ok && !x.Fleet.Reserve(now, choice.ID) {
-		// Another request has taken the last token.
-		choice, ok = place.Choose(q, x.Fleet.Views(now, x.service), x.Costs)
+	builds, others := x.Shifts.Builds(x.service, q.Seed, x.build, x.counts.Sends > 0)
+	choice, ok := x.choose(now, q, builds)
+	if !ok && others != nil {
+		choice, ok = x.choose(now, q, *others)
 	}
 	x.lastChoice = choice
 	if ok {
@@ -66,6 +65,17 @@
 	return choice, ok
 }
 
+// choose chooses an upstream of the builds and takes a token of it.
+func (x *exchange) choose(now time.Time, q place.Query, builds place.Builds) (place.Choice, bool) {
+	for {
+		choice, ok := place.Choose(q, builds.Of(x.Fleet.Views(now, x.service)), x.Costs)
+		if !ok || x.Fleet.Reserve(now, choice.ID) {
+			return choice, ok
+		}
+		// Another request has taken the last token.
+	}
+}
+
 // latestWait returns the extra wait that is accepted for the latest weights. A request loses a fifth of its value on superseded
 // weights, and more than that when it is late. Within half of the objective the wait does not make it late. Load pattern: several
 // versions named within seconds, while a third of the engines load.
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -199,6 +199,7 @@
 		c.resp.Abort()
 		err := fmt.Errorf("upstream %s resumed the stream with status %d", choice.ID, c.resp.Status)
 		x.logSend(failed, choice, err, c.logFields()...)
+		x.countFailure(c)
 		return failed, err
 	}
 	return x.relayBuffered(ctx, c, r)
@@ -246,6 +247,7 @@
 	x.logSend(broken, c.choice, err, c.logFields()...)
 	now := time.Now()
 	if ctx.Err() != nil {
+		x.countEnded(ctx, now, c)
 		if !x.streaming && !x.endedByStop(now) && now.Sub(c.sentAt) >= minIdleTimeout {
 			x.Fleet.Unanswered(now, c.choice.ID)
 		}
@@ -254,6 +256,7 @@
 	x.recordCrash(ctx, now, c, err)
 	if !x.pathFailed(now, c, err) {
 		x.Fleet.Failed(now, c.choice.ID)
+		x.countFailure(c)
 	}
 	x.Pool.CloseIdle(c.choice.Address)
 }
@@ -295,11 +298,13 @@
 	resp.Done(time.Now())
 	if r == failed {
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
+		x.countFailure(c)
 		x.failure = failure{status: resp.Status, header: resp.Header, body: bytes.Clone(body)}
 		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, resp.Status)
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
+	x.countAnswer(c, c.headAt)
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -57,6 +57,19 @@
 	Build(ctx context.Context, now time.Time, service, id string) (string, bool)
 }
 
+// Shifts says which builds may run requests while services are moved to other builds, and counts what the builds answer. Methods are
+// also called for services that are not moved.
+type Shifts interface {
+	// Builds returns the builds that may run the next send of a request, and those that may if no upstream of these can; nil if there
+	// are none. The seed is the same for all sends of a request, begun the build that began its stream, again whether it was sent before.
+	Builds(service string, seed uint64, begun *string, again bool) (builds place.Builds, others *place.Builds)
+	// Sent counts a request that is sent to a build.
+	Sent(service, build string)
+	// Answered counts an answer by its time to the first byte, Failed a failure.
+	Answered(service, build, route string, took time.Duration, slow bool)
+	Failed(service, build, route string)
+}
+
 // Settings holds this instance's zone and the limits on the age of the data that it serves from.
 type Settings struct {
 	// Zone is the availability zone of this instance.
@@ -80,6 +93,7 @@
 	CrashCounter CrashCounter
 	Parts        PartTracker
 	Origins      Origins
+	Shifts       Shifts
 	// SendReport makes the instance report its state to the others at once.
 	SendReport func()
 	Costs      place.Costs
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -180,5 +180,6 @@
 	x.end(c)
 	if r == failed {
 		x.Fleet.ReturnedError(time.Now(), c.choice.ID)
+		x.countFailure(c)
 	}
 }
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -59,6 +59,7 @@
 		x.eventBegun = x.eventBegun || err != nil && x.beginsEvent(rest)
 		if other.replacement != nil {
 			c.resp.Abort()
+			x.countFailure(c)
 			return other.replacement, broken, nil
 		}
 		other.stop()
@@ -82,6 +83,7 @@
 			x.Fleet.Prefilled(c.choice.ID, c.pendingTokens)
 			c.pendingTokens = 0
 			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
+			x.countAnswer(c, time.Now())
 			x.sendHead(time.Now(), c)
 			x.recordHolders(time.Now(), c)
 		}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -8,6 +8,8 @@
 
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
+	"github.com/skylarkquay/skylarkquay/internal/roll/count"
+	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
@@ -83,6 +85,17 @@
 	Crashes map[string]int `json:"x,omitempty"`
 	// Parts is what the sender knows, also from others, of prompt parts that crash upstreams.
 	Parts []fatal.PartReport `json:"m,omitempty"`
+	// Shifts are the moves of services to other builds that the sender knows of.
+	Shifts []Shift `json:"sh,omitempty"`
+	// Counts are what was counted of the builds of these services. The counts that a head sends include the receiver's own.
+	Counts []count.Report `json:"sc,omitempty"`
+}
+
+// Shift is the record of a service's move to another build, without what only the deciding instance needs.
+type Shift struct {
+	Record shift.Record `json:"r"`
+	// Age is the time in nanoseconds since the record was known to be the store's; negative if it never was.
+	Age int64 `json:"g"`
 }
 
 // Announcement is an announced version of a model's weights.
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/roll/count"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
 )
@@ -14,6 +15,9 @@
 	headTimeout = 900 * time.Millisecond
 	// messageTTL is how long a received message counts in the coverage and, except for rates, in the messages of a head.
 	messageTTL = time.Second
+	// MaxAcknowledgementAge is how old an acknowledgement of a step may be at each instance that passes it on. It passes through two heads
+	// at most, and the instance that decides counts those of the last second.
+	MaxAcknowledgementAge = 300 * time.Millisecond
 )
 
 // headOf returns the head of a zone: the first in order of precedence that is not suspect. It is nil when that is this
@@ -155,6 +159,7 @@
 	for workspace, units := range p.admitted {
 		m.Rates.Used[workspace] += units
 	}
+	m.Counts = count.Add(m.Counts, p.last.Counts, now-p.sentAfter <= MaxAcknowledgementAge)
 	if now-p.receivedAt > messageTTL {
 		return
 	}
