--- a/internal/roll/shift/judge.go
+++ b/internal/roll/shift/judge.go
@@ -56,7 +56,7 @@
 func (t Tally) answers() int64 { return t.Good + t.Bad }
 
 const (
-	enough     = 12   // answers on a route that a good verdict takes
+	enough     = 8    // answers on a route that a good verdict takes
 	rare       = 0.05 // of the answers: a route below it needs none
 	fewestBad  = 3    // failures that a bad verdict takes
 	fewestSlow = 6    // late answers that a bad verdict takes
@@ -73,14 +73,18 @@
 	baseline       = 0.02
 	baselineFactor = 1.5
 	slowBaseline   = 0.1
-	fewestOld      = 20 // answers of the old build to compare times with
-	slowBuckets    = 3  // above the old median's: 2 to 2.8 times as long
+	coldAnswers    = 3    // of a new upstream may be slow
+	fewestOld      = 20   // answers of the old build to compare times with
+	slowBuckets    = 2    // above the old median's at least: 1.4 to 2 times as long
+	slowOld        = 0.05 // of the old build's answers at most are above
+	surge          = 1.5  // times the requests of before
+	surgeBaseline  = 0.4  // failures in a surge that no old upstream can be compared in
 )
 
 // worse tells on which route the new build is surely worse than the old one, and in what.
-func (r Record) worse(e Evidence) (route, why string) {
+func (r Record) worse(now time.Duration, e Evidence) (route, why string) {
 	many := total(e.New).Bad >= manyBad
-	for _, c := range r.compare(e) {
+	for _, c := range r.compare(now, e) {
 		if c.bad >= fewestBad && (c.failing < sure || many && c.failing < sureSoon) {
 			return c.route, "failures"
 		}
@@ -92,8 +96,8 @@
 }
 
 // doubtful tells whether the new build may be worse.
-func (r Record) doubtful(e Evidence) bool {
-	return slices.ContainsFunc(r.compare(e), func(c comparison) bool {
+func (r Record) doubtful(now time.Duration, e Evidence) bool {
+	return slices.ContainsFunc(r.compare(now, e), func(c comparison) bool {
 		return c.bad > 1 && c.failing < doubt || c.slow > 2 && c.slowing < doubtSlow
 	})
 }
@@ -109,17 +113,24 @@
 
 // compare judges each route and all together. Times count once the new upstreams are warm, and while old ones get
 // requests under the same conditions.
-func (r Record) compare(e Evidence) []comparison {
+func (r Record) compare(now time.Duration, e Evidence) []comparison {
 	var list []comparison
 	var whole, stage, late, missed sample
-	timed := r.Stage == Trial || r.Stage == Load
+	timed := r.Stage == Trial || r.Stage == Load || r.Stage == Full
+	var slower float64
+	if r.Stage == Full {
+		// All new upstreams may be cold.
+		slower = float64(coldAnswers * e.NewUpstreams)
+		timed = !r.surges(now, e)
+	}
 	for _, route := range sorted(e.New) {
-		w, s := r.failures(e, route)
+		w, s := r.failures(now, e, route)
 		c := comparison{route: route, slowing: 1}
 		c.failing, c.bad = either(w, s)
 		whole, stage = whole.plus(w), stage.plus(s)
 		if timed {
 			l, m := r.late(e, route)
+			l.expected, m.expected = l.expected+slower, m.expected+slower
 			c.slowing, c.slow = either(l, m)
 			late, missed = late.plus(l), missed.plus(m)
 		}
@@ -129,6 +140,8 @@
 		return list
 	}
 	c := comparison{route: allRoutes}
+	late.expected -= slower * float64(len(list)-1)
+	missed.expected -= slower * float64(len(list)-1)
 	c.failing, c.bad = either(whole, stage)
 	c.slowing, c.slow = either(late, missed)
 	return append(list, c)
@@ -148,7 +161,7 @@
 	if s.answers == 0 {
 		return 1
 	}
-	return tail(s.answers, s.hits, s.expected/float64(s.answers))
+	return tail(s.answers, s.hits, min(s.expected/float64(s.answers), 1))
 }
 
 // either is the sample that says more.
@@ -161,7 +174,7 @@
 
 // good tells whether all requests may go to the new build.
 func (r Record) good(now time.Duration, e Evidence, left time.Duration, p step) bool {
-	if r.doubtful(e) {
+	if r.doubtful(now, e) {
 		return false
 	}
 	if 2*e.NewUpstreams < e.OldUpstreams || 5*e.NewUpstreams < 4*e.OldUpstreams && left > ending+settle {
@@ -182,17 +195,20 @@
 
 // failures are those since the order and those since the stage began, against the higher rate of the old build: a burst
 // that fails requests of both builds says nothing.
-func (r Record) failures(e Evidence, route string) (whole, stage sample) {
+func (r Record) failures(now time.Duration, e Evidence, route string) (whole, stage sample) {
 	old, fresh := e.Old[route], e.New[route]
 	newStage := fresh.Minus(r.NewBase[route])
-	rate := max(part(old.Bad, old.answers()), r.stageRate(old.Minus(r.OldBase[route])))
+	rate := max(part(old.Bad, old.answers()), stageRate(old.Minus(r.OldBase[route])))
 	likely := min(baseline+baselineFactor*rate, 1)
+	if r.surges(now, e) {
+		likely = max(likely, surgeBaseline)
+	}
 	return sample{fresh.answers(), fresh.Bad, likely * float64(fresh.answers())},
 		sample{newStage.answers(), newStage.Bad, likely * float64(newStage.answers())}
 }
 
 // stageRate is the failure rate of a stage with enough answers.
-func (r Record) stageRate(t Tally) float64 {
+func stageRate(t Tally) float64 {
 	if t.answers() < fewestOld {
 		return 0
 	}
@@ -210,6 +226,9 @@
 		return late, missed
 	}
 	limit := median(old) + slowBuckets
+	for limit < Buckets && part(above(old, limit), old.Good) > slowOld {
+		limit++
+	}
 	usual := func(count int64) float64 {
 		return min(slowBaseline+baselineFactor*part(count, old.Good), 1) * float64(fresh.Good)
 	}
@@ -217,6 +236,15 @@
 		sample{fresh.Good, fresh.Slow, usual(old.Slow)}
 }
 
+// surges tells whether many more requests come since all of them go to the new build.
+func (r Record) surges(now time.Duration, e Evidence) bool {
+	before, since := ms(r.Changed-r.Started), now-ms(r.Changed)
+	if r.Stage != Full || before <= 0 || since <= 0 {
+		return false
+	}
+	return float64(e.Arrived-r.Arrived)/since.Seconds() > surge*float64(r.Arrived)/before.Seconds()
+}
+
 func part(k, n int64) float64 {
 	if k == 0 {
 		return 0
--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -32,7 +32,7 @@
 	if exposed >= b.Share*arrived+restPart*b.Slack {
 		return p
 	}
-	spend := max(all-rate*lag.Seconds(), trialPart*all) - exposed
+	spend := max(all-rate*p.reserve.Seconds(), min(trialPart*all, trialEnough)) - exposed
 	trial := max(left-p.reserve.Seconds(), 0.5)
 	p.share = min(max(spend/max(rate*trial, 0.01), leastShare), largestShare)
 	if r.Share > 0 && r.Stage != Load && r.Stage != Alone {
@@ -49,7 +49,7 @@
 	if p.spread >= e.NewUpstreams {
 		p.spread = 0
 	}
-	if most := min(1/float64(max(e.OldUpstreams, 1)), pulseMax); most > p.share &&
+	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); most > p.share &&
 		exposed+most*rate*(pulse+lag).Seconds() <= b.Share*arrived+restPart*b.Slack {
 		p.pulse = most
 	}
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -25,7 +25,6 @@
 	Probe Stage = "probe" // a small share while the new upstreams are cold: only failures are judged
 	Trial Stage = "trial" // the same share, failures and times are judged
 	Load  Stage = "load"  // for a moment one new upstream carries what an old one does
-	Warm  Stage = "warm"  // the share goes to all new upstreams, so that none is cold at the last step
 	Alone Stage = "alone" // no old upstream is left
 	Full  Stage = "full"  // all requests go to the new build; completed once nothing runs on the old ones
 )
@@ -91,20 +90,23 @@
 	defaultShare = 0.1
 	slackPart    = 0.8 // of the slack that a plan may spend; the rest is for what is under way
 	restPart     = 0.5 // of the slack that the stages before Full may spend
-	trialPart    = 0.3 // of all exposure, for the stages before Full at least
+	trialPart    = 0.4 // of all exposure, for the stages before Full at least
+	trialEnough  = 150 // requests, for the stages before Full, where Full would need the rest
 	ratePart     = 0.8 // of the rate so far that is counted on until the deadline
 	largestShare = 0.5 // before Full
 	leastShare   = 0.01
 
-	lag      = time.Second             // from an answer to a roll-back that holds everywhere
-	cold     = 1500 * time.Millisecond // of new upstreams that get their first requests
-	pulse    = 600 * time.Millisecond  // how long Load lasts
-	pulseMax = 0.25                    // largest share of Load
-	warming  = 1500 * time.Millisecond // before Full
-	reserve  = 1200 * time.Millisecond // for acknowledgements and the verdict, beside what runs
-	ending   = 800 * time.Millisecond  // before the deadline no Full begins any more
-	settle   = 300 * time.Millisecond  // from a step to counts that belong to it
-	lasting  = 400 * time.Millisecond  // where it is unknown
+	lag       = time.Second             // from an answer to a roll-back that holds everywhere
+	cold      = 1500 * time.Millisecond // of new upstreams that get their first requests
+	pulse     = 600 * time.Millisecond  // how long Load lasts
+	pulseMax  = 0.4                     // largest share of Load
+	pulseOver = 1.2                     // what an old upstream carries
+	round     = 4 * time.Second         // of the trial, then its counts begin anew
+	reserve   = time.Second             // for acknowledgements and the verdict, beside what runs
+	final     = 700 * time.Millisecond  // before the deadline, when Full may end: until then there is a way back
+	ending    = 800 * time.Millisecond  // before the deadline no Full begins any more
+	settle    = 300 * time.Millisecond  // from a step to counts that belong to it
+	lasting   = 400 * time.Millisecond  // where it is unknown
 )
 
 // Begin starts an order: nothing is sent to To before Next has seen upstreams of it.
@@ -177,7 +179,7 @@
 }
 
 func (r Record) next(now time.Duration, e Evidence, b Bounds) (Record, string) {
-	if route, why := r.worse(e); why != "" && !r.Proven {
+	if route, why := r.worse(now, e); why != "" && !r.Proven {
 		return r.end(RolledBack), fmt.Sprintf("%s: route %s", why, route)
 	}
 	if e.Unsettled {
@@ -213,19 +215,26 @@
 	switch {
 	case r.Share == 0:
 		return r, ""
-	case r.Stage == Probe && age >= cold && len(e.New) > 0:
+	case r.Stage == Probe && age >= cold && r.warm(e):
+		p.share, p.spread = r.Share, r.Spread
 		return r.begin(Trial, p, e), "warm"
 	case r.Stage == Probe && age >= cold && p.share > 1.5*r.Share:
 		return r.begin(Probe, p, e), "few requests"
 	case r.Stage == Load && age >= pulse:
 		// Answers under load are still to come: the base stays.
-		r.Loaded, r.Stage, r.Share, r.Spread = true, Trial, p.share, p.spread
+		r.Loaded, r.Stage, r.Share, r.Spread = true, Trial, min(p.share, r.Share), 1
 		return r, "load is over"
-	case r.Stage == Trial && left <= p.reserve+warming && !r.doubtful(e):
-		p.spread = 0
-		return r.begin(Warm, p, e), "all upstreams"
-	case r.Stage == Trial && !r.Loaded && p.pulse > 0 && left <= p.reserve+warming+pulse+2*lag && !r.doubtful(e):
-		return r.begin(Load, step{share: p.pulse, spread: 1}, e), "load"
+	case r.Stage != Trial || r.doubtful(now, e):
+		return r, ""
+	case !r.Loaded && left <= p.reserve+pulse+2*lag:
+		if p.pulse > 0 {
+			return r.begin(Load, step{share: p.pulse, spread: 1}, e), "load"
+		}
+		r.Loaded = true
+		return r.begin(Trial, step{share: r.Share, spread: r.Spread}, e), "last round"
+	case !r.Loaded && age >= round:
+		p.spread = r.Spread
+		return r.begin(Trial, p, e), "next round"
 	}
 	return r, ""
 }
@@ -237,12 +246,25 @@
 		return r.end(RolledBack), "no upstream of the new build"
 	case e.NewUpstreams == 0 && e.OldUpstreams > 0:
 		return r.begin(Probe, step{}, e), "no upstream of the new build"
+	case left > final && !r.Proven:
+		return r, ""
+	case left > 0 && r.doubtful(now, e) && !r.Proven:
+		return r, ""
 	case e.NewUpstreams == 0 || now-ms(r.Changed) < settle || e.Unacknowledged > 0 || e.OldRunning > 0:
 		return r, ""
 	}
 	return r.end(Completed), "nothing runs on the old build"
 }
 
+// warm tells whether the upstreams that get requests have had some.
+func (r Record) warm(e Evidence) bool {
+	used := r.Spread
+	if used == 0 {
+		used = e.NewUpstreams
+	}
+	return total(e.New).answers()-total(r.NewBase).answers() >= coldAnswers*int64(used)
+}
+
 // alone lets the new build serve while no upstream of the old one is left.
 func (r Record) alone(e Evidence, left time.Duration) (Record, string) {
 	if left <= reserve {
