--- a/internal/app/edge/shift.go
+++ b/internal/app/edge/shift.go
@@ -55,6 +55,7 @@
 // peerCounts is what another instance, or a head for several, reported last.
 type peerCounts struct {
 	kind        gossip.Kind
+	zone        string
 	incarnation int64
 	reports     []count.Report
 	// before are the counts of earlier starts of the instance.
@@ -288,7 +289,7 @@
 	}
 	p, ok := s.peers[key]
 	if !ok {
-		p = &peerCounts{kind: m.Kind, incarnation: m.Incarnation}
+		p = &peerCounts{kind: m.Kind, zone: m.Zone, incarnation: m.Incarnation}
 		s.peers[key] = p
 	}
 	if m.Kind == gossip.KindOwn && p.incarnation != m.Incarnation {
@@ -310,7 +311,8 @@
 	}
 	sum := s.ownReports(boot)
 	for key, p := range s.peers {
-		if key == "all" {
+		if _, summed := s.peers["zone "+p.zone]; key == "all" || summed && p.kind == gossip.KindOwn {
+			// A head has added the counts to its zone's.
 			continue
 		}
 		if p.kind == gossip.KindOwn && boot-p.received < countedPeerTTL {
--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
+	"github.com/skylarkquay/skylarkquay/internal/roll/count"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 )
@@ -28,6 +29,9 @@
 	sends      int
 	// detached reports whether the instance has no path to any upstream.
 	detached bool
+	// counts are what the instance reports of builds, counted what heads last reported to it, by kind and zone.
+	counts  []count.Report
+	counted map[string][]count.Report
 }
 
 func (m *simInstance) ReadFromUDP([]byte) (int, *net.UDPAddr, error) { return 0, nil, net.ErrClosed }
@@ -44,6 +48,7 @@
 	if m.detached {
 		msg.Detached = []string{m.Address}
 	}
+	msg.Counts = m.counts
 	return 0, false
 }
 
@@ -56,6 +61,9 @@
 	if msg.Kind == KindAll {
 		m.loads = msg.Loads
 	}
+	if msg.Kind != KindOwn {
+		m.counted[string(msg.Kind)+msg.Zone] = msg.Counts
+	}
 }
 
 type datagram struct {
@@ -74,7 +82,7 @@
 	s := &simSite{now: time.Hour, byAddress: make(map[string]*simInstance)}
 	for z := range zones {
 		for i := range each {
-			m := &simInstance{site: s, lastTotals: map[string]float64{}}
+			m := &simInstance{site: s, lastTotals: map[string]float64{}, counted: map[string][]count.Report{}}
 			n := Instance{Address: fmt.Sprintf("10.0.%d.%d:7", z, i+11), Zone: fmt.Sprint(z), Size: 100 - i%3}
 			m.Exchange = New(Settings{Instance: n, Conn: m, Incarnation: 1, Clock: func() time.Duration { return s.now }, Source: m, Sink: m, Log: logr.Discard()})
 			s.byAddress[n.Address] = m
@@ -276,3 +284,34 @@
 		}
 	}
 }
+
+// In a large site each instance's counts of builds are in the totals once, and its acknowledgement while it is live.
+func TestHeadsAddCountsOfBuilds(t *testing.T) {
+	const zones, each = 4, 31
+	s := newSimSite(zones, each)
+	for _, m := range s.instances {
+		m.counts = []count.Report{{Service: "s", Started: 5, Step: 3, Acked: 1, Arrived: 10, Exposed: 1}}
+	}
+	s.run(2 * time.Second)
+	check := func(arrived int64, acked int) {
+		t.Helper()
+		for _, m := range s.instances {
+			if all, ok := m.counted[string(KindAll)+m.Zone]; ok && !m.down {
+				must.SliceLen(t, 1, all)
+				must.Eq(t, arrived, all[0].Arrived)
+				must.Eq(t, acked, all[0].Acked)
+			}
+		}
+	}
+	check(10*zones*each, zones*each)
+	down := 0
+	for _, m := range s.instances {
+		if m.Size < 100 && m.Zone == "1" {
+			m.down = true
+			down++
+		}
+	}
+	must.Positive(t, down)
+	s.run(3 * time.Second)
+	check(10*zones*each, zones*each-down)
+}
