--- a/internal/app/edge/shift.go
+++ b/internal/app/edge/shift.go
@@ -19,6 +19,8 @@
 const (
 	// maxShifts bounds the services of which a move to another build is known.
 	maxShifts = 16
+	// maxEarlier bounds the orders that are remembered after others replaced them.
+	maxEarlier = 64
 	// acknowledgeDelay is how long an instance sends by a step before it acknowledges it. A request that was placed before is reported
 	// as in flight by then.
 	acknowledgeDelay = 100 * time.Millisecond
@@ -74,8 +76,10 @@
 
 	mu     sync.Mutex
 	orders map[string]shift.Order
-	moves  map[string]*move
-	peers  map[string]*peerCounts
+	// earlier are the orders that others replaced, the latest last. A store that comes back from a copy may hold one of them.
+	earlier []shift.Order
+	moves   map[string]*move
+	peers   map[string]*peerCounts
 }
 
 func newShifts(log logr.Logger, boot func() time.Duration) *shifts {
@@ -93,11 +97,25 @@
 	if ok && (o.Epoch < known.Epoch || o.Epoch == known.Epoch && o.Row <= known.Row) || !ok && len(s.orders) >= maxShifts {
 		return false
 	}
+	if ok && s.isReplaced(o) {
+		return false
+	}
+	if ok && (known.Row != o.Row || known.To != o.To) {
+		s.earlier = append(s.earlier, known)
+		s.earlier = s.earlier[max(0, len(s.earlier)-maxEarlier):]
+	}
 	s.orders[o.Service] = o
 	s.active.Store(true)
 	return true
 }
 
+// isReplaced reports whether a copy of the store holds an order that another one has replaced since. The caller holds the lock.
+func (s *shifts) isReplaced(o shift.Order) bool {
+	return slices.ContainsFunc(s.earlier, func(e shift.Order) bool {
+		return e.Service == o.Service && e.To == o.To && e.Row == o.Row && e.Epoch < o.Epoch
+	})
+}
+
 // newer reports whether a record replaces another one. A verdict is never taken back.
 func newer(a, b shift.Record) bool {
 	if a.Started != b.Started || a.To != b.To {
--- a/internal/app/edge/shift_test.go
+++ b/internal/app/edge/shift_test.go
@@ -267,3 +267,115 @@
 	must.Eq(t, []string{"v1"}, record.Old)
 	must.Positive(t, record.Token)
 }
+
+// An older order that a copy of the store brings back isn't carried out again, and one that is written again goes on.
+func TestOrdersOfACopy(t *testing.T) {
+	s := newShifts(logr.Discard(), func() time.Duration { return 0 })
+	must.True(t, s.order(shift.Order{Service: "s", To: "v2", Row: 3}))
+	must.True(t, s.order(shift.Order{Service: "s", To: "v3", Row: 7}))
+	must.False(t, s.order(shift.Order{Service: "s", To: "v2", Row: 3, Epoch: 1}))
+	must.True(t, s.order(shift.Order{Service: "s", To: "v3", Row: 5, Epoch: 1}))
+	must.True(t, s.order(shift.Order{Service: "s", To: "v2", Row: 9, Epoch: 1}))
+	must.False(t, s.order(shift.Order{Service: "s", To: "v3", Row: 5, Epoch: 1}))
+}
+
+// A build that turns bad while the store is away gets nothing once the record isn't known to be current any more, and is rolled back
+// when the store is back.
+func TestBuildTurnsBadWhileTheStoreIsAway(t *testing.T) {
+	const duration = 30 * time.Second
+	s := startShiftSite(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := s.callAll(ctx, s.routers)
+	s.order(t, duration, fake.Faults{})
+	eventually(t, "sent on trial", func() bool { return runsAfter(s.fresh, s.ordered) > 0 })
+	s.Store.SetFault(fake.Busy)
+	for _, u := range s.fresh {
+		u.SetFaults(fake.Faults{Fail: true})
+	}
+	time.Sleep(shift.Fresh + 500*time.Millisecond)
+	stale := time.Now()
+	time.Sleep(time.Second)
+	must.Zero(t, runsAfter(s.fresh, stale))
+	s.Store.SetFault(fake.NoFault)
+	state, _ := s.follow(t, duration)
+	cancel()
+	callers.Wait()
+	must.Eq(t, "rolled_back", state)
+	s.checkExposure(t)
+}
+
+// A store that comes back from a copy without the verdict gets it again, and nothing is sent to the bad build.
+func TestVerdictOutlivesACopyOfTheStore(t *testing.T) {
+	const duration = 20 * time.Second
+	s := startShiftSite(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := s.callAll(ctx, s.routers)
+	s.order(t, duration, fake.Faults{Fail: true})
+	eventually(t, "running", func() bool { return s.RolloutStatus(fake.JobsService).State == "running" })
+	kept := s.Store.Copy()
+	state, _ := s.follow(t, duration)
+	must.Eq(t, "rolled_back", state)
+	time.Sleep(time.Second)
+	verdict := time.Now()
+	s.Store.Restore(kept)
+	must.Eq(t, "running", s.RolloutStatus(fake.JobsService).State)
+	for _, u := range s.fresh {
+		s.Register(u, "ready")
+	}
+	eventually(t, "the verdict again", func() bool { return s.RolloutStatus(fake.JobsService).State == "rolled_back" })
+	time.Sleep(time.Second)
+	cancel()
+	callers.Wait()
+	must.Zero(t, runsAfter(s.fresh, verdict))
+	s.checkExposure(t)
+}
+
+// Streams of engines end where they began, and none breaks off when a good build is completed.
+func TestStreamsWhileAServiceIsMoved(t *testing.T) {
+	const duration = 12 * time.Second
+	s := &shiftSite{Site: newSite(t, 3, 1)}
+	s.old = slices.Clone(s.Engines)
+	for _, u := range s.old {
+		u.Slots = 64
+		u.PerEvent = 20 * time.Millisecond
+		s.Register(u, "ready")
+	}
+	for range 2 {
+		s.routers = append(s.routers, startRouter(t, testSettings(t, s.Site)))
+	}
+	for _, r := range s.routers {
+		eventually(t, "ready", func() bool { return r.isReady() && r.exchange.Count() == 2 })
+	}
+	s.ordered = time.Now()
+	s.OrderRollout(fake.EnginesService, "v2", duration)
+	var err error
+	s.fresh, err = s.StartBuild(fake.EnginesService, "v2", 3, fake.Faults{})
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	var broken, sent atomic.Int64
+	for _, r := range s.routers {
+		for range 4 {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					reply, err := fake.Send(context.Background(), r.settings.Listen, newUnsharedCall())
+					sent.Add(1)
+					if err != nil || reply.Status != http.StatusOK || reply.Body != events(1, 5) {
+						broken.Add(1)
+					}
+				}
+			})
+		}
+	}
+	followCtx, stop := context.WithTimeout(context.Background(), duration+10*time.Second)
+	defer stop()
+	state, at := s.FollowRollout(followCtx, fake.EnginesService, "v2", s.old, s.fresh)
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	callers.Wait()
+	t.Logf("%d streams, %d broken", sent.Load(), broken.Load())
+	must.Eq(t, "completed", state)
+	must.Zero(t, runsAfter(s.old, at))
+	must.Positive(t, runsAfter(s.fresh, at))
+	must.Zero(t, broken.Load())
+}
