--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -32,26 +32,29 @@
 	if exposed >= b.Share*arrived+restPart*b.Slack {
 		return p
 	}
-	spend := max(all-rate*p.reserve.Seconds(), min(trialPart*all, trialEnough)) - exposed
+	trialAll := max(all-rate*p.reserve.Seconds(), min(trialPart*all, trialEnough))
+	spend := trialAll - exposed
+	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); !r.Loaded && most > b.Share {
+		if cost := most * rate * (pulse + settle).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll {
+			p.pulse = most
+			spend -= cost
+		}
+	}
 	trial := max(left-p.reserve.Seconds(), 0.5)
 	p.share = min(max(spend/max(rate*trial, 0.01), leastShare), largestShare)
 	if r.Share > 0 && r.Stage != Load && r.Stage != Alone {
-		p.share = min(p.share, 2*r.Share)
+		p.share = min(p.share, 3*r.Share)
 	}
 	if arrived == 0 {
-		p.share = b.Share / 2
+		p.share = min(firstShare, b.Share)
 	}
 	if most := b.Share*arrived + restPart*b.Slack - exposed; p.share > b.Share && p.share*rate*2*lag.Seconds() > most {
 		p.share = b.Share / 2
 	}
 	load := p.share * float64(max(e.OldUpstreams, 1))
-	p.spread = max(1, int(math.Ceil(load)))
+	p.spread = max(1, min(int(math.Ceil(load)), int(trialAll/eachAnswers)))
 	if p.spread >= e.NewUpstreams {
 		p.spread = 0
 	}
-	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); most > p.share &&
-		exposed+most*rate*(pulse+lag).Seconds() <= b.Share*arrived+restPart*b.Slack {
-		p.pulse = most
-	}
 	return p
 }
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -62,6 +62,7 @@
 	Exposed  int64            `json:"exposed,omitempty"`
 	OldBase  map[string]Tally `json:"oldBase,omitempty"` // by route, when the stage began
 	NewBase  map[string]Tally `json:"newBase,omitempty"`
+	Before   map[string]Past  `json:"before,omitempty"` // by route, the stages before
 	Reason   string           `json:"reason,omitempty"`
 }
 
@@ -88,12 +89,14 @@
 	AckAge = time.Second
 
 	defaultShare = 0.1
-	slackPart    = 0.8 // of the slack that a plan may spend; the rest is for what is under way
-	restPart     = 0.5 // of the slack that the stages before Full may spend
-	trialPart    = 0.4 // of all exposure, for the stages before Full at least
-	trialEnough  = 150 // requests, for the stages before Full, where Full would need the rest
-	ratePart     = 0.8 // of the rate so far that is counted on until the deadline
-	largestShare = 0.5 // before Full
+	slackPart    = 0.8  // of the slack that a plan may spend; the rest is for what is under way
+	restPart     = 0.5  // of the slack that the stages before Full may spend
+	trialPart    = 0.4  // of all exposure, for the stages before Full at least
+	trialEnough  = 55   // requests, for the stages before Full: the slack pays the trial, the share the last second
+	pulsePart    = 0.45 // of that, for Load
+	ratePart     = 0.8  // of the rate so far that is counted on until the deadline
+	largestShare = 0.5  // before Full
+	firstShare   = 0.02 // while the rate is unknown
 	leastShare   = 0.01
 
 	lag       = time.Second             // from an answer to a roll-back that holds everywhere
@@ -103,7 +106,8 @@
 	pulseOver = 1.2                     // what an old upstream carries
 	round     = 4 * time.Second         // of the trial, then its counts begin anew
 	reserve   = time.Second             // for acknowledgements and the verdict, beside what runs
-	final     = 700 * time.Millisecond  // before the deadline, when Full may end: until then there is a way back
+	final     = 400 * time.Millisecond  // before the deadline, when Full may end: until then there is a way back
+	hasty     = 150 * time.Millisecond  // the same where few answers of Full are known
 	ending    = 800 * time.Millisecond  // before the deadline no Full begins any more
 	settle    = 300 * time.Millisecond  // from a step to counts that belong to it
 	lasting   = 400 * time.Millisecond  // where it is unknown
@@ -190,26 +194,29 @@
 	case r.Stage == Full:
 		return r.finish(now, e, left)
 	case e.OldUpstreams == 0 && e.NewUpstreams > 0:
-		return r.alone(e, left)
+		return r.alone(now, e, left)
 	case e.NewUpstreams == 0:
 		return r.without(left)
 	case r.Stage == Alone:
-		return r.begin(Trial, r.plan(now, e, b), e), "old upstreams are back"
+		return r.begin(now, Trial, r.plan(now, e, b), e), "old upstreams are back"
 	}
 	p := r.plan(now, e, b)
 	if left <= p.reserve {
 		if r.good(now, e, left, p) {
-			return r.begin(Full, step{share: 1}, e), "no worse than the old build"
+			return r.begin(now, Full, step{share: 1}, e), "no worse than the old build"
 		}
 		if left <= ending {
+			if r.doubtful(now, e) {
+				return r.end(RolledBack), "in doubt"
+			}
 			return r.end(RolledBack), "too few answers to judge"
 		}
 	}
 	if p.share == 0 && r.Share > 0 {
-		return r.begin(r.Stage, p, e), "exposure is used up"
+		return r.begin(now, r.Stage, p, e), "exposure is used up"
 	}
 	if r.Share == 0 && p.share > 0 {
-		return r.begin(r.Stage, p, e), "share"
+		return r.begin(now, r.Stage, p, e), "share"
 	}
 	age := now - ms(r.Changed)
 	switch {
@@ -217,24 +224,23 @@
 		return r, ""
 	case r.Stage == Probe && age >= cold && r.warm(e):
 		p.share, p.spread = r.Share, r.Spread
-		return r.begin(Trial, p, e), "warm"
+		return r.begin(now, Trial, p, e), "warm"
 	case r.Stage == Probe && age >= cold && p.share > 1.5*r.Share:
-		return r.begin(Probe, p, e), "few requests"
+		return r.begin(now, Probe, p, e), "few requests"
 	case r.Stage == Load && age >= pulse:
-		// Answers under load are still to come: the base stays.
-		r.Loaded, r.Stage, r.Share, r.Spread = true, Trial, min(p.share, r.Share), 1
-		return r, "load is over"
+		r.Loaded = true
+		return r.begin(now, Trial, step{share: min(p.share, r.Share), spread: 1}, e), "load is over"
 	case r.Stage != Trial || r.doubtful(now, e):
 		return r, ""
 	case !r.Loaded && left <= p.reserve+pulse+2*lag:
 		if p.pulse > 0 {
-			return r.begin(Load, step{share: p.pulse, spread: 1}, e), "load"
+			return r.begin(now, Load, step{share: p.pulse, spread: 1}, e), "load"
 		}
 		r.Loaded = true
-		return r.begin(Trial, step{share: r.Share, spread: r.Spread}, e), "last round"
+		return r.begin(now, Trial, step{share: r.Share, spread: r.Spread}, e), "last round"
 	case !r.Loaded && age >= round:
 		p.spread = r.Spread
-		return r.begin(Trial, p, e), "next round"
+		return r.begin(now, Trial, p, e), "next round"
 	}
 	return r, ""
 }
@@ -245,8 +251,8 @@
 	case e.NewUpstreams == 0 && e.OldUpstreams > 0 && left <= ending:
 		return r.end(RolledBack), "no upstream of the new build"
 	case e.NewUpstreams == 0 && e.OldUpstreams > 0:
-		return r.begin(Probe, step{}, e), "no upstream of the new build"
-	case left > final && !r.Proven:
+		return r.begin(now, Probe, step{}, e), "no upstream of the new build"
+	case (left > final || left > hasty && e.NewUpstreams > 0 && !r.seen(e)) && !r.Proven:
 		return r, ""
 	case left > 0 && r.doubtful(now, e) && !r.Proven:
 		return r, ""
@@ -258,20 +264,29 @@
 
 // warm tells whether the upstreams that get requests have had some.
 func (r Record) warm(e Evidence) bool {
-	used := r.Spread
-	if used == 0 {
-		used = e.NewUpstreams
+	return total(e.New).answers()-total(r.NewBase).answers() >= warmAnswers*int64(r.used(e))
+}
+
+// used is the number of upstreams that get requests.
+func (r Record) used(e Evidence) int {
+	if r.Spread == 0 {
+		return e.NewUpstreams
 	}
-	return total(e.New).answers()-total(r.NewBase).answers() >= coldAnswers*int64(used)
+	return min(r.Spread, e.NewUpstreams)
+}
+
+// seen tells whether answers of the stage are known.
+func (r Record) seen(e Evidence) bool {
+	return total(e.New).answers()-total(r.NewBase).answers() >= seenAnswers || e.Arrived == r.Arrived
 }
 
 // alone lets the new build serve while no upstream of the old one is left.
-func (r Record) alone(e Evidence, left time.Duration) (Record, string) {
+func (r Record) alone(now time.Duration, e Evidence, left time.Duration) (Record, string) {
 	if left <= reserve {
-		return r.begin(Full, step{share: 1}, e), "no old upstream is left"
+		return r.begin(now, Full, step{share: 1}, e), "no old upstream is left"
 	}
 	if r.Stage != Alone {
-		return r.begin(Alone, step{share: 1}, e), "no old upstream is left"
+		return r.begin(now, Alone, step{share: 1}, e), "no old upstream is left"
 	}
 	return r, ""
 }
@@ -288,7 +303,8 @@
 	return r, ""
 }
 
-func (r Record) begin(s Stage, p step, e Evidence) Record {
+func (r Record) begin(now time.Duration, s Stage, p step, e Evidence) Record {
+	r.Before = r.past(now, e)
 	r.Stage, r.Share, r.Spread = s, p.share, p.spread
 	r.OldBase, r.NewBase = cloned(e.Old), cloned(e.New)
 	return r
@@ -299,7 +315,7 @@
 	if p == Completed {
 		r.Share = 1
 	}
-	r.OldBase, r.NewBase = nil, nil
+	r.OldBase, r.NewBase, r.Before = nil, nil, nil
 	return r
 }
 
