--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -20,28 +20,29 @@
 	left := max((ms(r.Deadline) - now).Seconds(), 0)
 	arrived, exposed := float64(e.Arrived), float64(e.Exposed)
 	rate := arrived / elapsed
-	all := b.Share*(arrived+ratePart*rate*left) + slackPart*b.Slack
-	long := e.Lasting
-	if long == 0 {
-		long = lasting
+	recent := rate
+	if age := now - ms(r.Changed); age >= lag {
+		recent = float64(max(e.Arrived-r.Arrived, 0)) / age.Seconds()
 	}
-	p := step{reserve: reserve + long, fits: exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
-	if room := time.Duration((all - exposed) / max(rate, 0.01) * float64(time.Second)); room > p.reserve {
+	all := b.Share*(arrived+ratePart*min(rate, recent)*left) + slackPart*b.Slack
+	p := step{reserve: reserve + max(e.Lasting, lasting), fits: exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
+	if room := time.Duration(roomPart * (all - exposed) / max(rate, 0.01) * float64(time.Second)); room > p.reserve {
 		p.reserve = min(room, p.reserve+2*time.Second)
 	}
-	if exposed >= b.Share*arrived+restPart*b.Slack {
+	trialAll := max(all-max(rate, recent)*p.reserve.Seconds(), min(trialPart*all, trialEnough))
+	if exposed >= min(b.Share*arrived+restPart*b.Slack, trialAll+overspent) {
 		return p
 	}
-	trialAll := max(all-rate*p.reserve.Seconds(), min(trialPart*all, trialEnough))
 	spend := trialAll - exposed
-	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); !r.Loaded && most > b.Share {
-		if cost := most * rate * (pulse + settle).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll {
+	trial := max(left-p.reserve.Seconds(), 0.5)
+	coming := max(recent*trial, 0.01)
+	p.share = min(max(spend/coming, leastShare), largestShare)
+	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); !r.Loaded && most > p.share {
+		if cost := most * recent * (pulse + settle/2).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll {
 			p.pulse = most
-			spend -= cost
+			p.share = min(max((spend-cost)/coming, leastShare), largestShare)
 		}
 	}
-	trial := max(left-p.reserve.Seconds(), 0.5)
-	p.share = min(max(spend/max(rate*trial, 0.01), leastShare), largestShare)
 	if r.Share > 0 && r.Stage != Load && r.Stage != Alone {
 		p.share = min(p.share, 3*r.Share)
 	}
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -93,7 +93,8 @@
 	restPart     = 0.5  // of the slack that the stages before Full may spend
 	trialPart    = 0.4  // of all exposure, for the stages before Full at least
 	trialEnough  = 55   // requests, for the stages before Full: the slack pays the trial, the share the last second
-	pulsePart    = 0.45 // of that, for Load
+	pulsePart    = 0.6  // of that, for Load
+	overspent    = 10   // requests beyond that, by chance
 	ratePart     = 0.8  // of the rate so far that is counted on until the deadline
 	largestShare = 0.5  // before Full
 	firstShare   = 0.02 // while the rate is unknown
@@ -101,16 +102,17 @@
 
 	lag       = time.Second             // from an answer to a roll-back that holds everywhere
 	cold      = 1500 * time.Millisecond // of new upstreams that get their first requests
-	pulse     = 600 * time.Millisecond  // how long Load lasts
+	pulse     = 400 * time.Millisecond  // how long Load lasts
 	pulseMax  = 0.4                     // largest share of Load
 	pulseOver = 1.2                     // what an old upstream carries
 	round     = 4 * time.Second         // of the trial, then its counts begin anew
-	reserve   = time.Second             // for acknowledgements and the verdict, beside what runs
+	reserve   = 650 * time.Millisecond  // for acknowledgements and the verdict, beside what runs
+	roomPart  = 0.85                    // of what is left, for Full
 	final     = 400 * time.Millisecond  // before the deadline, when Full may end: until then there is a way back
 	hasty     = 150 * time.Millisecond  // the same where few answers of Full are known
 	ending    = 800 * time.Millisecond  // before the deadline no Full begins any more
 	settle    = 300 * time.Millisecond  // from a step to counts that belong to it
-	lasting   = 400 * time.Millisecond  // where it is unknown
+	lasting   = 350 * time.Millisecond  // what runs, at least
 )
 
 // Begin starts an order: nothing is sent to To before Next has seen upstreams of it.
@@ -213,9 +215,13 @@
 		}
 	}
 	if p.share == 0 && r.Share > 0 {
+		p.spread = r.Spread
 		return r.begin(now, r.Stage, p, e), "exposure is used up"
 	}
 	if r.Share == 0 && p.share > 0 {
+		if r.Stage != Probe {
+			p.spread = r.Spread
+		}
 		return r.begin(now, r.Stage, p, e), "share"
 	}
 	age := now - ms(r.Changed)
@@ -237,7 +243,7 @@
 			return r.begin(now, Load, step{share: p.pulse, spread: 1}, e), "load"
 		}
 		r.Loaded = true
-		return r.begin(now, Trial, step{share: r.Share, spread: r.Spread}, e), "last round"
+		return r.begin(now, Trial, step{share: min(p.share, r.Share), spread: r.Spread}, e), "last round"
 	case !r.Loaded && age >= round:
 		p.spread = r.Spread
 		return r.begin(now, Trial, p, e), "next round"
--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -104,9 +104,18 @@
 		m := draft(t)
 		m.usual = max(m.usual, 60*time.Millisecond)
 		m.report = min(m.report, 500*time.Millisecond)
+		m.old = max(m.old, int(m.rate/40))
+		m.fresh = m.old
 		m.fault = fault{part: rapid.Float64Range(0.4, 1).Draw(t, "part"), load: rapid.Float64Range(0.3, 0.8).Draw(t, "load")}
 		w := m.run()
 		checkBounds(t, m, w)
 		must.Eq(t, RolledBack, w.record.Phase, must.Sprint(w.story()))
 	})
 }
+
+func fans() *model {
+	m := desk()
+	m.rate, m.old, m.fresh, m.instances, m.usual = 495, 140, 140, 124, 80*time.Millisecond
+	m.routes = map[string]float64{"book": 0.47, "look": 0.53}
+	return m
+}
