--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -149,6 +150,9 @@
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor), Stop: serve.NewStop(),
 	}
+	if platform.SharesRoom(s.Terms) {
+		e.handler.Shares = serve.NewServiceShares()
+	}
 	e.handler.Origins = e
 	e.handler.Peers = func() (int, time.Duration) { return e.exchange.Count() - 1, e.exchange.PropagationDelay() / 2 }
 	e.handler.SendReport = func() { e.exchange.TriggerSend() }
@@ -361,7 +365,7 @@
 			e.log.Info("edge: invalid settings file, keeping the current settings", "error", err.Error())
 			continue
 		}
-		e.log.Info("edge: settings read again", "changed", s != e.settings)
+		e.log.Info("edge: settings read again", "changed", !reflect.DeepEqual(s, e.settings))
 	}
 }
 
--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -48,6 +48,8 @@
 	QuotaWindow    float64 `yaml:"quota_window" validate:"gte=0"`
 	QuotaOvershoot float64 `yaml:"quota_overshoot" validate:"gte=0"`
 	QuotaSlack     float64 `yaml:"quota_slack" validate:"gte=0"`
+	// Terms are the parts of the platform's terms that are in force.
+	Terms []string `yaml:"terms"`
 	// Level is the minimum log level.
 	Level string `yaml:"level" validate:"oneof=debug info error"`
 }
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -51,6 +51,10 @@
 		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, x.Costs)
 	}
 	choice, ok := place.Choose(q, views, x.Costs)
+	if ok && x.sheds(now, choice) {
+		x.lastChoice = choice
+		return choice, false
+	}
 	for ok && !x.Fleet.Reserve(now, choice.ID) {
 		// Another request has taken the last token.
 		choice, ok = place.Choose(q, x.Fleet.Views(now, x.service), x.Costs)
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -47,6 +47,10 @@
 			return
 		}
 		choice, ok := x.place(time.Now())
+		if x.shed != nil {
+			x.respondError(x.shed)
+			return
+		}
 		if !ok {
 			x.failNotRun(ctx, errNoUpstream)
 			return
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -100,6 +100,8 @@
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
 	KVStores KVStores
+	// Shares are those of the workspaces in services that cannot keep up; nil where scarce room is not shared.
+	Shares *ServiceShares
 	// OpenRequests counts requests in progress.
 	OpenRequests atomic.Int64
 }
@@ -150,6 +152,8 @@
 	streaming bool
 	// headDelay is the time from the request's arrival until the head of a stream was sent.
 	headDelay time.Duration
+	// shed is the error of a request that is refused for want of room; nil otherwise.
+	shed error
 	// failure is the upstream's error response to the last send, returned to the caller if there is no further send.
 	failure failure
 }
--- a/internal/limit/quota/quota.go
+++ b/internal/limit/quota/quota.go
@@ -274,6 +274,17 @@
 	return r
 }
 
+// Rates returns the average rates at which all instances admit, in units a second by workspace.
+func (l *Limiter) Rates(now time.Duration) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rates := make(map[string]float64, len(l.buckets))
+	for name, b := range l.buckets {
+		rates[name] = max(0, b.addToRate(now, 0))
+	}
+	return rates
+}
+
 // SetCoverage sets how many of the known instances the aggregated reports cover. Known is zero when each instance reports for
 // itself.
 func (l *Limiter) SetCoverage(reporting, known int) {
