route: learn what requests cost and how fast upstreams work

Placement assumed one speed for all engines. Estimators of the time to the first event, of each upstream's pace and of the KV cache that requests need replace it where the document's caches bind or the speed differs.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -34,6 +34,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+	"github.com/skylarkquay/skylarkquay/internal/route/learn"
 	"github.com/skylarkquay/skylarkquay/internal/route/origin"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 	"github.com/skylarkquay/skylarkquay/platform"
@@ -87,6 +88,9 @@
 	crashes      *fatal.Tracker
 	parts        *fatal.PartTracker
 	holders      *holder.Tracker
+	learner      *learn.Tracker
+	// learnedAt is when the paces of upstreams that others reported were last added.
+	learnedAt    time.Time
 	origins      *origin.Tracker
 	history      buildHistory
 	startedAt    time.Time
@@ -128,7 +132,7 @@
 	e := &Edge{
 		settings: s, settingsPath: path, log: log.WithValues("instance", s.Name), droppedLines: droppedLines, incarnation: newIncarnation(),
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
-		holders: holder.NewTracker(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
+		holders: holder.NewTracker(), learner: newLearner(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(), callers: newCallerConns(),
 		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
@@ -146,7 +150,7 @@
 			SupersededLimit: millis(s.Weights) - weightsMargin,
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
-		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
+		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Learner: e.learner, Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(int64(s.MemoryMB) << 20 / bufferMemoryDivisor), Stop: serve.NewStop(),
 	}
 	e.handler.Origins = e
@@ -340,6 +344,7 @@
 		for _, id := range e.fleet.EndPauses(now) {
 			e.log.Info("route: upstream accepts requests again", "upstream", id)
 		}
+		e.learnFromPeers(now)
 		e.checkDetached()
 		e.metrics.Gauge("relayed").Update(float64(e.relay.Open()))
 		e.metrics.Gauge("open").Update(float64(e.handler.OpenRequests.Load()))
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -20,6 +20,7 @@
 		m.Detached = []string{e.settings.Peer}
 	}
 	m.Loads = e.fleet.Loads(now)
+	e.addPaces(now, m.Loads)
 	m.Crashes = e.crashes.Report(now)
 	m.Parts = e.parts.Report(now)
 	m.Uses = e.holders.Report(now, e.exchange.Interval())
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -20,6 +20,8 @@
 	sentAt time.Time
 	// pendingTokens is the number of prompt tokens that the upstream is assumed not to have prefilled yet.
 	pendingTokens int64
+	// held is the number of tokens that its KV cache is expected to need.
+	held int64
 	// again reports whether the request was sent to the upstream before.
 	again bool
 	// saving reports whether the upstream was asked to save the prefix to the KV store.
@@ -27,6 +29,9 @@
 	// resp is nil until the head of the response has arrived, at headAt.
 	resp   *link.Response
 	headAt time.Time
+	// eventCount is the number of events that were forwarded from firstAt to lastAt.
+	eventCount      int64
+	firstAt, lastAt time.Time
 	// leaving reports whether the head announced that the upstream stops.
 	leaving bool
 	// events reads the events of a stream; nil before the first one is read.
@@ -62,6 +67,7 @@
 	c.again = x.sent[choice.ID]
 	x.sent[choice.ID] = true
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
+	x.holdCache(c)
 	r, err := x.sendCall(ctx, c)
 	if err != nil {
 		x.end(c)
@@ -70,9 +76,19 @@
 	return c, r, nil
 }
 
+// countEvent counts an event that was forwarded.
+func (c *call) countEvent(now time.Time) {
+	if c.eventCount == 0 {
+		c.firstAt = now
+	}
+	c.eventCount++
+	c.lastAt = now
+}
+
 // end records that the upstream no longer works on a call.
 func (x *exchange) end(c *call) {
 	x.Fleet.RequestEnded(c.choice.ID, c.pendingTokens)
+	x.Fleet.CacheFreed(c.choice.ID, c.held)
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -46,9 +46,14 @@
 	}
 	x.Fleet.Want(now, x.service)
 	views := x.Fleet.Views(now, x.service)
+	others, delay := x.Peers()
+	q.Learned = x.learned(now, delay)
 	if q.Model != "" {
-		others, delay := x.Peers()
-		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, x.Costs)
+		costs := x.Costs
+		if q.Learned != nil {
+			costs.PerToken = q.Learned.PerToken
+		}
+		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, costs)
 	}
 	choice, ok := place.Choose(q, views, x.Costs)
 	for ok && !x.Fleet.Reserve(now, choice.ID) {
@@ -61,7 +66,9 @@
 		x.Log.Info("route: placed", "id", x.info.ID, "upstream", choice.ID, "build", choice.Build, "weights", choice.Version, "newest", q.Version,
 			"floor", q.MinVersion, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
 			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
-			"switching", choice.Switching, "failure_rate", choice.FailureRate)
+			"switching", choice.Switching, "failure_rate", choice.FailureRate, "learned", q.Learned != nil, "wait_ms", choice.Wait.Milliseconds(),
+			"read_ms", choice.Read.Milliseconds(), "memory_ms", choice.Memory.Milliseconds(), "held", choice.Held, "pace", choice.Pace,
+			"samples", int(choice.PaceSamples))
 	}
 	return choice, ok
 }
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -246,6 +246,9 @@
 	x.logSend(broken, c.choice, err, c.logFields()...)
 	now := time.Now()
 	if ctx.Err() != nil {
+		if !x.streaming && !x.endedByStop(now) {
+			x.learnFrom(now, c, true)
+		}
 		if !x.streaming && !x.endedByStop(now) && now.Sub(c.sentAt) >= minIdleTimeout {
 			x.Fleet.Unanswered(now, c.choice.ID)
 		}
@@ -300,6 +303,7 @@
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
+	x.learnFrom(time.Now(), c, false)
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -22,6 +22,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+	"github.com/skylarkquay/skylarkquay/internal/route/learn"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -83,6 +84,8 @@
 	// SendReport makes the instance report its state to the others at once.
 	SendReport func()
 	Costs      place.Costs
+	// Learner estimates the costs of requests from the responses.
+	Learner *learn.Tracker
 	// PrefillRate measures the rate of prompt tokens that this instance sends to engines.
 	PrefillRate place.PrefillRate
 	// Peers returns how many other instances place prompts, and how long the report of a placement takes to reach them.
@@ -150,6 +153,10 @@
 	streaming bool
 	// headDelay is the time from the request's arrival until the head of a stream was sent.
 	headDelay time.Duration
+	// held is the number of tokens that the request is expected to need in a KV cache.
+	held int64
+	// eventCount is the number of events forwarded to the caller.
+	eventCount int64
 	// failure is the upstream's error response to the last send, returned to the caller if there is no further send.
 	failure failure
 }
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -82,6 +82,7 @@
 			x.Fleet.Prefilled(c.choice.ID, c.pendingTokens)
 			c.pendingTokens = 0
 			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
+			x.learnFrom(time.Now(), c, false)
 			x.sendHead(time.Now(), c)
 			x.recordHolders(time.Now(), c)
 		}
@@ -101,6 +102,8 @@
 			x.abortDisconnected()
 		}
 		if ev.isEvent {
+			x.eventCount++
+			c.countEvent(time.Now())
 			news, goingOn, x.begun, x.eventBegun = true, false, true, false
 			x.unnumbered = ev.id == ""
 		}
@@ -189,6 +192,7 @@
 	x.sendHead(time.Now(), c)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
+	x.learnAnswer(time.Now(), c)
 	more := []any{"first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID}
 	x.logResult("route: answered", c.resp.Status, "answered", append(more, c.logFields()...)...)
 	return answered, nil
--- a/internal/route/fleet/events.go
+++ b/internal/route/fleet/events.go
@@ -38,6 +38,16 @@
 	})
 }
 
+// CacheHeld records the tokens that the KV cache of a request is expected to need.
+func (f *Fleet) CacheHeld(id string, tokens int64) {
+	f.update(id, func(u *upstream) { u.local.held += tokens })
+}
+
+// CacheFreed records that the KV cache of a request is no longer needed.
+func (f *Fleet) CacheFreed(id string, tokens int64) {
+	f.update(id, func(u *upstream) { u.local.held = max(0, u.local.held-tokens) })
+}
+
 // AnswerStarted records the start of a response that is not a failure.
 func (f *Fleet) AnswerStarted(now time.Time, id string) {
 	f.update(id, func(u *upstream) {
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -58,8 +58,12 @@
 	Entry
 	// Running is the number of requests in flight from this instance and, as reported, from all others.
 	Running int
+	// Own is the number of them from this instance.
+	Own int
 	// PendingTokens is the number of their prompt tokens that are not prefilled yet.
 	PendingTokens int64
+	// Held is the number of tokens that their KV caches are expected to need, of those instances that report it.
+	Held int64
 	// Ejected reports whether the upstream failed, or rejected a request as full, recently.
 	Ejected bool
 	// FailureRate is the recent failure rate: the larger of this instance's moving average and the rate over all instances.
@@ -80,6 +84,7 @@
 	// reserved counts the requests that have been placed at the upstream and not sent yet.
 	reserved int
 	tokens   int64
+	held     int64
 }
 
 type upstream struct {
@@ -116,6 +121,13 @@
 	// Sent counts the latest requests to an upstream that has named a limit, and Wanted those that might have gone there.
 	Sent   float64 `json:"n,omitempty"`
 	Wanted float64 `json:"w,omitempty"`
+	// Held is the number of tokens that the KV caches of the requests in flight are expected to need; zero from builds that do not
+	// report it.
+	Held int64 `json:"h,omitempty"`
+	// Samples counts the answers of the last seconds whose times were compared with the expected ones, and Pace is the sum of
+	// the results, in units of package learn.
+	Samples int `json:"c,omitempty"`
+	Pace    int `json:"p,omitempty"`
 }
 
 func (l Load) outcomes() outcomes { return outcomes{l.Good, l.Bad, l.Unanswered} }
@@ -124,7 +136,7 @@
 func (l Load) Plus(o Load) Load {
 	return Load{
 		l.Running + o.Running, l.PendingTokens + o.PendingTokens, l.Good + o.Good, l.Bad + o.Bad, l.Unanswered + o.Unanswered,
-		l.Sent + o.Sent, l.Wanted + o.Wanted,
+		l.Sent + o.Sent, l.Wanted + o.Wanted, l.Held + o.Held, l.Samples + o.Samples, l.Pace + o.Pace,
 	}
 }
 
@@ -132,7 +144,7 @@
 func (l Load) Minus(o Load) Load {
 	return Load{
 		l.Running - o.Running, l.PendingTokens - o.PendingTokens, l.Good - o.Good, l.Bad - o.Bad, l.Unanswered - o.Unanswered,
-		l.Sent - o.Sent, l.Wanted - o.Wanted,
+		l.Sent - o.Sent, l.Wanted - o.Wanted, l.Held - o.Held, l.Samples - o.Samples, l.Pace - o.Pace,
 	}
 }
 
@@ -340,7 +352,9 @@
 	v := View{
 		Entry:         u.entry,
 		Running:       u.local.running,
+		Own:           u.local.running,
 		PendingTokens: u.local.tokens,
+		Held:          u.local.held,
 		Ejected:       now.Before(u.ejectedUntil),
 		FailureRate:   u.failureRate,
 		Switching:     now.Before(u.switchingUntil),
@@ -360,6 +374,7 @@
 	peers := f.peerLoad(now, u.entry.ID)
 	v.Running += peers.Running
 	v.PendingTokens += peers.PendingTokens
+	v.Held += max(0, peers.Held)
 	v.FailureRate = max(v.FailureRate, u.recent.total(now).plus(peers.outcomes()).failureRate())
 	return v
 }
@@ -375,6 +390,15 @@
 	return sum
 }
 
+// PeerLoads returns the loads that other instances recently reported, by the entries of the upstreams.
+func (f *Fleet) PeerLoads(now time.Time, apply func(e Entry, l Load)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.upstreams {
+		apply(f.view(now, u).Entry, f.peerLoad(now, u.entry.ID))
+	}
+}
+
 // Loads returns this instance's loads by upstream, with outcomes for those that recently failed for any instance.
 func (f *Fleet) Loads(now time.Time) map[string]Load {
 	f.mu.Lock()
@@ -382,7 +406,7 @@
 	f.markBuilds(now)
 	loads := make(map[string]Load)
 	for id, u := range f.upstreams {
-		l := Load{Running: u.local.running, PendingTokens: u.local.tokens}
+		l := Load{Running: u.local.running, PendingTokens: u.local.tokens, Held: u.local.held}
 		own, peers := u.recent.total(now), f.peerLoad(now, id)
 		if !f.detached && own.bad+own.unanswered+peers.Bad+peers.Unanswered > 0 {
 			l.Good, l.Bad, l.Unanswered = own.good, own.bad, own.unanswered
--- /dev/null
+++ b/internal/route/place/learned.go
@@ -0,0 +1,176 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+)
+
+// Paces tells how fast upstreams are.
+type Paces interface {
+	// Pace returns how many times as long as others an upstream takes, and the weight of the samples behind that.
+	Pace(v *fleet.View) (pace, samples float64)
+}
+
+// Learned is what an instance has learned of a service.
+type Learned struct {
+	// Base, PerToken and PerRunning are the parts of the time to the first event of a prompt. Base does not depend on the requests
+	// ahead.
+	Base, PerToken, PerRunning time.Duration
+	// Response is the time in which an upstream of a plain service answers; zero for engines.
+	Response time.Duration
+	// ReportDelay is the time until a placement is known to the other instances.
+	ReportDelay time.Duration
+	// CacheTokens is the capacity of an engine's KV cache, and HeldTokens the part that the request is expected to need; zero unless
+	// the cache holds fewer requests than an engine has slots.
+	CacheTokens, HeldTokens int64
+	// Lasting is the time from sending a prompt to the end of its answer.
+	Lasting time.Duration
+	// Paces is nil if all upstreams are taken for equally fast.
+	Paces Paces
+}
+
+// maxMemoryWait bounds the wait for room in a KV cache.
+const maxMemoryWait = 5 * time.Second
+
+// load is the expected wait at one upstream.
+type load struct {
+	wait time.Duration
+	// memory is the part of the wait for room in the KV cache.
+	memory time.Duration
+	// costs are those of a request at this upstream.
+	costs Costs
+	// pace is zero if nothing was learned.
+	pace, samples float64
+}
+
+// candidateCost is an eligible upstream with the cost of the request there.
+type candidateCost struct {
+	view    *fleet.View
+	load    load
+	cost    time.Duration
+	prefill int64
+}
+
+// chooseLearned returns an upstream where the request is expected to be done early. Other instances place by the same outdated reports,
+// so that the best upstream is not best for all of them: the work that is not reported yet is assumed to go where it is done earliest,
+// and each upstream below that level is chosen with a probability in proportion to the work that it has room for.
+func (q *Query) chooseLearned(views []fleet.View, costs Costs) (Choice, bool) {
+	ranks := rendezvousRanks(q, views)
+	cache := newHoldingsCache(q, views)
+	var best Choice
+	bestTier := -1
+	var candidates []candidateCost
+	for i := range views {
+		v := &views[i]
+		if !q.eligible(v) {
+			continue
+		}
+		best.Considered++
+		t := q.tier(v)
+		if bestTier >= 0 && t > bestTier {
+			continue
+		}
+		if t != bestTier {
+			bestTier, candidates = t, candidates[:0]
+		}
+		l := q.Learned.load(v, costs)
+		l.wait += q.stalePenalty(v)
+		prefill, missing := cache.get(v.Weights[q.Model]).prefillTokens(q, v.ID, l.costs)
+		cost := l.wait + requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
+		candidates = append(candidates, candidateCost{v, l, cost, prefill})
+	}
+	if bestTier < 0 {
+		return best, false
+	}
+	slices.SortFunc(candidates, func(a, b candidateCost) int { return cmp.Compare(a.cost, b.cost) })
+	best.WaitFloor = workLevel(q.Unreported, candidates)
+	c := drawCandidate(q.Seed, best.WaitFloor, candidates)
+	best.View, best.Version, best.Cost, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], c.cost, ranks[c.view.ID], c.prefill
+	best.Wait, best.Read, best.Memory, best.Pace, best.PaceSamples = c.load.wait, c.cost-c.load.wait, c.load.memory, c.load.pace, c.load.samples
+	cache.addHoldings(&best)
+	return best, true
+}
+
+// workLevel returns the cost up to which work fills the upstreams, which are in the order of their costs. The same work fills a slow one
+// further.
+func workLevel(work time.Duration, candidates []candidateCost) time.Duration {
+	sum, speed := float64(work), 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		sum += float64(c.cost) / c.load.pace
+		speed += 1 / c.load.pace
+		if level := time.Duration(sum / speed); i == len(candidates)-1 || level <= candidates[i+1].cost {
+			return level
+		}
+	}
+	return 0
+}
+
+// drawCandidate draws an upstream in proportion to the work that fits below the level. It is the first one if nothing fits.
+func drawCandidate(seed uint64, level time.Duration, candidates []candidateCost) *candidateCost {
+	best, bestKey := &candidates[0], math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		room := float64(level-c.cost) / c.load.pace
+		if room <= 0 {
+			break
+		}
+		uniform := (float64(mix(seed^xxhash.Sum64String(c.view.ID))>>11) + 1) / (1 << 53)
+		if key := -math.Log(uniform) / room; key < bestKey {
+			best, bestKey = c, key
+		}
+	}
+	return best
+}
+
+func (l *Learned) load(v *fleet.View, costs Costs) load {
+	r := load{pace: 1, costs: costs}
+	if l.Paces != nil {
+		r.pace, r.samples = l.Paces.Pace(v)
+	}
+	if l.Response > 0 {
+		r.wait = scale(l.responseWait(v), r.pace)
+		return r
+	}
+	r.costs.PerToken = scale(l.PerToken, r.pace)
+	r.memory = scale(l.memoryWait(v), r.pace)
+	w := l.Base + time.Duration(v.PendingTokens)*l.PerToken + time.Duration(v.Running)*l.PerRunning
+	if over := v.Running - v.Slots; v.Slots > 0 && over > 0 {
+		w += time.Duration(over) * queuedDelay
+	}
+	r.wait = scale(w, r.pace) + r.memory
+	return r
+}
+
+// responseWait returns the expected time of a response of a plain service. What others have reported of short requests is mostly over
+// when it arrives, so that upstreams are only compared by the part that still runs.
+func (l *Learned) responseWait(v *fleet.View) time.Duration {
+	slots := float64(max(1, v.Slots))
+	others := float64(max(0, v.Running-v.Own))
+	if l.ReportDelay > 0 {
+		others *= math.Exp(-l.ReportDelay.Seconds() / l.Response.Seconds())
+	}
+	running := float64(v.Own) + others
+	waiting := max(0, running+1-slots) / slots
+	return scale(l.Response, 1+waiting) + scale(l.Response, running/slots/slots)
+}
+
+// memoryWait returns the wait until enough requests have ended that the request fits into the KV cache. An engine out of memory
+// preempts a stream in progress, which costs its caller more than a wait before the first event.
+func (l *Learned) memoryWait(v *fleet.View) time.Duration {
+	over := v.Held + l.HeldTokens - l.CacheTokens
+	if l.CacheTokens <= 0 || l.HeldTokens <= 0 || over <= 0 || v.Running == 0 {
+		return 0
+	}
+	mean := max(1, v.Held/int64(v.Running))
+	ends := (over + mean - 1) / mean
+	return max(time.Duration(ends)*queuedDelay, min(scale(l.Lasting, float64(ends)), maxMemoryWait))
+}
+
+func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -72,6 +72,8 @@
 	Build *string
 	// AvoidNewBuilds ranks upstreams of new builds with those that load weights, behind the others.
 	AvoidNewBuilds bool
+	// Learned is what is known of the service, nil to assume the defaults.
+	Learned *Learned
 	// Avoid holds the upstreams that already received this request.
 	Avoid map[string]bool
 	// Seed seeds the random tie-breaking.
@@ -85,6 +87,11 @@
 	Version int64
 	// Cost is the expected wait.
 	Cost time.Duration
+	// Wait and Read are the parts of the cost for the requests ahead and for the prompt itself, Memory that for the room in the KV
+	// cache, which is part of Wait.
+	Wait, Read, Memory time.Duration
+	// Pace is how many times as long as others the upstream is expected to take, from PaceSamples samples; zero if that is not known.
+	Pace, PaceSamples float64
 	// WaitFloor is the lowest wait assumed at any upstream, since unreported work is assumed to fill the shortest queues.
 	WaitFloor time.Duration
 	// Considered is the number of eligible upstreams.
@@ -120,6 +127,9 @@
 // load weights are used only when no other is left.
 func Choose(q Query, views []fleet.View, costs Costs) (Choice, bool) {
 	q.AvoidNewBuilds = q.AvoidNewBuilds && slices.ContainsFunc(views, func(v fleet.View) bool { return !v.NewBuild })
+	if q.Learned != nil {
+		return q.chooseLearned(views, costs)
+	}
 	var best Choice
 	bestTier := -1
 	ranks := rendezvousRanks(&q, views)
@@ -134,12 +144,14 @@
 		version := v.Weights[q.Model]
 		t := q.tier(v)
 		prefill, missing := cache.get(version).prefillTokens(&q, v.ID, costs)
-		c := max(queueWait(&q, v, costs), best.WaitFloor) + requestCost(&q, v, prefill, missing, ranks[v.ID], costs)
+		wait := max(queueWait(&q, v, costs), best.WaitFloor)
+		c := wait + requestCost(&q, v, prefill, missing, ranks[v.ID], costs)
 		if bestTier >= 0 && (t > bestTier || t == bestTier && c >= best.Cost) {
 			continue
 		}
 		bestTier = t
 		best.View, best.Version, best.Cost, best.Rank, best.PrefillTokens = *v, version, c, ranks[v.ID], prefill
+		best.Wait, best.Read = wait, c-wait
 	}
 	if bestTier >= 0 {
 		cache.addHoldings(&best)
@@ -268,10 +280,15 @@
 	if over := v.Running - v.Slots; v.Slots > 0 && over > 0 {
 		w += time.Duration(over) * queuedDelay
 	}
+	return w + q.stalePenalty(v)
+}
+
+// stalePenalty returns the extra wait for superseded weights.
+func (q *Query) stalePenalty(v *fleet.View) time.Duration {
 	if q.Model != "" && v.Weights[q.Model] < q.Version {
-		w += q.StalePenalty
+		return q.StalePenalty
 	}
-	return w
+	return 0
 }
 
 // requestCost returns the cost of the request itself: the prefill time, and penalties for the upstream's zone and state.
