--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -153,8 +153,6 @@
 	streaming bool
 	// headDelay is the time from the request's arrival until the head of a stream was sent.
 	headDelay time.Duration
-	// held is the number of tokens that the request is expected to need in a KV cache.
-	held int64
 	// eventCount is the number of events forwarded to the caller.
 	eventCount int64
 	// failure is the upstream's error response to the last send, returned to the caller if there is no further send.
