--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -58,6 +58,8 @@
 	ExposureShare float64 `yaml:"exposure_share" validate:"gte=0,lte=1"`
 	ExposureSlack float64 `yaml:"exposure_slack" validate:"gte=0"`
 	Rollback      int64   `yaml:"rollback" validate:"gte=0"`
+	// Terms are the parts of the platform's terms that are in force.
+	Terms []string `yaml:"terms"`
 	// Level is the minimum log level.
 	Level string `yaml:"level" validate:"oneof=debug info error"`
 }
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -45,13 +45,18 @@
 		}
 	}
 	x.Fleet.Want(now, x.service)
+	peers, delay := x.Peers()
+	q.Learned = x.learned(now, delay)
 	if q.Model != "" {
-		others, delay := x.Peers()
-		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, x.Costs)
+		costs := x.Costs
+		if q.Learned != nil {
+			costs.PerToken = q.Learned.PerToken
+		}
+		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), peers, delay, costs)
 	}
 	builds, others := x.Shifts.Builds(x.service, q.Seed, x.build, x.counts.Sends > 0)
 	choice, ok := x.choose(now, q, builds)
-	if !ok && others != nil {
+	if !ok && x.shed == nil && others != nil {
 		choice, ok = x.choose(now, q, *others)
 	}
 	x.lastChoice = choice
@@ -60,7 +65,9 @@
 		x.Log.Info("route: placed", "id", x.info.ID, "upstream", choice.ID, "build", choice.Build, "weights", choice.Version, "newest", q.Version,
 			"floor", q.MinVersion, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
 			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
-			"switching", choice.Switching, "failure_rate", choice.FailureRate)
+			"switching", choice.Switching, "failure_rate", choice.FailureRate, "learned", q.Learned != nil, "wait_ms", choice.Wait.Milliseconds(),
+			"read_ms", choice.Read.Milliseconds(), "memory_ms", choice.Memory.Milliseconds(), "held", choice.Held, "pace", choice.Pace,
+			"samples", int(choice.PaceSamples))
 	}
 	return choice, ok
 }
@@ -69,6 +76,9 @@
 func (x *exchange) choose(now time.Time, q place.Query, builds place.Builds) (place.Choice, bool) {
 	for {
 		choice, ok := place.Choose(q, builds.Of(x.Fleet.Views(now, x.service)), x.Costs)
+		if ok && builds.Only == "" && x.sheds(now, choice) {
+			return choice, false
+		}
 		if !ok || x.Fleet.Reserve(now, choice.ID) {
 			return choice, ok
 		}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -48,6 +48,10 @@
 			return
 		}
 		choice, ok := x.place(time.Now())
+		if x.shed != nil {
+			x.respondError(x.shed)
+			return
+		}
 		if !ok {
 			x.failNotRun(ctx, errNoUpstream)
 			return
@@ -249,6 +253,9 @@
 	now := time.Now()
 	if ctx.Err() != nil {
 		x.countEnded(ctx, now, c)
+		if !x.streaming && !x.endedByStop(now) {
+			x.learnFrom(now, c, true)
+		}
 		if !x.streaming && !x.endedByStop(now) && now.Sub(c.sentAt) >= minIdleTimeout {
 			x.Fleet.Unanswered(now, c.choice.ID)
 		}
@@ -306,6 +313,7 @@
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
 	x.Fleet.AnswerCompleted(choice.ID)
 	x.countAnswer(c, c.headAt)
+	x.learnFrom(time.Now(), c, false)
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -21,6 +21,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
+	"github.com/skylarkquay/skylarkquay/internal/route/learn"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -96,6 +97,8 @@
 	// SendReport makes the instance report its state to the others at once.
 	SendReport func()
 	Costs      place.Costs
+	// Learner estimates the costs of requests from the responses.
+	Learner *learn.Tracker
 	// PrefillRate measures the rate of prompt tokens that this instance sends to engines.
 	PrefillRate place.PrefillRate
 	// Peers returns how many other instances place prompts, and how long the report of a placement takes to reach them.
@@ -113,6 +116,8 @@
 	Memory *bound.Budget
 	// KVStores tracks which KV stores respond.
 	KVStores KVStores
+	// Shares are those of the workspaces in services that cannot keep up; nil where scarce room is not shared.
+	Shares *ServiceShares
 	// OpenRequests counts requests in progress.
 	OpenRequests atomic.Int64
 }
@@ -168,6 +173,10 @@
 	streaming bool
 	// headDelay is the time from the request's arrival until the head of a stream was sent.
 	headDelay time.Duration
+	// shed is the error of a request that is refused for want of room; nil otherwise.
+	shed error
+	// eventCount is the number of events forwarded to the caller.
+	eventCount int64
 	// failure is the upstream's error response to the last send, returned to the caller if there is no further send.
 	failure failure
 }
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -84,6 +84,7 @@
 			c.pendingTokens = 0
 			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
 			x.countAnswer(c, time.Now())
+			x.learnFrom(time.Now(), c, false)
 			x.sendHead(time.Now(), c)
 			x.recordHolders(time.Now(), c)
 		}
@@ -103,6 +104,8 @@
 			x.abortDisconnected()
 		}
 		if ev.isEvent {
+			x.eventCount++
+			c.countEvent(time.Now())
 			news, goingOn, x.begun, x.eventBegun = true, false, true, false
 			x.unnumbered = ev.id == ""
 		}
@@ -191,6 +194,7 @@
 	x.sendHead(time.Now(), c)
 	c.resp.Done(time.Now())
 	x.Fleet.AnswerCompleted(c.choice.ID)
+	x.learnAnswer(time.Now(), c)
 	more := []any{"first_ms", x.headDelay.Milliseconds(), "last_event", x.lastEventID}
 	x.logResult("route: answered", c.resp.Status, "answered", append(more, c.logFields()...)...)
 	return answered, nil
