Count the heads of requests that skylarkedge reads

A connection counted 16 KB whatever had arrived of its head, of which net/http accepts 68 KB. Bytes of a head beyond 4 KB now count twice, since they are copied when they are parsed.

--- a/internal/limit/hold/conn.go
+++ b/internal/limit/hold/conn.go
@@ -16,6 +16,9 @@
 	unreadTimeout = 10 * time.Second
 	// refusalTimeout bounds the write of a refusal, which fits into the socket's buffer.
 	refusalTimeout = 10 * time.Millisecond
+	// headBytes is the length of a head that ConnBytes covers, and headFactor the memory of each further byte while the head is parsed.
+	headBytes  = 4 << 10
+	headFactor = 2
 )
 
 // Conn is a connection of a caller that an account counts.
@@ -28,6 +31,8 @@
 	index int
 	held  int64
 	cut   Reason
+	// head is the part of held for the request's head.
+	head int64
 
 	mu       sync.Mutex
 	phase    Phase
@@ -88,18 +93,29 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		now := time.Now()
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.phase == Idle {
-			c.phase, c.since, c.moved = Head, now, 0
-		}
-		if c.phase != Sending {
-			c.progress, c.moved = now, c.moved+int64(n)
+		if head := c.received(now, int64(n)); head > headBytes {
+			c.account.noteHead(now, c, (head-headBytes)*headFactor)
 		}
 	}
 	return n, err
 }
 
+// received counts received bytes and returns the length of the head so far, or 0 outside of one.
+func (c *Conn) received(now time.Time, n int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == Idle {
+		c.phase, c.since, c.moved = Head, now, 0
+	}
+	if c.phase != Sending {
+		c.progress, c.moved = now, c.moved+n
+	}
+	if c.phase == Head {
+		return c.moved
+	}
+	return 0
+}
+
 // Write implements io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	before := c.Begin(time.Now(), Sending)
@@ -140,6 +156,7 @@
 		c.Begin(now, Running)
 	case http.StateIdle:
 		c.Begin(now, Idle)
+		c.account.releaseHead(c)
 	case http.StateClosed, http.StateHijacked:
 		c.account.remove(c)
 	}
--- a/internal/limit/hold/hold.go
+++ b/internal/limit/hold/hold.go
@@ -23,6 +23,7 @@
 // The kinds of memory.
 const (
 	Connections Kind = "connections"
+	Heads       Kind = "heads"
 	Bodies      Kind = "bodies"
 	Answers     Kind = "answers"
 )
@@ -215,6 +216,34 @@
 		a.pendingConns--
 	}
 	a.add(c, Connections, -ConnBytes)
+	a.add(c, Heads, -c.head)
+	c.head = 0
+}
+
+// noteHead counts the memory of a head that arrives, and cuts connections if that is too much. A head is not made to wait.
+func (a *Account) noteHead(now time.Time, c *Conn, n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.index < 0 || n <= c.head {
+		return
+	}
+	a.add(c, Heads, n-c.head)
+	c.head = n
+	for a.used-a.pending > a.limits.Bytes {
+		if !a.cutOne(now, nil) {
+			return
+		}
+	}
+}
+
+// releaseHead gives back the memory of the head of a request that has ended.
+func (a *Account) releaseHead(c *Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.head > 0 {
+		a.add(c, Heads, -c.head)
+		c.head = 0
+	}
 }
 
 // Sweep cuts the connections whose callers have sent or read nothing until the deadline of their phase.
--- a/internal/limit/hold/hold_test.go
+++ b/internal/limit/hold/hold_test.go
@@ -89,6 +89,24 @@
 	must.Eq(t, Unused, one.CutReason())
 }
 
+// Load: heads without an end.
+func TestHeadsAreCounted(t *testing.T) {
+	a := NewAccount(Limits{Bytes: 100 << 10, Conns: 10}, logr.Discard(), nil)
+	first, second := testConn(t, a, start), testConn(t, a, start)
+	later := start.Add(time.Second)
+	a.noteHead(start, first, 50<<10)
+	must.Eq(t, "", first.CutReason())
+	second.touch(later)
+	a.noteHead(later, second, 50<<10)
+	must.Eq(t, Stalled, first.CutReason())
+	must.Eq(t, "", second.CutReason())
+	a.remove(first)
+	must.Eq(t, 50<<10, a.Used()[Heads])
+	a.releaseHead(second)
+	must.Zero(t, a.Used()[Heads])
+	must.Zero(t, a.pending)
+}
+
 func TestSweepCutsOverdueCallers(t *testing.T) {
 	a := NewAccount(Limits{Bytes: 1 << 20, Conns: 10}, logr.Discard(), nil)
 	body, answer, running := testConn(t, a, start), testConn(t, a, start), testConn(t, a, start)
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -137,6 +137,9 @@
 		{Name: "heads without an end", Head: func(int) string {
 			return head(http.MethodPost, fake.LookPath+"1", fake.Key, "A: "+strings.Repeat("x", 12<<10))
 		}},
+		{Name: "long heads without an end", Head: func(int) string {
+			return head(http.MethodPost, fake.LookPath+"1", fake.Key, strings.Repeat("A: "+strings.Repeat("x", 1000)+"\r\n", 60))
+		}},
 		{Name: "pipelined", Head: func(int) string { return "" }, Body: pipelined},
 		{Name: "unread large answers", Head: func(int) string { return head(http.MethodGet, fake.LookPath+"large", fake.Key, "\r\n") }, SlowReader: true},
 		{Name: "unread streams", Head: func(int) string {
