--- a/internal/app/edge/blocks.go
+++ b/internal/app/edge/blocks.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	stored := make(map[uint64]time.Time)
-	e.storeClock.observe(requestedAt, rows.Clock)
+	e.observeStoreClock(requestedAt, rows.Clock)
 	now := time.Now()
 	for _, row := range rows.Rows {
 		id, err := strconv.ParseUint(row.Key, 16, 64)
--- a/internal/app/edge/builds.go
+++ b/internal/app/edge/builds.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	e.storeClock.observe(requestedAt, rows.Clock)
+	e.observeStoreClock(requestedAt, rows.Clock)
 	now := time.Now()
 	history, version, loaded := origin.History{}, int64(0), 0
 	for _, row := range rows.Rows {
--- a/internal/app/edge/lease_test.go
+++ b/internal/app/edge/lease_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/roll/leader"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -20,7 +21,7 @@
 	s := fake.NewStore()
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
-	return &Edge{store: platform.NewStore(server.Listener.Addr().String(), func(string) {}, func(int64) {})}, s
+	return &Edge{fleet: fleet.New(), store: platform.NewStore(server.Listener.Addr().String(), func(string) {}, func(int64) {})}, s
 }
 
 // Guards against a holder that dates its renewal back after a freeze, so that another instance acquires the lease while its orders
--- a/internal/app/edge/restore.go
+++ b/internal/app/edge/restore.go
@@ -38,7 +38,7 @@
 	if rows.Epoch != epoch {
 		return errOldEpoch
 	}
-	e.storeClock.observe(requestedAt, rows.Clock)
+	e.observeStoreClock(requestedAt, rows.Clock)
 	var latest restoreRow
 	version := int64(0)
 	for _, row := range rows.Rows {
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -287,7 +287,7 @@
 	r.lease = leader.Lease{Token: next.Token, Sent: sent, Epoch: rows.Epoch, Version: rows.Version, Row: next}
 	r.lastRenewal = sent
 	r.leaderAddress = ""
-	r.edge.storeClock.observe(sent, rows.Clock)
+	r.edge.observeStoreClock(sent, rows.Clock)
 	return 0, nil
 }
 
@@ -343,7 +343,7 @@
 	if epoch, _ := r.edge.epochs.get(); rows.Epoch < epoch {
 		return leaseRow{}, errOldEpoch
 	}
-	r.edge.storeClock.observe(requestedAt, rows.Clock)
+	r.edge.observeStoreClock(requestedAt, rows.Clock)
 	state := leaseRow{latest: rows.Version, epoch: rows.Epoch, clock: rows.Clock}
 	for _, row := range rows.Rows {
 		if row.Key != leaseKey {
--- a/internal/app/edge/storeclock.go
+++ b/internal/app/edge/storeclock.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 )
 
 // storeClock estimates the store's clock, never too early: a response may be read long after it was sent, so the store's clock in it is
@@ -15,10 +17,10 @@
 }
 
 // observe records the store's clock in the response to a request that started at a time since boot.
-func (c *storeClock) observe(requestedAt, clock time.Duration) {
+func (c *storeClock) observe(requestedAt, stored time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.offset, c.known = clock-requestedAt, true
+	c.offset, c.known = stored-requestedAt, true
 }
 
 // at returns the store's clock at a time since boot, or false before the first response.
@@ -27,3 +29,9 @@
 	defer c.mu.Unlock()
 	return boot + c.offset, c.known
 }
+
+// observeStoreClock records the store's clock in the response to a request that started at a time since boot.
+func (e *Edge) observeStoreClock(requestedAt, stored time.Duration) {
+	e.storeClock.observe(requestedAt, stored)
+	e.fleet.SetStoreClock(time.Now().Add(requestedAt-clock.SinceBoot()), stored)
+}
--- a/internal/route/fleet/brittle.go
+++ b/internal/route/fleet/brittle.go
@@ -114,7 +114,7 @@
 	// The rest covers reports that arrive late.
 	room = max(1, room*limitRatio)
 	before, wanted := f.peersWanted(now, u.entry.ID)
-	share, span := 1/float64(f.instances), now.Unix()/int64(seatsSpan/time.Second)
+	share, span := 1/float64(f.instances), f.spanAt(now)
 	if s.reported > 0 {
 		share = s.reported / (s.reported + wanted)
 	}
@@ -129,6 +129,29 @@
 	s.seats = roundAtRandom(room*share, offset)
 }
 
+// spanAt returns the number of the span in which seats are dealt. The caller holds the lock.
+func (f *Fleet) spanAt(now time.Time) int64 {
+	if f.storeStart.IsZero() {
+		f.storeStart = now
+	}
+	return int64(now.Sub(f.storeStart) / seatsSpan)
+}
+
+// storeClockTolerance is the difference from the store's clock at which seats are still dealt by the clock as first read. Responses
+// of the store are slow by different amounts.
+const storeClockTolerance = 300 * time.Millisecond
+
+// SetStoreClock records the store's clock at a time. All instances count the spans of seats by it.
+func (f *Fleet) SetStoreClock(at time.Time, clock time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	start := at.Add(-clock)
+	if f.storeClockKnown && start.Sub(f.storeStart).Abs() <= storeClockTolerance {
+		return
+	}
+	f.storeStart, f.storeClockKnown = start, true
+}
+
 // peersWanted returns how many requests the other instances might have sent to an upstream: those whose address precedes this one's,
 // and all. The caller holds the lock.
 func (f *Fleet) peersWanted(now time.Time, id string) (before, all float64) {
@@ -147,7 +170,7 @@
 
 // seatOffset returns a number from 0 to 1 by which the instance rounds its seats. The seats of instances that know each other's
 // requests add up to the room: each rounds the end and the beginning of its part by the same offset. Which ones get the seats changes
-// with the time of day; where clocks differ, and in large sites, the seats add up on average only. The caller holds the lock.
+// with the store's clock; before it is known, and in large sites, the seats add up on average only. The caller holds the lock.
 func (f *Fleet) seatOffset(span int64, id string, room, before, all float64) float64 {
 	if all <= 0 {
 		return 0
--- a/internal/route/fleet/brittle_test.go
+++ b/internal/route/fleet/brittle_test.go
@@ -35,14 +35,19 @@
 
 // exchange makes each instance want a request and report its loads to all others.
 func (s *brittleSite) exchange(now time.Time) {
-	for _, f := range s.fleets {
-		f.Want(now, "s")
+	s.exchangeAt(func(int) time.Time { return now })
+}
+
+// exchangeAt does the same where each instance has a time of its own.
+func (s *brittleSite) exchangeAt(now func(i int) time.Time) {
+	for i, f := range s.fleets {
+		f.Want(now(i), "s")
 	}
-	for _, f := range s.fleets {
-		loads := f.Loads(now)
-		for _, to := range s.fleets {
+	for i, f := range s.fleets {
+		loads := f.Loads(now(i))
+		for k, to := range s.fleets {
 			if to != f {
-				to.SetPeerLoads(now, f.self, loads)
+				to.SetPeerLoads(now(k), f.self, loads)
 			}
 		}
 	}
@@ -77,6 +82,46 @@
 	}
 }
 
+// The time of day differs between machines, and may jump. The seats add up by the store's clock.
+func TestSeatsAddUpWhereTheTimeOfDayDiffers(t *testing.T) {
+	const upstreams, slots = 3, 6
+	now := time.Unix(1000, 0)
+	s := newBrittleSite(now, 13, upstreams, slots)
+	wrong := func(i int) time.Duration { return time.Duration(i) * 1700 * time.Millisecond }
+	for i, f := range s.fleets {
+		f.SetStoreClock(now.Add(wrong(i)), 40*time.Second)
+	}
+	for range 12 {
+		now = now.Add(250 * time.Millisecond)
+		s.exchangeAt(func(i int) time.Time { return now.Add(wrong(i)) })
+	}
+	for range 20 {
+		now = now.Add(seatsSpan)
+		s.exchangeAt(func(i int) time.Time { return now.Add(wrong(i)) })
+		for _, id := range s.ids {
+			seats := 0
+			for i, f := range s.fleets {
+				u := f.upstreams[id]
+				f.dealSeats(now.Add(wrong(i)), u, slots)
+				seats += u.shared.seats
+			}
+			must.Between(t, slots-2, seats, slots)
+		}
+	}
+}
+
+// Responses of the store that are slow do not change the span.
+func TestStoreClockIsKeptWithinTolerance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := New()
+	f.SetStoreClock(now, 10*seatsSpan)
+	must.Eq(t, 10, f.spanAt(now))
+	f.SetStoreClock(now, 10*seatsSpan-storeClockTolerance)
+	must.Eq(t, 10, f.spanAt(now))
+	f.SetStoreClock(now, 3*seatsSpan)
+	must.Eq(t, 3, f.spanAt(now))
+}
+
 // A rejection lowers the room at once, also where another instance reports it, and it grows again.
 func TestRejectionLowersTheRoom(t *testing.T) {
 	const slots = 64
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -159,6 +159,10 @@
 	// instances share the limits of upstreams; reports among them take reportDelay.
 	instances   int
 	reportDelay time.Duration
+	// storeStart is when the store's clock was zero, on this instance's steady clock. Until a response of the store has told, it is when
+	// the first seats were dealt.
+	storeStart      time.Time
+	storeClockKnown bool
 	// random returns a number from 0 to 1.
 	random func() float64
 }
