--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -52,8 +52,13 @@
 	if most := b.Share*arrived + restPart*b.Slack - exposed; p.share > b.Share && p.share*rate*2*lag.Seconds() > most {
 		p.share = b.Share / 2
 	}
+	// No upstream carries much more than an old one, and each gets enough requests not to stay cold.
 	load := p.share * float64(max(e.OldUpstreams, 1))
 	p.spread = max(1, min(int(math.Ceil(load)), int(trialAll/eachAnswers)))
+	if r.Stage != Probe && r.Spread > 0 {
+		p.spread = r.Spread
+	}
+	p.share = min(p.share, pulseOver*float64(p.spread)/float64(max(e.OldUpstreams, 1)))
 	if p.spread >= e.NewUpstreams {
 		p.spread = 0
 	}
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -218,10 +218,7 @@
 		p.spread = r.Spread
 		return r.begin(now, r.Stage, p, e), "exposure is used up"
 	}
-	if r.Share == 0 && p.share > 0 {
-		if r.Stage != Probe {
-			p.spread = r.Spread
-		}
+	if r.Share == 0 && p.share > 0 && (e.Exposed == 0 || now-ms(r.Changed) >= lag) {
 		return r.begin(now, r.Stage, p, e), "share"
 	}
 	age := now - ms(r.Changed)
