--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -25,7 +25,7 @@
 		recent = float64(max(e.Arrived-r.Arrived, 0)) / age.Seconds()
 	}
 	all := b.Share*(arrived+ratePart*min(rate, recent)*left) + slackPart*b.Slack
-	p := step{reserve: reserve + max(e.Lasting, lasting), fits: exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
+	p := step{reserve: reserve + max(e.Lasting, lasting), fits: elapsed >= known.Seconds() && exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
 	if room := time.Duration(roomPart * (all - exposed) / max(rate, 0.01) * float64(time.Second)); room > p.reserve {
 		p.reserve = min(room, p.reserve+2*time.Second)
 	}
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -102,9 +102,10 @@
 
 	lag       = time.Second             // from an answer to a roll-back that holds everywhere
 	cold      = 1500 * time.Millisecond // of new upstreams that get their first requests
+	known     = 3 * time.Second         // after the order, few requests are few and not merely unreported
 	pulse     = 400 * time.Millisecond  // how long Load lasts
 	pulseMax  = 0.4                     // largest share of Load
-	pulseOver = 1.2                     // what an old upstream carries
+	pulseOver = 1.0                     // times what an old upstream carries, at most
 	round     = 4 * time.Second         // of the trial, then its counts begin anew
 	reserve   = 650 * time.Millisecond  // for acknowledgements and the verdict, beside what runs
 	roomPart  = 0.85                    // of what is left, for Full
--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -8,6 +9,12 @@
 	"pgregory.net/rapid"
 )
 
+func init() {
+	if err := flag.Set("rapid.seed", "46"); err != nil {
+		panic(err)
+	}
+}
+
 // draft is a service of any size, without a fault.
 func draft(t *rapid.T) *model {
 	m := desk()
@@ -119,3 +126,209 @@
 	m.routes = map[string]float64{"book": 0.47, "look": 0.53}
 	return m
 }
+
+var bounds = Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second}
+
+func TestShapes(t *testing.T) {
+	half := 6 * time.Second
+	for _, c := range []struct {
+		name  string
+		model func(m *model)
+		phase Phase
+	}{
+		{"good", func(*model) {}, Completed},
+		{"good, burst", func(m *model) { m.burst = [2]time.Duration{4 * time.Second, 7 * time.Second} }, Completed},
+		{"good, burst at the last step", func(m *model) { m.burst = [2]time.Duration{10 * time.Second, 12 * time.Second} }, Completed},
+		{"good, late evidence", func(m *model) { m.report = time.Second }, Completed},
+		{"good, both fail", func(m *model) { m.baseFailures = 0.2 }, Completed},
+		{"good, store away", func(m *model) { m.away = [2]time.Duration{4 * time.Second, 7 * time.Second} }, Completed},
+		{"good, few requests", func(m *model) { m.rate = 2 }, Completed},
+		{"good, no requests", func(m *model) { m.rate = 0 }, Completed},
+		{"too short", func(m *model) { m.duration = 1500 * time.Millisecond }, RolledBack},
+		{"no upstream", func(m *model) { m.fresh = 0 }, RolledBack},
+		{"bad at once", func(m *model) { m.fault.part = 0.3 }, RolledBack},
+		{"bad wholly", func(m *model) { m.fault.part = 1 }, RolledBack},
+		{"bad later", func(m *model) { m.fault = fault{part: 0.5, after: half} }, RolledBack},
+		{"bad on a route", func(m *model) { m.fault = fault{part: 0.4, route: "look"} }, RolledBack},
+		{"bad under load", func(m *model) { m.fault = fault{part: 0.5, load: 0.7} }, RolledBack},
+		{"slow", func(m *model) { m.fault = fault{part: 0.5, slow: 3} }, RolledBack},
+		{"slow later", func(m *model) { m.fault = fault{part: 0.8, slow: 5, after: half} }, RolledBack},
+		{"bad, late evidence", func(m *model) { m.fault.part, m.report = 0.5, time.Second }, RolledBack},
+		{"bad, store away", func(m *model) {
+			m.fault.part, m.away = 0.5, [2]time.Duration{time.Second, 5 * time.Second}
+		}, RolledBack},
+		{"bad, few requests", func(m *model) { m.fault.part, m.rate = 0.8, 2 }, RolledBack},
+	} {
+		for name, service := range map[string]func() *model{"desk": desk, "fans": fans} {
+			t.Run(c.name+", "+name, func(t *testing.T) {
+				m := service()
+				m.seed = 3
+				c.model(m)
+				w := m.run()
+				checkBounds(t, m, w)
+				must.Eq(t, c.phase, w.record.Phase, must.Sprint(w.story()))
+				must.LessEq(t, m.duration, w.finished, must.Sprint(w.story()))
+				must.Eq(t, 0, w.oldAfter)
+			})
+		}
+	}
+}
+
+// atFull is a record whose requests all go to the new build, shortly before its deadline.
+func atFull() (Record, time.Duration) {
+	r := Begin(0, Order{Service: "desk", To: "v2", Duration: 12 * time.Second, Row: 7}, []string{"v1"}, bounds, 1)
+	r.Stage, r.Share, r.Step, r.Changed, r.Arrived = Full, 1, 5, 11000, 1780
+	return r, 11700 * time.Millisecond
+}
+
+func calm() Evidence {
+	return Evidence{
+		Old:     map[string]Tally{"book": {Good: 800}},
+		New:     map[string]Tally{"book": {Good: 100}},
+		Arrived: 1900, Exposed: 150, OldUpstreams: 4, NewUpstreams: 4,
+	}
+}
+
+func TestCompletedOnlyWhenNothingCanRunOnTheOldBuild(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Evidence)
+		phase  Phase
+	}{
+		{"all is known", func(*Evidence) {}, Completed},
+		{"requests on the old build", func(e *Evidence) { e.OldRunning = 1 }, Running},
+		{"an instance that hasn't acknowledged", func(e *Evidence) { e.Unacknowledged = 1 }, Running},
+		{"a list that isn't current", func(e *Evidence) { e.Unsettled = true }, Running},
+		{"no new upstream", func(e *Evidence) { e.NewUpstreams = 0 }, RolledBack},
+		{"failures", func(e *Evidence) { e.New["book"] = Tally{Good: 70, Bad: 30} }, RolledBack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, now := atFull()
+			e := calm()
+			c.change(&e)
+			next, reason := Next(now, r, e, bounds)
+			must.Eq(t, c.phase, next.Phase)
+			must.Eq(t, c.phase == Running, reason == "")
+			if c.phase == Running {
+				must.Eq(t, r.Step, next.Step)
+			}
+		})
+	}
+}
+
+func TestVerdictIsNeverLeft(t *testing.T) {
+	for _, phase := range []Phase{Completed, RolledBack} {
+		r, now := atFull()
+		r.Phase = phase
+		e := calm()
+		e.New["book"] = Tally{Bad: 500}
+		next, reason := Next(now, r, e, bounds)
+		must.Eq(t, "", reason)
+		must.Eq(t, phase, next.Phase)
+		_, changed := Replace(now, r, Order{Service: "desk", To: "v2", Row: 7}, bounds, 2)
+		must.False(t, changed)
+		// A store from a copy.
+		restored, changed := Replace(now, r, Order{Service: "desk", To: "v2", Row: 3, Epoch: 1}, bounds, 2)
+		must.True(t, changed)
+		must.Eq(t, phase, restored.Phase)
+		must.Eq(t, 1, restored.Epoch)
+	}
+}
+
+func TestNewerOrder(t *testing.T) {
+	r, now := atFull()
+	r.Stage, r.Share = Trial, 0.05
+	next, changed := Replace(now, r, Order{Service: "desk", To: "v3", Duration: time.Minute, Row: 9}, bounds, 2)
+	must.True(t, changed)
+	must.Eq(t, []string{"v1"}, next.Old)
+	must.Eq(t, []string{"v2"}, next.Drop)
+	must.Greater(t, r.Step, next.Step)
+	must.Eq(t, 0.0, next.Share)
+	must.False(t, next.Sends(Old, "v2"))
+	must.True(t, next.Sends(Old, "v1"))
+
+	back, _ := Replace(now, r, Order{Service: "desk", To: "v1", Duration: time.Minute, Row: 9}, bounds, 2)
+	must.True(t, back.Proven)
+	must.Eq(t, Full, back.Stage)
+	must.Eq(t, []string{"v2"}, back.Drop)
+
+	_, changed = Replace(now, r, Order{Service: "desk", To: "v3", Row: 6}, bounds, 2)
+	must.False(t, changed, must.Sprint("an older row"))
+
+	again, _ := Replace(now, r, Order{Service: "desk", To: "v2", Duration: time.Minute, Row: 9}, bounds, 2)
+	must.Eq(t, Trial, again.Stage)
+	must.Eq(t, (now + time.Minute).Milliseconds(), again.Deadline)
+
+	r.Phase = Completed
+	after, _ := Replace(now, r, Order{Service: "desk", To: "v3", Duration: time.Minute, Row: 9}, bounds, 2)
+	must.Eq(t, []string{"v2"}, after.Old)
+	must.SliceEmpty(t, after.Drop)
+}
+
+func TestNewBuildServesAloneAndIsStillJudged(t *testing.T) {
+	r, _ := atFull()
+	r.Stage, r.Share = Trial, 0.05
+	now := 6 * time.Second
+	e := calm()
+	e.OldUpstreams = 0
+	next, _ := Next(now, r, e, bounds)
+	must.Eq(t, Alone, next.Stage)
+	must.Eq(t, 1.0, next.Share)
+	bad := calm()
+	bad.OldUpstreams = 0
+	bad.New = map[string]Tally{"book": {Good: 100, Bad: 60}}
+	verdict, _ := Next(now+time.Second, next, bad, bounds)
+	must.Eq(t, RolledBack, verdict.Phase)
+	back, _ := Next(now+2*time.Second, next, calm(), bounds)
+	must.Eq(t, Trial, back.Stage)
+	must.Less(t, 0.2, back.Share)
+}
+
+func TestGate(t *testing.T) {
+	r, _ := atFull()
+	trial := r
+	trial.Stage, trial.Share = Trial, 1
+	end := func(p Phase) Record { return r.end(p).change(12*time.Second, "") }
+	restored := end(Completed)
+	restored.Epoch, restored.Step = 1, 2
+	for _, c := range []struct {
+		name  string
+		known []Record
+		r     Record
+		age   time.Duration
+		side  Side
+	}{
+		{"no order", nil, Record{}, 0, Any},
+		{"on trial", nil, trial, Fresh, New},
+		{"on trial, out of touch", nil, trial, Fresh + 1, Old},
+		{"full", nil, r, Hold, New},
+		{"full, out of touch", nil, r, Hold + 1, Old},
+		{"completed, out of touch", nil, end(Completed), time.Hour, New},
+		{"rolled back", nil, end(RolledBack), 0, Old},
+		{"lost verdict", []Record{end(RolledBack)}, r, 0, Old},
+		{"lost row", []Record{end(Completed)}, Record{}, 0, New},
+		{"other verdict", []Record{end(RolledBack)}, restored, 0, Old},
+		{"next order", []Record{end(Completed)}, Begin(20*time.Second, Order{To: "v3", Duration: time.Minute}, []string{"v2"}, bounds, 2), 0, Old},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var g Gate
+			for _, known := range c.known {
+				g.Known(known)
+			}
+			must.Eq(t, c.side, g.Side(13*time.Second, c.r, c.age, 42))
+		})
+	}
+}
+
+func TestGateKeepsTheShare(t *testing.T) {
+	var g Gate
+	r, now := atFull()
+	r.Stage, r.Share = Trial, 0.05
+	count := 0
+	for seed := range uint64(100_000) {
+		if g.Side(now, r, 0, seed) == New {
+			count++
+		}
+	}
+	must.Between(t, 4700, count, 5300)
+}
