--- a/internal/roll/shift/judge.go
+++ b/internal/roll/shift/judge.go
@@ -132,13 +132,14 @@
 // past adds the present stage.
 func (r Record) past(now time.Duration, e Evidence) map[string]Past {
 	sum := make(map[string]Past, len(e.New))
+	timed := r.timed(now, e)
 	for _, route := range sorted(e.New) {
 		p := r.Before[route]
 		_, failing := r.failures(now, e, route)
 		p.Failing += failing.expected
 		old := e.Old[route].Minus(r.OldBase[route])
 		p.OldFailed, p.OldMissed, p.OldLimit = part(old.Bad, old.answers()), part(old.Slow, old.Good), lateFrom(old)
-		if r.Stage != Alone {
+		if timed {
 			late, missed := r.late(now, e, route)
 			p.Answers += late.answers
 			p.Late, p.Missed = p.Late+late.hits, p.Missed+missed.hits
@@ -154,16 +155,17 @@
 func (r Record) compare(now time.Duration, e Evidence) []comparison {
 	var list []comparison
 	var sums [6]sample
-	timed := r.Stage != Alone && !r.surges(now, e)
+	timed := r.timed(now, e)
 	for _, route := range sorted(e.New) {
 		var samples [6]sample
 		samples[0], samples[1] = r.failures(now, e, route)
+		p := r.Before[route]
+		var late, missed sample
 		if timed {
-			p := r.Before[route]
-			late, missed := r.late(now, e, route)
-			samples[2], samples[3] = late, late.plus(sample{p.Answers, p.Late, p.UsuallyLate})
-			samples[4], samples[5] = missed, missed.plus(sample{p.Answers, p.Missed, p.UsuallyMissed})
+			late, missed = r.late(now, e, route)
 		}
+		samples[2], samples[3] = late, late.plus(sample{p.Answers, p.Late, p.UsuallyLate})
+		samples[4], samples[5] = missed, missed.plus(sample{p.Answers, p.Missed, p.UsuallyMissed})
 		for i := range samples {
 			sums[i] = sums[i].plus(samples[i])
 		}
@@ -300,6 +302,11 @@
 	return limit
 }
 
+// timed tells whether the times of the stage are judged.
+func (r Record) timed(now time.Duration, e Evidence) bool {
+	return r.Stage != Alone && !r.surges(now, e)
+}
+
 // surges tells whether many more requests come since the stage began than before.
 func (r Record) surges(now time.Duration, e Evidence) bool {
 	before, since := ms(r.Changed-r.Started), now-ms(r.Changed)
--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -38,7 +38,7 @@
 	coming := max(recent*trial, 0.01)
 	p.share = min(max(spend/coming, leastShare), largestShare)
 	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); !r.Loaded && most > p.share {
-		if cost := most * recent * (pulse + settle/2).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll {
+		if cost := most * recent * (pulse + settle/2).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll+overspent {
 			p.pulse = most
 			p.share = min(max((spend-cost)/coming, leastShare), largestShare)
 		}
--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -332,3 +332,27 @@
 	}
 	must.Between(t, 4700, count, 5300)
 }
+
+func TestNothingMoreIsSentOnceExposureIsUsedUp(t *testing.T) {
+	r, _ := atFull()
+	r.Stage, r.Share, r.Changed, r.Arrived = Trial, 0.05, 5000, 400
+	e := calm()
+	e.Arrived, e.Exposed = 500, 90
+	next, _ := Next(6*time.Second, r, e, bounds)
+	must.Eq(t, 0.0, next.Share)
+	must.Eq(t, Running, next.Phase)
+}
+
+func TestLoadShowsABadBuildBeforeAllRequestsGoThere(t *testing.T) {
+	for seed := range uint64(10) {
+		m := desk()
+		m.seed, m.usual = seed, 100*time.Millisecond
+		m.fault = fault{part: 0.9, load: 0.6}
+		w := m.run()
+		checkBounds(t, m, w)
+		must.Eq(t, RolledBack, w.record.Phase)
+		for _, r := range w.phases {
+			must.NotEq(t, Full, r.Stage, must.Sprint(seed, w.story()))
+		}
+	}
+}
