--- a/internal/roll/shift/judge.go
+++ b/internal/roll/shift/judge.go
@@ -63,11 +63,12 @@
 	manyBad    = 30   // bad answers after which less certainty is enough
 
 	// Chance that a build as good as the old one looks so bad.
-	sure      = 3e-4
-	sureSoon  = 2e-2 // after manyBad
-	sureSlow  = 1e-5
-	doubt     = 3e-2 // no step up
-	doubtSlow = 2e-2
+	sure         = 3e-4
+	sureSoon     = 2e-2 // after manyBad
+	sureSlow     = 1e-5
+	sureSlowSoon = 1e-3 // after manyBad
+	doubt        = 3e-2 // no step up
+	doubtSlow    = 2e-2
 
 	// A failure rate that isn't told from the old one: baseline + baselineFactor times the old one.
 	baseline       = 0.02
@@ -91,7 +92,7 @@
 		if c.bad >= fewestBad && (c.failing < sure || many && c.failing < sureSoon) {
 			return c.route, "failures"
 		}
-		if c.slow >= fewestSlow && c.slowing < sureSlow {
+		if c.slow >= fewestSlow && (c.slowing < sureSlow || c.slow >= manyBad && c.slowing < sureSlowSoon) {
 			return c.route, "slow answers"
 		}
 	}
