--- a/internal/roll/shift/judge.go
+++ b/internal/roll/shift/judge.go
@@ -63,11 +63,12 @@
 	manyBad    = 30   // bad answers after which less certainty is enough
 
 	// Chance that a build as good as the old one looks so bad.
-	sure      = 3e-4
-	sureSoon  = 2e-2 // after manyBad
-	sureSlow  = 1e-4
-	doubt     = 3e-2 // no step up
-	doubtSlow = 1e-2
+	sure         = 3e-4
+	sureSoon     = 2e-2 // after manyBad
+	sureSlow     = 1e-5
+	sureSlowSoon = 1e-3 // after manyBad
+	doubt        = 3e-2 // no step up
+	doubtSlow    = 2e-2
 
 	// A failure rate that isn't told from the old one: baseline + baselineFactor times the old one.
 	baseline       = 0.02
@@ -75,13 +76,13 @@
 	slowBaseline   = 0.05
 	coldAnswers    = 3 // of a new upstream may be slow
 	warmAnswers    = 5
-	eachAnswers    = 20   // of each new upstream that gets requests before Full, at least
+	eachAnswers    = 10   // of each new upstream that gets requests before Full, at least
 	seenAnswers    = 30   // of the stage Full before Completed, if there is time
 	fewestOld      = 20   // answers of the old build to compare times with
 	slowBuckets    = 2    // above the old median's at least: 1.4 to 2 times as long
 	slowOld        = 0.05 // of the old build's answers at most are above
 	surge          = 1.5  // times the requests of before
-	surgeBaseline  = 0.4  // failures in a surge that no old upstream can be compared in
+	surgeBaseline  = 0.4  // failures in a surge at the stage Full, where no old upstream can be compared with
 )
 
 // worse tells on which route the new build is surely worse than the old one, and in what.
@@ -91,7 +92,7 @@
 		if c.bad >= fewestBad && (c.failing < sure || many && c.failing < sureSoon) {
 			return c.route, "failures"
 		}
-		if c.slow >= fewestSlow && c.slowing < sureSlow {
+		if c.slow >= fewestSlow && (c.slowing < sureSlow || c.slow >= manyBad && c.slowing < sureSlowSoon) {
 			return c.route, "slow answers"
 		}
 	}
@@ -101,7 +102,7 @@
 // doubtful tells whether the new build may be worse.
 func (r Record) doubtful(now time.Duration, e Evidence) bool {
 	return slices.ContainsFunc(r.compare(now, e), func(c comparison) bool {
-		return c.bad > 1 && c.failing < doubt || c.slow > 3 && c.slowing < doubtSlow
+		return c.bad > 1 && c.failing < doubt || c.slow > 2 && c.slowing < doubtSlow
 	})
 }
 
@@ -132,14 +133,15 @@
 // past adds the present stage.
 func (r Record) past(now time.Duration, e Evidence) map[string]Past {
 	sum := make(map[string]Past, len(e.New))
+	timed := r.timed(now, e)
 	for _, route := range sorted(e.New) {
 		p := r.Before[route]
 		_, failing := r.failures(now, e, route)
 		p.Failing += failing.expected
 		old := e.Old[route].Minus(r.OldBase[route])
 		p.OldFailed, p.OldMissed, p.OldLimit = part(old.Bad, old.answers()), part(old.Slow, old.Good), lateFrom(old)
-		if r.Stage != Alone {
-			late, missed := r.late(e, route)
+		if timed {
+			late, missed := r.late(now, e, route)
 			p.Answers += late.answers
 			p.Late, p.Missed = p.Late+late.hits, p.Missed+missed.hits
 			p.UsuallyLate, p.UsuallyMissed = p.UsuallyLate+late.expected, p.UsuallyMissed+missed.expected
@@ -150,20 +152,21 @@
 }
 
 // compare judges each route and all together, the stage and all since the order. Times count once the new upstreams are
-// warm; a surge at the stage Full can't be compared.
+// warm, but not in a surge: queues grow by the moment, and not every build's at once.
 func (r Record) compare(now time.Duration, e Evidence) []comparison {
 	var list []comparison
 	var sums [6]sample
-	timed := r.Stage != Alone && !r.surges(now, e)
+	timed := r.timed(now, e)
 	for _, route := range sorted(e.New) {
 		var samples [6]sample
 		samples[0], samples[1] = r.failures(now, e, route)
+		p := r.Before[route]
+		var late, missed sample
 		if timed {
-			p := r.Before[route]
-			late, missed := r.late(e, route)
-			samples[2], samples[3] = late, late.plus(sample{p.Answers, p.Late, p.UsuallyLate})
-			samples[4], samples[5] = missed, missed.plus(sample{p.Answers, p.Missed, p.UsuallyMissed})
+			late, missed = r.late(now, e, route)
 		}
+		samples[2], samples[3] = late, late.plus(sample{p.Answers, p.Late, p.UsuallyLate})
+		samples[4], samples[5] = missed, missed.plus(sample{p.Answers, p.Missed, p.UsuallyMissed})
 		for i := range samples {
 			sums[i] = sums[i].plus(samples[i])
 		}
@@ -241,7 +244,10 @@
 		rate = part(oldStage.Bad, oldStage.answers())
 	}
 	likely := min(baseline+baselineFactor*max(rate, r.Before[route].OldFailed), 1)
-	if r.surges(now, e) {
+	if r.begun(now, oldStage.answers()) {
+		likely = 1
+	}
+	if r.Stage == Full && r.surges(now, e) {
 		likely = max(likely, surgeBaseline)
 	}
 	stage = sample{newStage.answers(), newStage.Bad, likely * float64(newStage.answers())}
@@ -250,8 +256,11 @@
 
 // late are the answers since the stage began that took several times the old build's median, and those that missed the
 // route's own aim.
-func (r Record) late(e Evidence, route string) (late, missed sample) {
+func (r Record) late(now time.Duration, e Evidence, route string) (late, missed sample) {
 	old, fresh := e.Old[route].Minus(r.OldBase[route]), e.New[route].Minus(r.NewBase[route])
+	if r.begun(now, old.Good) {
+		return late, missed
+	}
 	if old.Good < fewestOld {
 		old = e.Old[route]
 	}
@@ -277,6 +286,11 @@
 	return min(float64(coldAnswers*r.used(e))/float64(max(all, 1)), 1) * float64(answers)
 }
 
+// begun tells whether the stage began just now, with too few answers of the old build to compare with.
+func (r Record) begun(now time.Duration, old int64) bool {
+	return (r.Stage == Trial || r.Stage == Load) && now-ms(r.Changed) < lag && old < fewestOld
+}
+
 // lateFrom is the bucket from which on an answer counts as late.
 func lateFrom(old Tally) int {
 	if old.Good < fewestOld {
@@ -289,10 +303,15 @@
 	return limit
 }
 
-// surges tells whether many more requests come since all of them go to the new build.
+// timed tells whether the times of the stage are judged.
+func (r Record) timed(now time.Duration, e Evidence) bool {
+	return r.Stage != Alone && !r.surges(now, e)
+}
+
+// surges tells whether many more requests come since the stage began than before.
 func (r Record) surges(now time.Duration, e Evidence) bool {
 	before, since := ms(r.Changed-r.Started), now-ms(r.Changed)
-	if r.Stage != Full || before <= 0 || since <= 0 {
+	if before <= 0 || since <= 0 {
 		return false
 	}
 	return float64(e.Arrived-r.Arrived)/since.Seconds() > surge*float64(r.Arrived)/before.Seconds()
--- a/internal/roll/shift/plan.go
+++ b/internal/roll/shift/plan.go
@@ -25,7 +25,7 @@
 		recent = float64(max(e.Arrived-r.Arrived, 0)) / age.Seconds()
 	}
 	all := b.Share*(arrived+ratePart*min(rate, recent)*left) + slackPart*b.Slack
-	p := step{reserve: reserve + max(e.Lasting, lasting), fits: exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
+	p := step{reserve: reserve + max(e.Lasting, lasting), fits: elapsed >= known.Seconds() && exposed+2*rate*left <= b.Share*arrived+slackPart*b.Slack}
 	if room := time.Duration(roomPart * (all - exposed) / max(rate, 0.01) * float64(time.Second)); room > p.reserve {
 		p.reserve = min(room, p.reserve+2*time.Second)
 	}
@@ -38,7 +38,7 @@
 	coming := max(recent*trial, 0.01)
 	p.share = min(max(spend/coming, leastShare), largestShare)
 	if most := min(pulseOver/float64(max(e.OldUpstreams, 1)), pulseMax); !r.Loaded && most > p.share {
-		if cost := most * recent * (pulse + settle/2).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll {
+		if cost := most * recent * (pulse + settle/2).Seconds(); cost <= pulsePart*trialAll && exposed+cost <= trialAll+overspent {
 			p.pulse = most
 			p.share = min(max((spend-cost)/coming, leastShare), largestShare)
 		}
@@ -52,8 +52,13 @@
 	if most := b.Share*arrived + restPart*b.Slack - exposed; p.share > b.Share && p.share*rate*2*lag.Seconds() > most {
 		p.share = b.Share / 2
 	}
+	// No upstream carries much more than an old one, and each gets enough requests not to stay cold.
 	load := p.share * float64(max(e.OldUpstreams, 1))
 	p.spread = max(1, min(int(math.Ceil(load)), int(trialAll/eachAnswers)))
+	if r.Stage != Probe && r.Spread > 0 {
+		p.spread = r.Spread
+	}
+	p.share = min(p.share, pulseOver*float64(p.spread)/float64(max(e.OldUpstreams, 1)))
 	if p.spread >= e.NewUpstreams {
 		p.spread = 0
 	}
