--- a/internal/app/edge/shift.go
+++ b/internal/app/edge/shift.go
@@ -320,12 +320,12 @@
 }
 
 // counted returns what all instances have counted of a service's move, and how many others are live. Those of a large site are
-// counted by the exchange.
-func (s *shifts) counted(boot time.Duration, service string) (total count.Report, live int) {
+// counted by the exchange, and acknowledgements in messages of heads stand for headAge.
+func (s *shifts) counted(boot, headAge time.Duration, service string) (total count.Report, live int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if all, ok := s.peers["all"]; ok && boot-all.received < countedPeerTTL {
-		return pick(all.current(boot), service), 0
+		return pick(all.current(boot, headAge), service), 0
 	}
 	sum := s.ownReports(boot)
 	for key, p := range s.peers {
@@ -336,16 +336,16 @@
 		if p.kind == gossip.KindOwn && boot-p.received < countedPeerTTL {
 			live++
 		}
-		sum = count.Add(sum, p.current(boot), true)
+		sum = count.Add(sum, p.current(boot, headAge), true)
 	}
 	return pick(sum, service), live
 }
 
 // current returns the reports with the acknowledgements that are recent enough.
-func (p *peerCounts) current(boot time.Duration) []count.Report {
+func (p *peerCounts) current(boot, headAge time.Duration) []count.Report {
 	limit := shift.AckAge
 	if p.kind != gossip.KindOwn {
-		limit = gossip.MaxAcknowledgementAge
+		limit = headAge
 	}
 	return count.Add(slices.Clip(p.before), p.reports, p.at > 0 && boot-p.at <= limit)
 }
--- a/internal/app/edge/shiftrun.go
+++ b/internal/app/edge/shiftrun.go
@@ -374,7 +374,7 @@
 
 // evidence returns what all instances have counted since the order.
 func (d *decider) evidence(now time.Time, boot time.Duration, r shift.Record) shift.Evidence {
-	total, live := d.counted(boot, r.Service)
+	total, live := d.counted(boot, d.edge.exchange.MaxAcknowledgementAge(), r.Service)
 	if covered, known := d.edge.exchange.Coverage(); known > 0 {
 		live = covered - 1
 	}
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -15,9 +15,6 @@
 	headTimeout = 900 * time.Millisecond
 	// messageTTL is how long a received message counts in the coverage and, except for rates, in the messages of a head.
 	messageTTL = time.Second
-	// MaxAcknowledgementAge is how old an acknowledgement of a step may be at each instance that passes it on. It passes through two heads
-	// at most, and the instance that decides counts those of the last second.
-	MaxAcknowledgementAge = 300 * time.Millisecond
 )
 
 // headOf returns the head of a zone: the first in order of precedence that is not suspect. It is nil when that is this
@@ -131,6 +128,22 @@
 // prefix is an estimate; what was admitted and is in flight has to arrive.
 const maxUses = 400
 
+// acknowledgementIntervals is how many intervals old an acknowledgement of a step may be at each head that passes it on: the sender's
+// wait, the way of the stamp that dates it, and the head's wait.
+const acknowledgementIntervals = 3
+
+// maxAcknowledgementAge is MaxAcknowledgementAge for callers that hold the lock.
+func (e *Exchange) maxAcknowledgementAge() time.Duration {
+	return acknowledgementIntervals * e.currentInterval()
+}
+
+// MaxAcknowledgementAge returns how old an acknowledgement of a step may be in a head's message.
+func (e *Exchange) MaxAcknowledgementAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.maxAcknowledgementAge()
+}
+
 // limitUses drops uses beyond maxUses, evenly over the instances that reported them.
 func limitUses(m *Message) {
 	if len(m.Uses) <= maxUses {
@@ -159,7 +172,7 @@
 	for workspace, units := range p.admitted {
 		m.Rates.Used[workspace] += units
 	}
-	m.Counts = count.Add(m.Counts, p.last.Counts, now-p.sentAfter <= MaxAcknowledgementAge)
+	m.Counts = count.Add(m.Counts, p.last.Counts, now-p.sentAfter <= e.maxAcknowledgementAge())
 	if now-p.receivedAt > messageTTL {
 		return
 	}
--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -287,7 +287,13 @@
 
 // In a large site each instance's counts of builds are in the totals once, and its acknowledgement while it is live.
 func TestHeadsAddCountsOfBuilds(t *testing.T) {
-	const zones, each = 4, 31
+	for _, size := range []struct{ zones, each int }{{4, 31}, {5, 59}} {
+		checkCountsOfBuilds(t, size.zones, size.each)
+	}
+}
+
+func checkCountsOfBuilds(t *testing.T, zones, each int) {
+	t.Helper()
 	s := newSimSite(zones, each)
 	for _, m := range s.instances {
 		m.counts = []count.Report{{Service: "s", Started: 5, Step: 3, Acked: 1, Arrived: 10, Exposed: 1}}
@@ -303,7 +309,7 @@
 			}
 		}
 	}
-	check(10*zones*each, zones*each)
+	check(10*int64(zones*each), zones*each)
 	down := 0
 	for _, m := range s.instances {
 		if m.Size < 100 && m.Zone == "1" {
@@ -313,5 +319,5 @@
 	}
 	must.Positive(t, down)
 	s.run(3 * time.Second)
-	check(10*zones*each, zones*each-down)
+	check(10*int64(zones*each), zones*each-down)
 }
