--- a/internal/app/edge/shift_test.go
+++ b/internal/app/edge/shift_test.go
@@ -13,7 +13,10 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
+	"github.com/skylarkquay/skylarkquay/internal/roll/count"
 	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
+	"github.com/skylarkquay/skylarkquay/internal/route/place"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
@@ -509,3 +512,97 @@
 	must.Zero(t, runsAfter(engines, settled))
 	must.Zero(t, s.lost.Load())
 }
+
+// What other instances counted is added once, also when they start again, end, or report through heads.
+func TestCountsOfOtherInstances(t *testing.T) {
+	const headAge = 300 * time.Millisecond
+	report := func(arrived int64, acked int) []count.Report {
+		return []count.Report{{Service: "s", Started: 5, Step: 3, Acked: acked, Arrived: arrived}}
+	}
+	message := func(address, zone string, kind gossip.Kind, incarnation, arrived int64, acked int) *gossip.Message {
+		return &gossip.Message{Address: address, Zone: zone, Kind: kind, Incarnation: incarnation, Counts: report(arrived, acked)}
+	}
+	for _, c := range []struct {
+		name     string
+		messages []*gossip.Message
+		// later is the time from the first messages to the question; the last message arrives then.
+		later   time.Duration
+		known   bool
+		arrived int64
+		acked   int
+		live    int
+	}{
+		{"two others", []*gossip.Message{message("a", "x", gossip.KindOwn, 1, 10, 1), message("b", "x", gossip.KindOwn, 1, 5, 1)}, 0, true, 15, 2, 2},
+		{"of unknown age", []*gossip.Message{message("a", "x", gossip.KindOwn, 1, 10, 1)}, 0, false, 10, 0, 1},
+		{"one ended", []*gossip.Message{message("a", "x", gossip.KindOwn, 1, 10, 1), message("b", "x", gossip.KindOwn, 1, 5, 1)}, 3 * time.Second, true, 15, 1, 1},
+		{"one started again", []*gossip.Message{message("a", "x", gossip.KindOwn, 1, 10, 1), message("a", "x", gossip.KindOwn, 2, 2, 1)}, 0, true, 12, 1, 1},
+		{"a head", []*gossip.Message{
+			message("a", "x", gossip.KindOwn, 1, 10, 1), message("c", "y", gossip.KindOwn, 1, 7, 1), message("b", "y", gossip.KindZone, 1, 20, 2),
+		}, 0, true, 30, 3, 1},
+		{"a head replaced", []*gossip.Message{message("b", "y", gossip.KindZone, 1, 20, 2), message("c", "y", gossip.KindZone, 1, 21, 1)}, 0, true, 21, 1, 0},
+		{"a member", []*gossip.Message{message("a", "x", gossip.KindOwn, 1, 10, 1), message("b", "x", gossip.KindAll, 1, 40, 4)}, 0, true, 40, 4, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			boot := time.Minute
+			s := newShifts(logr.Discard(), func() time.Duration { return boot })
+			s.active.Store(true)
+			for i, m := range c.messages {
+				if i == len(c.messages)-1 {
+					boot += c.later
+				}
+				s.merge(boot, boot-100*time.Millisecond, c.known, m)
+			}
+			total, live := s.counted(boot, headAge, "s")
+			must.Eq(t, c.arrived, total.Arrived)
+			must.Eq(t, c.acked, total.Acked)
+			must.Eq(t, c.live, live)
+		})
+	}
+}
+
+// Builds that may run a request, by what is known of the move.
+func TestSidesOfAMove(t *testing.T) {
+	v1, v2 := "v1", "v2"
+	running := func(stage shift.Stage, share float64) shift.Record {
+		return shift.Record{Service: "s", To: v2, Phase: shift.Running, Stage: stage, Share: share, Old: []string{v1}, Drop: []string{"v0"}}
+	}
+	ended := func(p shift.Phase) shift.Record {
+		return shift.Record{Service: "s", To: v2, Phase: p, Old: []string{v1}, Drop: []string{"v0"}}
+	}
+	for _, c := range []struct {
+		name   string
+		record shift.Record
+		side   shift.Side
+		age    time.Duration
+		begun  *string
+		again  bool
+		// want are the builds of v0 to v3 that may run it, or may if none of these can.
+		want, others []string
+	}{
+		{"no record", shift.Record{}, shift.Any, 0, nil, false, []string{"v0", "v1", "v2", "v3"}, nil},
+		{"old", running(shift.Trial, 0.1), shift.Old, 0, nil, false, []string{"v1", "v3"}, nil},
+		{"on trial", running(shift.Trial, 0.1), shift.New, 0, nil, false, []string{"v2"}, []string{"v1", "v3"}},
+		{"sent again", running(shift.Trial, 0.1), shift.New, 0, nil, true, []string{"v1", "v3"}, nil},
+		{"stream of the old build", running(shift.Trial, 0.1), shift.New, 0, &v1, false, []string{"v1", "v3"}, nil},
+		{"stream of the new build", running(shift.Trial, 0.1), shift.Old, 0, &v2, false, []string{"v2"}, nil},
+		{"the same, not current", running(shift.Trial, 0.1), shift.Old, shift.Fresh + 1, &v2, false, []string{"v1", "v3"}, nil},
+		{"the same, no share", running(shift.Probe, 0), shift.Old, 0, &v2, false, []string{"v1", "v3"}, nil},
+		{"full", running(shift.Full, 1), shift.New, 0, nil, true, []string{"v2"}, nil},
+		{"full, not current", running(shift.Full, 1), shift.Old, shift.Hold + 1, nil, false, []string{"v1", "v3"}, nil},
+		{"alone", running(shift.Alone, 1), shift.New, 0, nil, true, []string{"v2"}, nil},
+		{"completed", ended(shift.Completed), shift.New, 0, nil, false, []string{"v2", "v3"}, nil},
+		{"completed, stream of the old build", ended(shift.Completed), shift.New, 0, &v1, false, []string{"v2", "v3"}, nil},
+		{"rolled back", ended(shift.RolledBack), shift.Old, 0, nil, false, []string{"v1", "v3"}, nil},
+		{"rolled back, stream of the new build", ended(shift.RolledBack), shift.Old, 0, &v2, false, []string{"v1", "v3"}, nil},
+	} {
+		allowed := func(b place.Builds) []string {
+			return slices.DeleteFunc([]string{"v0", "v1", "v2", "v3"}, func(build string) bool { return !b.Allows(build) })
+		}
+		builds, others := sides(c.record, c.side, c.age, c.begun, c.again)
+		must.Eq(t, c.want, allowed(builds), must.Sprint(c.name))
+		must.Eq(t, len(c.others) > 0, others != nil, must.Sprint(c.name))
+		if others != nil {
+			must.Eq(t, c.others, allowed(*others), must.Sprint(c.name))
+		}
+	}
+}
