--- a/internal/app/edge/shift_test.go
+++ b/internal/app/edge/shift_test.go
@@ -344,6 +344,27 @@
 	s.checkExposure(t)
 }
 
+// Answers of the store that are lost, and a history that it forgets, hold a good build up for a moment only.
+func TestGoodBuildIsCompletedAtAStoreThatLosesAnswers(t *testing.T) {
+	const duration = 15 * time.Second
+	s := startShiftSite(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	callers := s.callAll(ctx, s.routers)
+	s.order(t, duration, fake.Faults{})
+	eventually(t, "sent on trial", func() bool { return runsAfter(s.fresh, s.ordered) > 0 })
+	s.Store.SetFault(fake.LoseResponses)
+	time.Sleep(1500 * time.Millisecond)
+	s.Store.SetFault(fake.NoFault)
+	s.Store.Compact()
+	state, at := s.follow(t, duration)
+	time.Sleep(500 * time.Millisecond)
+	cancel()
+	callers.Wait()
+	must.Eq(t, "completed", state)
+	must.Zero(t, runsAfter(s.old, at))
+	must.Zero(t, s.lost.Load())
+}
+
 // Streams of engines end where they began, and none breaks off when a good build is completed.
 func TestStreamsWhileAServiceIsMoved(t *testing.T) {
 	const duration = 12 * time.Second
