--- a/internal/route/place/learned.go
+++ b/internal/route/place/learned.go
@@ -51,21 +51,35 @@
 
 // candidateCost is an eligible upstream with the cost of the request there.
 type candidateCost struct {
-	view    *fleet.View
-	load    load
-	cost    time.Duration
+	view *fleet.View
+	load load
+	// own is the part of the cost for the request itself.
+	own time.Duration
+	// unheld is the cost of the request if the upstream held no part of its prompt.
+	unheld  time.Duration
 	prefill int64
 }
 
+// cost returns the cost of the request if other work fills the upstream to a level.
+func (c *candidateCost) cost(tokens int64, level time.Duration) time.Duration {
+	read := time.Duration(tokens) * c.load.costs.PerToken
+	return max(c.unheld, level) - read + c.own
+}
+
 // chooseLearned returns an upstream where the request is expected to be done early. Other instances place by the same outdated reports,
 // so that the best upstream is not best for all of them: the work that is not reported yet is assumed to go where it is done earliest,
-// and each upstream below that level is chosen with a probability in proportion to the work that it has room for.
+// which levels the upstreams, and the request goes to one that has most of its prompt. Among equal ones, each is chosen with a
+// probability in proportion to the work that it has room for.
 func (q *Query) chooseLearned(views []fleet.View, costs Costs) (Choice, bool) {
 	ranks := rendezvousRanks(q, views)
 	cache := newHoldingsCache(q, views)
 	var best Choice
 	bestTier := -1
 	var candidates []candidateCost
+	tokens := q.OwnTokens
+	for _, t := range q.SharedTokens {
+		tokens += t
+	}
 	for i := range views {
 		v := &views[i]
 		if !q.eligible(v) {
@@ -82,17 +96,19 @@
 		l := q.Learned.load(v, costs)
 		l.wait += q.stalePenalty(v)
 		prefill, missing := cache.get(v.Weights[q.Model]).prefillTokens(q, v.ID, l.costs)
-		cost := l.wait + requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
-		candidates = append(candidates, candidateCost{v, l, cost, prefill})
+		own := requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
+		alone := l.wait + time.Duration(tokens)*l.costs.PerToken
+		candidates = append(candidates, candidateCost{v, l, own, alone, prefill})
 	}
 	if bestTier < 0 {
 		return best, false
 	}
-	slices.SortFunc(candidates, func(a, b candidateCost) int { return cmp.Compare(a.cost, b.cost) })
+	slices.SortFunc(candidates, func(a, b candidateCost) int { return cmp.Compare(a.unheld, b.unheld) })
 	best.WaitFloor = workLevel(q.Unreported, candidates)
-	c := drawCandidate(q.Seed, best.WaitFloor, candidates)
-	best.View, best.Version, best.Cost, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], c.cost, ranks[c.view.ID], c.prefill
-	best.Wait, best.Read, best.Memory, best.Pace, best.PaceSamples = c.load.wait, c.cost-c.load.wait, c.load.memory, c.load.pace, c.load.samples
+	c := drawCandidate(q.Seed, tokens, best.WaitFloor, candidates)
+	best.View, best.Version, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], ranks[c.view.ID], c.prefill
+	best.Cost = c.cost(tokens, best.WaitFloor)
+	best.Wait, best.Read, best.Memory, best.Pace, best.PaceSamples = c.load.wait, c.own, c.load.memory, c.load.pace, c.load.samples
 	cache.addHoldings(&best)
 	return best, true
 }
@@ -103,23 +119,34 @@
 	sum, speed := float64(work), 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		sum += float64(c.cost) / c.load.pace
+		sum += float64(c.unheld) / c.load.pace
 		speed += 1 / c.load.pace
-		if level := time.Duration(sum / speed); i == len(candidates)-1 || level <= candidates[i+1].cost {
+		if level := time.Duration(sum / speed); i == len(candidates)-1 || level <= candidates[i+1].unheld {
 			return level
 		}
 	}
 	return 0
 }
 
-// drawCandidate draws an upstream in proportion to the work that fits below the level. It is the first one if nothing fits.
-func drawCandidate(seed uint64, level time.Duration, candidates []candidateCost) *candidateCost {
-	best, bestKey := &candidates[0], math.Inf(1)
+// resolution is the difference of costs below which upstreams are taken for equal. The random offset of the cost of a request and the
+// way between zones are within it.
+const resolution = 2 * time.Millisecond
+
+// drawCandidate draws one of the upstreams of the lowest cost, in proportion to the work that fits below the level. It is the one of
+// the lowest cost if nothing fits.
+func drawCandidate(seed uint64, tokens int64, level time.Duration, candidates []candidateCost) *candidateCost {
+	best := &candidates[0]
+	for i := range candidates {
+		if c := &candidates[i]; c.cost(tokens, level) < best.cost(tokens, level) {
+			best = c
+		}
+	}
+	limit, bestKey := best.cost(tokens, level)+resolution, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		room := float64(level-c.cost) / c.load.pace
-		if room <= 0 {
-			break
+		room := float64(level-c.unheld) / c.load.pace
+		if room <= 0 || c.cost(tokens, level) > limit {
+			continue
 		}
 		uniform := (float64(mix(seed^xxhash.Sum64String(c.view.ID))>>11) + 1) / (1 << 53)
 		if key := -math.Log(uniform) / room; key < bestKey {
