--- a/internal/front/serve/learned.go
+++ b/internal/front/serve/learned.go
@@ -22,19 +22,14 @@
 }
 
 // learned returns what is known of the service, or nil if the document and what was seen do not call for it.
-func (x *exchange) learned(now time.Time, reportDelay time.Duration) *place.Learned {
-	if !x.LearnedCosts(now, x.doc) {
+func (x *exchange) learned(now time.Time) *place.Learned {
+	if !x.route.Language || !x.LearnedCosts(now, x.doc) {
 		return nil
 	}
 	estimate := x.Learner.Estimate(now, x.service)
-	l := &place.Learned{ReportDelay: reportDelay, Paces: paces{x.Learner, now}}
-	if !x.route.Language {
-		if l.Response = estimate.Response; estimate.Samples < 1 {
-			return nil
-		}
-		return l
+	l := &place.Learned{
+		Base: estimate.Base, PerToken: estimate.PerToken, PerRunning: estimate.PerRunning, First: estimate.First, Paces: paces{x.Learner, now},
 	}
-	l.Base, l.PerToken, l.PerRunning = estimate.Base, estimate.PerToken, estimate.PerRunning
 	if s := x.doc.Services[x.service]; s != nil && s.Engine != nil && x.Learner.CacheBinds(now, x.service, s.Engine.CacheTokens, s.Engine.Slots) {
 		l.CacheTokens, l.HeldTokens = s.Engine.CacheTokens, x.cacheTokens(now)
 		l.Lasting = estimate.Lasting
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -47,11 +47,11 @@
 	x.Fleet.Want(now, x.service)
 	views := x.Fleet.Views(now, x.service)
 	others, delay := x.Peers()
-	q.Learned = x.learned(now, delay)
+	q.Learned = x.learned(now)
+	costs := x.Costs
 	if q.Model != "" {
-		costs := x.Costs
 		if q.Learned != nil {
-			costs.PerToken = q.Learned.PerToken
+			costs.PerToken, delay = q.Learned.PerToken, q.Learned.Unseen(delay)
 		}
 		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), others, delay, costs)
 	}
@@ -68,7 +68,7 @@
 			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
 			"switching", choice.Switching, "failure_rate", choice.FailureRate, "learned", q.Learned != nil, "wait_ms", choice.Wait.Milliseconds(),
 			"read_ms", choice.Read.Milliseconds(), "memory_ms", choice.Memory.Milliseconds(), "held", choice.Held, "pace", choice.Pace,
-			"samples", int(choice.PaceSamples))
+			"samples", int(choice.PaceSamples), "token_us", float64(costs.PerToken)/float64(time.Microsecond))
 	}
 	return choice, ok
 }
--- a/internal/route/learn/learn.go
+++ b/internal/route/learn/learn.go
@@ -64,6 +64,8 @@
 	PerRunning time.Duration
 	// Response is the time in which an upstream of a plain service answers.
 	Response time.Duration
+	// First is the mean time to the first event; zero if not known.
+	First time.Duration
 	// Lasting is the time from sending a prompt to the end of its answer; zero if not known.
 	Lasting time.Duration
 	// Samples is the weight of the samples behind the estimate.
@@ -91,6 +93,8 @@
 	held   mean
 	// steps holds the times between the events of streams.
 	steps mean
+	// first holds the times to the first event.
+	first mean
 	// lasted holds the times from sending a prompt to the end of its answer.
 	lasted mean
 	acting bool
@@ -156,7 +160,8 @@
 func (t *Tracker) Prompt(now time.Time, s Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := &t.service(s.Service).prompts
+	sv := t.service(s.Service)
+	p := &sv.prompts
 	x := features{1, float64(s.Tokens+s.Ahead) / 1000, float64(s.Running)}
 	expected := p.expect(x)
 	took := s.Took.Seconds()
@@ -169,6 +174,7 @@
 		}
 		took = min(max(took, expected/outlierFactor), expected*outlierFactor)
 	}
+	sv.first.add(now, took)
 	own := float64(s.Tokens+quietTokens) / float64(s.Tokens+s.Ahead+quietTokens)
 	p.add(now, x, took, own*own)
 }
@@ -268,7 +274,7 @@
 	theta := s.prompts.theta
 	e := Estimate{
 		Base: seconds(theta[0]), PerToken: seconds(theta[1] / 1000), PerRunning: seconds(theta[2]), Samples: s.prompts.weight(now),
-		Response: t.defaults.Response, Lasting: seconds(s.lasted.value),
+		Response: t.defaults.Response, First: seconds(s.first.value), Lasting: seconds(s.lasted.value),
 	}
 	value, assumed := e.PerToken, t.defaults.PerToken
 	if w := s.plain.weight(now); w > e.Samples {
--- a/internal/route/place/learned.go
+++ b/internal/route/place/learned.go
@@ -22,10 +22,8 @@
 	// Base, PerToken and PerRunning are the parts of the time to the first event of a prompt. Base does not depend on the requests
 	// ahead.
 	Base, PerToken, PerRunning time.Duration
-	// Response is the time in which an upstream of a plain service answers; zero for engines.
-	Response time.Duration
-	// ReportDelay is the time until a placement is known to the other instances.
-	ReportDelay time.Duration
+	// First is the mean time to the first event.
+	First time.Duration
 	// CacheTokens is the capacity of an engine's KV cache, and HeldTokens the part that the request is expected to need; zero unless
 	// the cache holds fewer requests than an engine has slots.
 	CacheTokens, HeldTokens int64
@@ -49,6 +47,14 @@
 	pace, samples float64
 }
 
+// Unseen returns the time for which a placement is work that the others do not know of. Prompts that were placed earlier have been read.
+func (l *Learned) Unseen(reportDelay time.Duration) time.Duration {
+	if l.First <= 0 {
+		return reportDelay
+	}
+	return min(reportDelay, 2*l.First)
+}
+
 // candidateCost is an eligible upstream with the cost of the request there.
 type candidateCost struct {
 	view *fleet.View
@@ -161,10 +167,6 @@
 	if l.Paces != nil {
 		r.pace, r.samples = l.Paces.Pace(v)
 	}
-	if l.Response > 0 {
-		r.wait = scale(l.responseWait(v), r.pace)
-		return r
-	}
 	r.costs.PerToken = scale(l.PerToken, r.pace)
 	r.memory = scale(l.memoryWait(v), r.pace)
 	w := l.Base + time.Duration(v.PendingTokens)*l.PerToken + time.Duration(v.Running)*l.PerRunning
@@ -175,19 +177,6 @@
 	return r
 }
 
-// responseWait returns the expected time of a response of a plain service. What others have reported of short requests is mostly over
-// when it arrives, so that upstreams are only compared by the part that still runs.
-func (l *Learned) responseWait(v *fleet.View) time.Duration {
-	slots := float64(max(1, v.Slots))
-	others := float64(max(0, v.Running-v.Own))
-	if l.ReportDelay > 0 {
-		others *= math.Exp(-l.ReportDelay.Seconds() / l.Response.Seconds())
-	}
-	running := float64(v.Own) + others
-	waiting := max(0, running+1-slots) / slots
-	return scale(l.Response, 1+waiting) + scale(l.Response, running/slots/slots)
-}
-
 // memoryWait returns the wait until enough requests have ended that the request fits into the KV cache. An engine out of memory
 // preempts a stream in progress, which costs its caller more than a wait before the first event.
 func (l *Learned) memoryWait(v *fleet.View) time.Duration {
--- a/internal/route/place/learned_test.go
+++ b/internal/route/place/learned_test.go
@@ -272,20 +272,20 @@
 		least := slices.MinFunc(views, func(a, b fleet.View) int { return a.Running - b.Running })
 		return pick(least)
 	}
-	costs := place.DefaultCosts()
+	costs, delay := place.DefaultCosts(), m.reportDelay
 	q := place.Query{Model: "m", Version: 1, OwnTokens: tokens, Seed: m.rand.Uint64()}
 	if m.policy == learnedCosts {
 		l := m.learners[instance]
 		binds := l.CacheBinds(now, modelService, m.cacheTokens, modelSlots)
 		if e := l.Estimate(now, modelService); e.Acting || binds {
-			q.Learned = &place.Learned{Base: e.Base, PerToken: e.PerToken, PerRunning: e.PerRunning, ReportDelay: m.reportDelay, Lasting: e.Lasting, Paces: modelPaces{l, now}}
-			costs.PerToken = e.PerToken
+			q.Learned = &place.Learned{Base: e.Base, PerToken: e.PerToken, PerRunning: e.PerRunning, First: e.First, Lasting: e.Lasting, Paces: modelPaces{l, now}}
+			costs.PerToken, delay = e.PerToken, q.Learned.Unseen(delay)
 			if binds {
 				q.Learned.CacheTokens, q.Learned.HeldTokens = m.cacheTokens, tokens
 			}
 		}
 	}
-	q.Unreported = place.Unreported(m.rates[instance].Rate(now), m.instances-1, m.reportDelay, costs)
+	q.Unreported = place.Unreported(m.rates[instance].Rate(now), m.instances-1, delay, costs)
 	choice, _ := place.Choose(q, views, costs)
 	m.rates[instance].Add(now, tokens)
 	return choice
