--- a/internal/peer/gossip/pack_test.go
+++ b/internal/peer/gossip/pack_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -36,6 +37,19 @@
 	must.Eq(t, map[string]int{"f": 1}, m.Crashes)
 }
 
+// Builds before learned costs send no samples and no held tokens, and ignore those of others.
+func TestLoadsOfEarlierBuilds(t *testing.T) {
+	m, err := unpack([]byte(`{"l":{"e":{"r":2,"t":30}}}`))
+	must.NoError(t, err)
+	must.Eq(t, fleet.Load{Running: 2, PendingTokens: 30}, m.Loads["e"])
+	sum := m.Loads["e"].Plus(fleet.Load{Running: 1, Held: 9000, Samples: 2, Pace: -5})
+	must.Eq(t, fleet.Load{Running: 3, PendingTokens: 30, Held: 9000, Samples: 2, Pace: -5}, sum)
+	must.Eq(t, m.Loads["e"], sum.Minus(fleet.Load{Running: 1, Held: 9000, Samples: 2, Pace: -5}))
+	body, err := json.Marshal(m.Loads["e"])
+	must.NoError(t, err)
+	must.Eq(t, `{"r":2,"t":30}`, string(body))
+}
+
 func TestUnpackRejectsMalformedMessages(t *testing.T) {
 	good := packed(t, &Message{Address: "a"}, &ownPart{})
 	for name, body := range map[string][]byte{
