route: learned costs act where engines work at different speeds

The learned time per token did not tell the fast engines of the lesson platform from the default: work beside a prompt makes 94 tokens a ms look like 25 to 40.

--- a/internal/app/edge/learned.go
+++ b/internal/app/edge/learned.go
@@ -17,11 +17,8 @@
 	return learn.NewTracker(learn.Defaults{PerToken: costs.PerToken, PerRunning: costs.PerRunning, Response: costs.PerRunning})
 }
 
-// addPaces adds the paces that this instance has seen to its loads, if requests are placed by learned costs.
+// addPaces adds the paces of engines that this instance has seen to its loads.
 func (e *Edge) addPaces(now time.Time, loads map[string]fleet.Load) {
-	if !e.handler.LearnedCosts(now, e.replica.Document()) {
-		return
-	}
 	for id, pace := range e.learner.Report(now) {
 		l := loads[id]
 		l.Samples, l.Pace = pace.Count, pace.Sum
@@ -41,7 +38,7 @@
 	e.fleet.PeerLoads(now, func(u fleet.Entry, l fleet.Load) {
 		known[u.ID] = true
 		if l.Samples > 0 {
-			reported = append(reported, learn.Incarnation{ID: u.ID, Born: u.Born, Version: learn.WeightsKey(u.Weights), Pace: learn.Pace{Count: l.Samples, Sum: l.Pace}})
+			reported = append(reported, learn.Incarnation{ID: u.ID, Service: u.Service, Born: u.Born, Version: learn.WeightsKey(u.Weights), Pace: learn.Pace{Count: l.Samples, Sum: l.Pace}})
 		}
 	})
 	e.learner.Merge(now, reported)
@@ -53,10 +50,14 @@
 		scope.Gauge("learned_base_ms").Update(float64(estimate.Base) / float64(time.Millisecond))
 		scope.Gauge("learned_response_ms").Update(float64(estimate.Response) / float64(time.Millisecond))
 		scope.Gauge("learned_samples").Update(estimate.Samples)
+		scope.Gauge("learned_mixed").Update(gauge(estimate.Mixed))
 	}
-	acting := 0.0
-	if e.handler.LearnedCosts(now, doc) {
-		acting = 1
+	e.metrics.Gauge("learned_costs").Update(gauge(e.handler.LearnedCosts(now, doc)))
+}
+
+func gauge(set bool) float64 {
+	if set {
+		return 1
 	}
-	e.metrics.Gauge("learned_costs").Update(acting)
+	return 0
 }
--- a/internal/front/serve/learned.go
+++ b/internal/front/serve/learned.go
@@ -38,13 +38,17 @@
 }
 
 // LearnedCosts reports whether requests are placed by learned costs: if engines of the document hold fewer mean requests in their
-// KV caches than they have slots, or work at another speed than is assumed.
+// KV caches than they have slots, or work at another speed than is assumed or than each other.
 func (h *Handler) LearnedCosts(now time.Time, doc *policy.Document) bool {
 	if h.Learner == nil || doc == nil {
 		return false
 	}
 	for name, s := range doc.Services {
-		if s.Engine != nil && (h.Learner.CacheBinds(now, name, s.Engine.CacheTokens, s.Engine.Slots) || h.Learner.Estimate(now, name).Acting) {
+		if s.Engine == nil {
+			continue
+		}
+		estimate := h.Learner.Estimate(now, name)
+		if estimate.Acting || estimate.Mixed || h.Learner.CacheBinds(now, name, s.Engine.CacheTokens, s.Engine.Slots) {
 			return true
 		}
 	}
--- a/internal/front/serve/learned_test.go
+++ b/internal/front/serve/learned_test.go
@@ -13,7 +13,7 @@
 
 // Learned costs apply only to documents whose engines have too little KV cache for their slots, or work at another speed than is assumed.
 func TestLearnedCostsApplyWhereCalledFor(t *testing.T) {
-	const samples, service = 40, "s"
+	const samples, service = 60, "s"
 	costs := place.DefaultCosts()
 	document := func(cacheTokens int64) *policy.Document {
 		return &policy.Document{Services: map[string]*policy.Service{
--- a/internal/route/learn/learn.go
+++ b/internal/route/learn/learn.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,6 +17,14 @@
 	// minServiceSamples and minPaceSamples are the samples from which an estimate is believed.
 	minServiceSamples = 12
 	minPaceSamples    = 6
+	// minActingSamples are those of a service from which its estimate replaces the defaults.
+	minActingSamples = 40
+	// Upstreams work at different speeds if the slowest or the fastest tenth differs from the middle one by mixedFactor, of at least
+	// minMixedUpstreams with minMixedSamples each. It ends when they differ by less than settledMixedFactor.
+	mixedFactor        = 1.35
+	settledMixedFactor = 1.2
+	minMixedUpstreams  = 8
+	minMixedSamples    = 12
 	// maxPaceSamples bounds the weight of an upstream's samples, so that a change of its speed shows within seconds.
 	maxPaceSamples = 30
 	// outlierFactor bounds a sample in relation to what was expected.
@@ -70,8 +79,9 @@
 	Lasting time.Duration
 	// Samples is the weight of the samples behind the estimate.
 	Samples float64
-	// Acting reports whether the estimate is believed and differs enough from the defaults to replace them.
-	Acting bool
+	// Acting reports whether the estimate is believed and differs enough from the defaults to replace them. Mixed reports whether the
+	// upstreams work at different speeds.
+	Acting, Mixed bool
 }
 
 // Pace is a number of samples of an upstream in a short time, and the sum of the logarithms of the ratios between the times that
@@ -98,10 +108,14 @@
 	// lasted holds the times from sending a prompt to the end of its answer.
 	lasted mean
 	acting bool
+	mixed  bool
+	// mixedUntil is when mixed is looked at again.
+	mixedUntil time.Time
 }
 
 // upstream holds the samples of one incarnation of an upstream on one version of weights.
 type upstream struct {
+	service       string
 	born, version int64
 	// count and sum are the samples of all instances, with the logarithms of their ratios.
 	count, sum float64
@@ -118,6 +132,9 @@
 // quietTokens is the number of tokens ahead that hardly matter.
 const quietTokens = 500
 
+// mixedInterval is the time between looks at whether the upstreams of a service work at different speeds.
+const mixedInterval = time.Second
+
 // reportSpan is the time for which a sample is reported to the others.
 const reportSpan = 2 * time.Second
 
@@ -147,10 +164,10 @@
 }
 
 // upstream returns the state of an incarnation on a version of weights, and forgets what was seen of earlier ones.
-func (t *Tracker) upstream(id string, born, version int64) *upstream {
+func (t *Tracker) upstream(service, id string, born, version int64) *upstream {
 	u, ok := t.upstreams[id]
 	if !ok || u.born != born || u.version != version {
-		u = &upstream{born: born, version: version}
+		u = &upstream{service: service, born: born, version: version}
 		t.upstreams[id] = u
 	}
 	return u
@@ -170,7 +187,7 @@
 	}
 	if p.count >= minServiceSamples {
 		if s.Ahead <= s.Tokens {
-			t.upstream(s.Upstream, s.Born, s.Version).add(now, took/expected)
+			t.upstream(s.Service, s.Upstream, s.Born, s.Version).add(now, took/expected)
 		}
 		took = min(max(took, expected/outlierFactor), expected*outlierFactor)
 	}
@@ -190,7 +207,7 @@
 		return
 	}
 	if m.count >= minServiceSamples {
-		t.upstream(s.Upstream, s.Born, s.Version).add(now, took/m.value)
+		t.upstream(s.Service, s.Upstream, s.Born, s.Version).add(now, took/m.value)
 	}
 	m.add(now, took)
 }
@@ -209,9 +226,6 @@
 	if s.Cut && took <= m.value {
 		return
 	}
-	if m.count >= minServiceSamples {
-		t.upstream(s.Upstream, s.Born, s.Version).add(now, took/max(m.value, minTime))
-	}
 	m.add(now, took)
 	sv.plain.add(now, took)
 }
@@ -285,11 +299,32 @@
 	if s.acting {
 		limit = settledFactor
 	}
-	s.acting = e.Samples >= minServiceSamples && differs(value, assumed, limit)
-	e.Acting = s.acting
+	s.acting = e.Samples >= minActingSamples && differs(value, assumed, limit)
+	e.Acting, e.Mixed = s.acting, t.isMixed(now, name, s)
 	return e
 }
 
+// isMixed reports whether the upstreams of a service work at different speeds. The caller holds the lock.
+func (t *Tracker) isMixed(now time.Time, name string, s *service) bool {
+	if !now.Before(s.mixedUntil) {
+		s.mixedUntil = now.Add(mixedInterval)
+		var means []float64
+		for _, u := range t.upstreams {
+			if u.service == name && u.count*fade(now.Sub(u.at), paceForgetting) >= minMixedSamples {
+				means = append(means, u.sum/u.count)
+			}
+		}
+		limit := mixedFactor
+		if s.mixed {
+			limit = settledMixedFactor
+		}
+		slices.Sort(means)
+		n := len(means)
+		s.mixed = n >= minMixedUpstreams && max(means[n-1-n/10]-means[n/2], means[n/2]-means[n/10]) > math.Log(limit)
+	}
+	return s.mixed
+}
+
 func differs(a, b time.Duration, factor float64) bool {
 	ratio := float64(max(a, 1)) / float64(max(b, 1))
 	return ratio > factor || ratio < 1/factor
@@ -366,6 +401,7 @@
 // Incarnation is an upstream on a version of weights, with the pace that the others report.
 type Incarnation struct {
 	ID      string
+	Service string
 	Born    int64
 	Version int64
 	Pace    Pace
@@ -388,7 +424,7 @@
 		}
 		count := min(float64(r.Pace.Count), maxPaceSamples)
 		mean := float64(r.Pace.Sum) / paceUnits / float64(r.Pace.Count)
-		t.upstream(r.ID, r.Born, r.Version).integrate(now, count*part, min(max(mean, -limit), limit)*count*part)
+		t.upstream(r.Service, r.ID, r.Born, r.Version).integrate(now, count*part, min(max(mean, -limit), limit)*count*part)
 	}
 }
 
--- a/internal/route/learn/learn_test.go
+++ b/internal/route/learn/learn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -63,7 +64,7 @@
 // Estimates act only when they are believed and differ from the defaults, and stop when they come near or fade.
 func TestActing(t *testing.T) {
 	l := NewTracker(defaults)
-	now := see(l, start, minServiceSamples-1, 10*time.Microsecond, exact)
+	now := see(l, start, minActingSamples-1, 10*time.Microsecond, exact)
 	must.False(t, l.Estimate(now, "s").Acting)
 	now = see(l, now, 100, 10*time.Microsecond, exact)
 	must.True(t, l.Estimate(now, "s").Acting)
@@ -136,7 +137,7 @@
 	l := NewTracker(defaults)
 	for i := range 8 {
 		l.Merge(now.Add(time.Duration(i)*time.Second), []Incarnation{
-			{ID: "u", Born: 1, Version: 1, Pace: report["u"]}, {ID: "lie", Born: 1, Version: 1, Pace: Pace{Count: 1 << 40, Sum: -1 << 50}},
+			{ID: "u", Service: "s", Born: 1, Version: 1, Pace: report["u"]}, {ID: "lie", Born: 1, Version: 1, Pace: Pace{Count: 1 << 40, Sum: -1 << 50}},
 			{ID: "odd", Born: 1, Version: 1, Pace: Pace{Count: -4, Sum: 9}},
 		})
 	}
@@ -204,3 +205,28 @@
 	}
 	within(t, 60*time.Millisecond, l.Estimate(start, "p").Response, 0.05)
 }
+
+// Upstreams of different speeds are told from equal ones with noise, and no longer when they have become equal.
+func TestMixedSpeeds(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 6))
+	run := func(l *Tracker, now time.Time, slow float64) time.Time {
+		for i := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			factor := math.Exp(0.4 * random.NormFloat64())
+			if i%6 == 0 {
+				factor *= slow
+			}
+			l.Steps(now, Sample{Service: "s", Upstream: fmt.Sprint(i % 24), Born: 1, Version: 1, Took: time.Duration(factor * float64(5*time.Millisecond))})
+		}
+		return now
+	}
+	l := NewTracker(defaults)
+	now := run(l, start, 1)
+	must.False(t, l.Estimate(now, "s").Mixed)
+	now = run(l, now, 1.7)
+	must.True(t, l.Estimate(now, "s").Mixed)
+	must.False(t, l.Estimate(now, "other").Mixed)
+	now = run(l, now, 1)
+	now = run(l, now, 1)
+	must.False(t, l.Estimate(now, "s").Mixed)
+}
--- a/internal/route/place/learned_test.go
+++ b/internal/route/place/learned_test.go
@@ -199,7 +199,7 @@
 		f.SetPeerLoads(now, "head", others)
 		var reported []learn.Incarnation
 		for id, l := range others {
-			reported = append(reported, learn.Incarnation{ID: id, Born: 1, Version: 1, Pace: learn.Pace{Count: l.Samples, Sum: l.Pace}})
+			reported = append(reported, learn.Incarnation{ID: id, Service: modelService, Born: 1, Version: 1, Pace: learn.Pace{Count: l.Samples, Sum: l.Pace}})
 		}
 		m.learners[i].Merge(now, reported)
 	}
@@ -277,7 +277,7 @@
 	if m.policy == learnedCosts {
 		l := m.learners[instance]
 		binds := l.CacheBinds(now, modelService, m.cacheTokens, modelSlots)
-		if e := l.Estimate(now, modelService); e.Acting || binds {
+		if e := l.Estimate(now, modelService); e.Acting || e.Mixed || binds {
 			q.Learned = &place.Learned{Base: e.Base, PerToken: e.PerToken, PerRunning: e.PerRunning, First: e.First, Lasting: e.Lasting, Paces: modelPaces{l, now}}
 			costs.PerToken, delay = e.PerToken, q.Learned.Unseen(delay)
 			if binds {
