--- a/internal/route/place/learned.go
+++ b/internal/route/place/learned.go
@@ -81,7 +81,7 @@
 	cache := newHoldingsCache(q, views)
 	var best Choice
 	bestTier := -1
-	var candidates []candidateCost
+	candidates := make([]candidateCost, 0, len(views))
 	tokens := q.OwnTokens
 	for _, t := range q.SharedTokens {
 		tokens += t
@@ -109,7 +109,6 @@
 	if bestTier < 0 {
 		return best, false
 	}
-	slices.SortFunc(candidates, func(a, b candidateCost) int { return cmp.Compare(a.unheld, b.unheld) })
 	best.WaitFloor = workLevel(q.Unreported, candidates)
 	c := drawCandidate(q.Seed, tokens, best.WaitFloor, candidates)
 	best.View, best.Version, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], ranks[c.view.ID], c.prefill
@@ -119,16 +118,22 @@
 	return best, true
 }
 
-// workLevel returns the cost up to which work fills the upstreams, which are in the order of their costs. The same work fills a slow one
-// further.
+// vessel is an upstream that work fills from a cost upwards; speed is the inverse of its pace.
+type vessel struct{ cost, speed float64 }
+
+// workLevel returns the cost up to which work fills the upstreams. The same work fills a slow one further.
 func workLevel(work time.Duration, candidates []candidateCost) time.Duration {
-	sum, speed := float64(work), 0.0
+	vessels := make([]vessel, len(candidates))
 	for i := range candidates {
-		c := &candidates[i]
-		sum += float64(c.unheld) / c.load.pace
-		speed += 1 / c.load.pace
-		if level := time.Duration(sum / speed); i == len(candidates)-1 || level <= candidates[i+1].unheld {
-			return level
+		vessels[i] = vessel{float64(candidates[i].unheld), 1 / candidates[i].load.pace}
+	}
+	slices.SortFunc(vessels, func(a, b vessel) int { return cmp.Compare(a.cost, b.cost) })
+	sum, speed := float64(work), 0.0
+	for i, v := range vessels {
+		sum += v.cost * v.speed
+		speed += v.speed
+		if level := sum / speed; i == len(vessels)-1 || level <= vessels[i+1].cost {
+			return time.Duration(level)
 		}
 	}
 	return 0
