--- a/internal/front/serve/learned.go
+++ b/internal/front/serve/learned.go
@@ -22,19 +22,14 @@
 }
 
 // learned returns what is known of the service, or nil if the document and what was seen do not call for it.
-func (x *exchange) learned(now time.Time, reportDelay time.Duration) *place.Learned {
-	if !x.LearnedCosts(now, x.doc) {
+func (x *exchange) learned(now time.Time) *place.Learned {
+	if !x.route.Language || !x.LearnedCosts(now, x.doc) {
 		return nil
 	}
 	estimate := x.Learner.Estimate(now, x.service)
-	l := &place.Learned{ReportDelay: reportDelay, Paces: paces{x.Learner, now}}
-	if !x.route.Language {
-		if l.Response = estimate.Response; estimate.Samples < 1 {
-			return nil
-		}
-		return l
+	l := &place.Learned{
+		Base: estimate.Base, PerToken: estimate.PerToken, PerRunning: estimate.PerRunning, First: estimate.First, Paces: paces{x.Learner, now},
 	}
-	l.Base, l.PerToken, l.PerRunning = estimate.Base, estimate.PerToken, estimate.PerRunning
 	if s := x.doc.Services[x.service]; s != nil && s.Engine != nil && x.Learner.CacheBinds(now, x.service, s.Engine.CacheTokens, s.Engine.Slots) {
 		l.CacheTokens, l.HeldTokens = s.Engine.CacheTokens, x.cacheTokens(now)
 		l.Lasting = estimate.Lasting
@@ -43,13 +38,17 @@
 }
 
 // LearnedCosts reports whether requests are placed by learned costs: if engines of the document hold fewer mean requests in their
-// KV caches than they have slots, or work at another speed than is assumed.
+// KV caches than they have slots, or work at another speed than is assumed or than each other.
 func (h *Handler) LearnedCosts(now time.Time, doc *policy.Document) bool {
 	if h.Learner == nil || doc == nil {
 		return false
 	}
 	for name, s := range doc.Services {
-		if s.Engine != nil && (h.Learner.CacheBinds(now, name, s.Engine.CacheTokens, s.Engine.Slots) || h.Learner.Estimate(now, name).Acting) {
+		if s.Engine == nil {
+			continue
+		}
+		estimate := h.Learner.Estimate(now, name)
+		if estimate.Acting || estimate.Mixed || h.Learner.CacheBinds(now, name, s.Engine.CacheTokens, s.Engine.Slots) {
 			return true
 		}
 	}
--- a/internal/route/place/learned.go
+++ b/internal/route/place/learned.go
@@ -22,10 +22,8 @@
 	// Base, PerToken and PerRunning are the parts of the time to the first event of a prompt. Base does not depend on the requests
 	// ahead.
 	Base, PerToken, PerRunning time.Duration
-	// Response is the time in which an upstream of a plain service answers; zero for engines.
-	Response time.Duration
-	// ReportDelay is the time until a placement is known to the other instances.
-	ReportDelay time.Duration
+	// First is the mean time to the first event.
+	First time.Duration
 	// CacheTokens is the capacity of an engine's KV cache, and HeldTokens the part that the request is expected to need; zero unless
 	// the cache holds fewer requests than an engine has slots.
 	CacheTokens, HeldTokens int64
@@ -49,23 +47,45 @@
 	pace, samples float64
 }
 
+// Unseen returns the time for which a placement is work that the others do not know of. Prompts that were placed earlier have been read.
+func (l *Learned) Unseen(reportDelay time.Duration) time.Duration {
+	if l.First <= 0 {
+		return reportDelay
+	}
+	return min(reportDelay, 2*l.First)
+}
+
 // candidateCost is an eligible upstream with the cost of the request there.
 type candidateCost struct {
-	view    *fleet.View
-	load    load
-	cost    time.Duration
+	view *fleet.View
+	load load
+	// own is the part of the cost for the request itself.
+	own time.Duration
+	// unheld is the cost of the request if the upstream held no part of its prompt.
+	unheld  time.Duration
 	prefill int64
 }
 
+// cost returns the cost of the request if other work fills the upstream to a level.
+func (c *candidateCost) cost(tokens int64, level time.Duration) time.Duration {
+	read := time.Duration(tokens) * c.load.costs.PerToken
+	return max(c.unheld, level) - read + c.own
+}
+
 // chooseLearned returns an upstream where the request is expected to be done early. Other instances place by the same outdated reports,
 // so that the best upstream is not best for all of them: the work that is not reported yet is assumed to go where it is done earliest,
-// and each upstream below that level is chosen with a probability in proportion to the work that it has room for.
+// which levels the upstreams, and the request goes to one that has most of its prompt. Among equal ones, each is chosen with a
+// probability in proportion to the work that it has room for.
 func (q *Query) chooseLearned(views []fleet.View, costs Costs) (Choice, bool) {
 	ranks := rendezvousRanks(q, views)
 	cache := newHoldingsCache(q, views)
 	var best Choice
 	bestTier := -1
-	var candidates []candidateCost
+	candidates := make([]candidateCost, 0, len(views))
+	tokens := q.OwnTokens
+	for _, t := range q.SharedTokens {
+		tokens += t
+	}
 	for i := range views {
 		v := &views[i]
 		if !q.eligible(v) {
@@ -82,44 +102,62 @@
 		l := q.Learned.load(v, costs)
 		l.wait += q.stalePenalty(v)
 		prefill, missing := cache.get(v.Weights[q.Model]).prefillTokens(q, v.ID, l.costs)
-		cost := l.wait + requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
-		candidates = append(candidates, candidateCost{v, l, cost, prefill})
+		own := requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
+		alone := l.wait + time.Duration(tokens)*l.costs.PerToken
+		candidates = append(candidates, candidateCost{v, l, own, alone, prefill})
 	}
 	if bestTier < 0 {
 		return best, false
 	}
-	slices.SortFunc(candidates, func(a, b candidateCost) int { return cmp.Compare(a.cost, b.cost) })
 	best.WaitFloor = workLevel(q.Unreported, candidates)
-	c := drawCandidate(q.Seed, best.WaitFloor, candidates)
-	best.View, best.Version, best.Cost, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], c.cost, ranks[c.view.ID], c.prefill
-	best.Wait, best.Read, best.Memory, best.Pace, best.PaceSamples = c.load.wait, c.cost-c.load.wait, c.load.memory, c.load.pace, c.load.samples
+	c := drawCandidate(q.Seed, tokens, best.WaitFloor, candidates)
+	best.View, best.Version, best.Rank, best.PrefillTokens = *c.view, c.view.Weights[q.Model], ranks[c.view.ID], c.prefill
+	best.Cost = c.cost(tokens, best.WaitFloor)
+	best.Wait, best.Read, best.Memory, best.Pace, best.PaceSamples = c.load.wait, c.own, c.load.memory, c.load.pace, c.load.samples
 	cache.addHoldings(&best)
 	return best, true
 }
 
-// workLevel returns the cost up to which work fills the upstreams, which are in the order of their costs. The same work fills a slow one
-// further.
+// vessel is an upstream that work fills from a cost upwards; speed is the inverse of its pace.
+type vessel struct{ cost, speed float64 }
+
+// workLevel returns the cost up to which work fills the upstreams. The same work fills a slow one further.
 func workLevel(work time.Duration, candidates []candidateCost) time.Duration {
-	sum, speed := float64(work), 0.0
+	vessels := make([]vessel, len(candidates))
 	for i := range candidates {
-		c := &candidates[i]
-		sum += float64(c.cost) / c.load.pace
-		speed += 1 / c.load.pace
-		if level := time.Duration(sum / speed); i == len(candidates)-1 || level <= candidates[i+1].cost {
-			return level
+		vessels[i] = vessel{float64(candidates[i].unheld), 1 / candidates[i].load.pace}
+	}
+	slices.SortFunc(vessels, func(a, b vessel) int { return cmp.Compare(a.cost, b.cost) })
+	sum, speed := float64(work), 0.0
+	for i, v := range vessels {
+		sum += v.cost * v.speed
+		speed += v.speed
+		if level := sum / speed; i == len(vessels)-1 || level <= vessels[i+1].cost {
+			return time.Duration(level)
 		}
 	}
 	return 0
 }
 
-// drawCandidate draws an upstream in proportion to the work that fits below the level. It is the first one if nothing fits.
-func drawCandidate(seed uint64, level time.Duration, candidates []candidateCost) *candidateCost {
-	best, bestKey := &candidates[0], math.Inf(1)
+// resolution is the difference of costs below which upstreams are taken for equal. The random offset of the cost of a request and the
+// way between zones are within it.
+const resolution = 2 * time.Millisecond
+
+// drawCandidate draws one of the upstreams of the lowest cost, in proportion to the work that fits below the level. It is the one of
+// the lowest cost if nothing fits.
+func drawCandidate(seed uint64, tokens int64, level time.Duration, candidates []candidateCost) *candidateCost {
+	best := &candidates[0]
+	for i := range candidates {
+		if c := &candidates[i]; c.cost(tokens, level) < best.cost(tokens, level) {
+			best = c
+		}
+	}
+	limit, bestKey := best.cost(tokens, level)+resolution, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		room := float64(level-c.cost) / c.load.pace
-		if room <= 0 {
-			break
+		room := float64(level-c.unheld) / c.load.pace
+		if room <= 0 || c.cost(tokens, level) > limit {
+			continue
 		}
 		uniform := (float64(mix(seed^xxhash.Sum64String(c.view.ID))>>11) + 1) / (1 << 53)
 		if key := -math.Log(uniform) / room; key < bestKey {
@@ -134,10 +172,6 @@
 	if l.Paces != nil {
 		r.pace, r.samples = l.Paces.Pace(v)
 	}
-	if l.Response > 0 {
-		r.wait = scale(l.responseWait(v), r.pace)
-		return r
-	}
 	r.costs.PerToken = scale(l.PerToken, r.pace)
 	r.memory = scale(l.memoryWait(v), r.pace)
 	w := l.Base + time.Duration(v.PendingTokens)*l.PerToken + time.Duration(v.Running)*l.PerRunning
@@ -148,19 +182,6 @@
 	return r
 }
 
-// responseWait returns the expected time of a response of a plain service. What others have reported of short requests is mostly over
-// when it arrives, so that upstreams are only compared by the part that still runs.
-func (l *Learned) responseWait(v *fleet.View) time.Duration {
-	slots := float64(max(1, v.Slots))
-	others := float64(max(0, v.Running-v.Own))
-	if l.ReportDelay > 0 {
-		others *= math.Exp(-l.ReportDelay.Seconds() / l.Response.Seconds())
-	}
-	running := float64(v.Own) + others
-	waiting := max(0, running+1-slots) / slots
-	return scale(l.Response, 1+waiting) + scale(l.Response, running/slots/slots)
-}
-
 // memoryWait returns the wait until enough requests have ended that the request fits into the KV cache. An engine out of memory
 // preempts a stream in progress, which costs its caller more than a wait before the first event.
 func (l *Learned) memoryWait(v *fleet.View) time.Duration {
