--- a/internal/app/edge/hold_test.go
+++ b/internal/app/edge/hold_test.go
@@ -96,3 +96,37 @@
 	must.SliceEmpty(t, s.Jobs[0].Runs())
 	eventually(t, "nothing is held", func() bool { return r.account.Count() == 0 && r.account.Used()["bodies"] == 0 })
 }
+
+// A stream whose caller reads nothing kept its upstream for ever.
+func TestUnreadStreamIsCut(t *testing.T) {
+	s := newSite(t, 1, 1)
+	var stream strings.Builder
+	for i := range 20_000 {
+		fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 1000))
+	}
+	registerScripted(t, s, s.Engines[0], func(*http.Request) fake.Answer {
+		return fake.Answer{Bytes: chunkedHead + chunk(stream.String()) + "0\r\n\r\n"}
+	})
+	r := startRouter(t, testSettings(t, s))
+	eventually(t, "ready", r.isReady)
+	conn, err := net.Dial("tcp4", r.settings.Listen)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	// The buffers of the kernel hold less than the stream.
+	must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	eventually(t, "the stream begins", func() bool {
+		req, err := newPromptCall(fake.QuotePath+"1").NewRequest(t.Context(), r.settings.Listen)
+		must.NoError(t, err)
+		must.NoError(t, req.Write(conn))
+		head, err := bufio.NewReaderSize(conn, 16).Peek(12)
+		must.NoError(t, err)
+		return string(head) == "HTTP/1.1 200"
+	})
+	r.account.Sweep(time.Now())
+	must.Eq(t, 1, r.account.Count())
+	must.Eq(t, 1, r.handler.OpenRequests.Load())
+	eventually(t, "the stream is cut", func() bool {
+		r.account.Sweep(time.Now().Add(time.Minute))
+		return r.account.Count() == 0 && r.handler.OpenRequests.Load() == 0
+	})
+}
