--- a/internal/front/gate/body.go
+++ b/internal/front/gate/body.go
@@ -96,7 +96,7 @@
 	case errors.Is(err, caller.ErrNoRoom), conn.WasCut():
 		return errNoRoom()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fault.New(fault.BodyStalled, "the rest of the body did not arrive in time")
+		return fault.New(fault.BodyTimeout, "the rest of the body did not arrive in time")
 	default:
 		return fault.New(fault.BadRequest, "the body could not be read: %s", err.Error())
 	}
