--- a/internal/base/clock/clock_test.go
+++ b/internal/base/clock/clock_test.go
@@ -39,6 +39,7 @@
 	"internal/route/fleet/limit.go: math.Round(count * 100)":                                "rounds a number",
 	"internal/peer/gossip/exchange.go: e.Clock()":                                           "the time since boot",
 	"internal/peer/gossip/hub.go: e.Clock()":                                                "the time since boot",
+	"internal/limit/hold/conn.go: time.Unix(1, 0)":                                          inPast,
 	"platform/header.go: http.ParseTime(text)":                                              "compared with the date of the same response only",
 	"platform/header.go: http.ParseTime(h.Get(\"Date\"))":                                   "compared with a date of the same response only",
 }
