--- a/internal/roll/shift/judge.go
+++ b/internal/roll/shift/judge.go
@@ -311,6 +311,7 @@
 // surges tells whether many more requests come since the stage began than before.
 func (r Record) surges(now time.Duration, e Evidence) bool {
 	before, since := ms(r.Changed-r.Started), now-ms(r.Changed)
+	before = max(before-lag, before/2) // the first reports come late
 	if before <= 0 || since <= 0 {
 		return false
 	}
--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -356,3 +356,15 @@
 		}
 	}
 }
+
+// The first counts come late; the requests that follow are no surge, and times are judged.
+func TestSlowBuildIsFoundWhenReportsComeLate(t *testing.T) {
+	m := desk()
+	m.seed, m.duration, m.rate, m.old, m.fresh, m.instances = 0x188542, 19*time.Second, 600, 57, 57, 47
+	m.report, m.spreads, m.usual = 257*time.Millisecond, 50*time.Millisecond, 16*time.Millisecond
+	m.fault = fault{part: 0.8770591020584106, slow: 3, route: "look"}
+	w := m.run()
+	checkBounds(t, m, w)
+	must.Eq(t, RolledBack, w.record.Phase)
+	must.Less(t, 12*time.Second, w.finished, must.Sprint(w.story()))
+}
