--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -332,3 +332,39 @@
 	}
 	must.Between(t, 4700, count, 5300)
 }
+
+func TestNothingMoreIsSentOnceExposureIsUsedUp(t *testing.T) {
+	r, _ := atFull()
+	r.Stage, r.Share, r.Changed, r.Arrived = Trial, 0.05, 5000, 400
+	e := calm()
+	e.Arrived, e.Exposed = 500, 90
+	next, _ := Next(6*time.Second, r, e, bounds)
+	must.Eq(t, 0.0, next.Share)
+	must.Eq(t, Running, next.Phase)
+}
+
+func TestLoadShowsABadBuildBeforeAllRequestsGoThere(t *testing.T) {
+	for seed := range uint64(10) {
+		m := desk()
+		m.seed, m.usual = seed, 100*time.Millisecond
+		m.fault = fault{part: 0.9, load: 0.6}
+		w := m.run()
+		checkBounds(t, m, w)
+		must.Eq(t, RolledBack, w.record.Phase)
+		for _, r := range w.phases {
+			must.NotEq(t, Full, r.Stage, must.Sprint(seed, w.story()))
+		}
+	}
+}
+
+// The first counts come late; the requests that follow are no surge, and times are judged.
+func TestSlowBuildIsFoundWhenReportsComeLate(t *testing.T) {
+	m := desk()
+	m.seed, m.duration, m.rate, m.old, m.fresh, m.instances = 0x188542, 19*time.Second, 600, 57, 57, 47
+	m.report, m.spreads, m.usual = 257*time.Millisecond, 50*time.Millisecond, 16*time.Millisecond
+	m.fault = fault{part: 0.8770591020584106, slow: 3, route: "look"}
+	w := m.run()
+	checkBounds(t, m, w)
+	must.Eq(t, RolledBack, w.record.Phase)
+	must.Less(t, 12*time.Second, w.finished, must.Sprint(w.story()))
+}
