fleet: count the spans of seats from 1

An instance that had dealt no seats yet took span 0 for one that it had dealt already, rounded up without an offset, and gave all others that start with the store's clock the same one.

--- a/internal/route/fleet/brittle.go
+++ b/internal/route/fleet/brittle.go
@@ -129,12 +129,12 @@
 	s.seats = roundAtRandom(room*share, offset)
 }
 
-// spanAt returns the number of the span in which seats are dealt. The caller holds the lock.
+// spanAt returns the number of the span in which seats are dealt; it is positive. The caller holds the lock.
 func (f *Fleet) spanAt(now time.Time) int64 {
 	if f.storeStart.IsZero() {
 		f.storeStart = now
 	}
-	return int64(now.Sub(f.storeStart) / seatsSpan)
+	return 1 + int64(now.Sub(f.storeStart)/seatsSpan)
 }
 
 // storeClockTolerance is the difference from the store's clock at which seats are still dealt by the clock as first read. Responses
