edge: explain where a request would go now

skylarkedge explain asks a running instance, at its metrics address, where a request with given header lines would go. place.Explain lists the upstreams by choosing again without those that were chosen, so that it cannot differ from the choice itself; serve.Explain builds the same query as a placement, which is now a function of its own, and neither sends nor charges anything.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -337,6 +337,7 @@
 func (e *Edge) metricsHandler() http.Handler {
 	m := mux.NewRouter()
 	m.Handle("/metrics", e.counters)
+	m.HandleFunc(explainPath, e.handleExplain)
 	return m
 }
 
--- a/internal/app/edge/main.go
+++ b/internal/app/edge/main.go
@@ -26,7 +26,8 @@
 const logQueueSize = 2048
 
 type options struct {
-	Config string `long:"config" required:"true" description:"settings file in YAML"`
+	Config  string         `long:"config" required:"true" description:"settings file in YAML"`
+	Explain explainOptions `group:"Explain"`
 }
 
 // Main runs the command line and returns the exit code.
@@ -36,7 +37,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	var o options
 	parser := flags.NewNamedParser("skylarkedge", flags.HelpFlag|flags.PassDoubleDash)
-	parser.Usage = "[run | check] --config FILE"
+	parser.Usage = "[run | check | explain] --config FILE"
 	if _, err := parser.AddGroup("Options", "", &o); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitFailure
@@ -66,8 +67,14 @@
 	case "check":
 		_, _ = fmt.Fprintln(stdout, "settings are good")
 		return exitOK
+	case "explain":
+		if err := explain(settings, o.Explain, stdout); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+			return exitFailure
+		}
+		return exitOK
 	default:
-		_, _ = fmt.Fprintf(stderr, "unknown command %q; the commands are run and check\n", command)
+		_, _ = fmt.Fprintf(stderr, "unknown command %q; the commands are run, check and explain\n", command)
 		return exitSettings
 	}
 }
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -25,6 +25,28 @@
 
 // place chooses the upstream for the next send.
 func (x *exchange) place(now time.Time) (place.Choice, bool) {
+	q := x.query(now)
+	x.Fleet.Want(now, x.service)
+	builds, others := x.Shifts.Builds(x.service, q.Seed, x.build, x.counts.Sends > 0)
+	choice, ok := x.choose(now, q, builds)
+	if !ok && x.shed == nil && others != nil {
+		choice, ok = x.choose(now, q, *others)
+	}
+	x.lastChoice = choice
+	if ok {
+		x.PrefillRate.Add(now, choice.PrefillTokens)
+		x.Log.Info("route: placed", "id", x.info.ID, "upstream", choice.ID, "build", choice.Build, "weights", choice.Version, "newest", q.Version,
+			"floor", q.MinVersion, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
+			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
+			"switching", choice.Switching, "failure_rate", choice.FailureRate, "learned", q.Learned != nil, "wait_ms", choice.Wait.Milliseconds(),
+			"read_ms", choice.Read.Milliseconds(), "memory_ms", choice.Memory.Milliseconds(), "held", choice.Held, "pace", choice.Pace,
+			"samples", int(choice.PaceSamples), "token_us", float64(perToken(&q, x.Costs))/float64(time.Microsecond))
+	}
+	return choice, ok
+}
+
+// query returns what decides where the request may go.
+func (x *exchange) query(now time.Time) place.Query {
 	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.info.ID), OwnTokens: x.info.PromptTokens, Build: x.build}
 	q.AvoidNewBuilds = x.route.Kind == policy.Streaming
 	if x.route.Language && x.info.Model != "" {
@@ -44,32 +66,25 @@
 			q.Affinity = xxhash.Sum64String(x.isolationScope() + shared[len(shared)-1].ID)
 		}
 	}
-	x.Fleet.Want(now, x.service)
-	peers, delay := x.Peers()
 	q.Learned = x.learned(now)
-	costs := x.Costs
 	if q.Model != "" {
+		peers, delay := x.Peers()
+		costs := x.Costs
+		costs.PerToken = perToken(&q, costs)
 		if q.Learned != nil {
-			costs.PerToken, delay = q.Learned.PerToken, q.Learned.Unseen(delay)
+			delay = q.Learned.Unseen(delay)
 		}
 		q.Unreported = place.Unreported(x.PrefillRate.Rate(now), peers, delay, costs)
 	}
-	builds, others := x.Shifts.Builds(x.service, q.Seed, x.build, x.counts.Sends > 0)
-	choice, ok := x.choose(now, q, builds)
-	if !ok && x.shed == nil && others != nil {
-		choice, ok = x.choose(now, q, *others)
-	}
-	x.lastChoice = choice
-	if ok {
-		x.PrefillRate.Add(now, choice.PrefillTokens)
-		x.Log.Info("route: placed", "id", x.info.ID, "upstream", choice.ID, "build", choice.Build, "weights", choice.Version, "newest", q.Version,
-			"floor", q.MinVersion, "considered", choice.Considered, "cost_ms", choice.Cost.Milliseconds(), "rank", choice.Rank,
-			"depth", choice.Depth, "level_ms", choice.WaitFloor.Milliseconds(), "source", choice.Source, "reads", choice.PrefillTokens, "running", choice.Running, "tokens", choice.PendingTokens, "ejected", choice.Ejected,
-			"switching", choice.Switching, "failure_rate", choice.FailureRate, "learned", q.Learned != nil, "wait_ms", choice.Wait.Milliseconds(),
-			"read_ms", choice.Read.Milliseconds(), "memory_ms", choice.Memory.Milliseconds(), "held", choice.Held, "pace", choice.Pace,
-			"samples", int(choice.PaceSamples), "token_us", float64(costs.PerToken)/float64(time.Microsecond))
+	return q
+}
+
+// perToken returns the time per prompt token, learned or assumed.
+func perToken(q *place.Query, costs place.Costs) time.Duration {
+	if q.Learned != nil {
+		return q.Learned.PerToken
 	}
-	return choice, ok
+	return costs.PerToken
 }
 
 // choose chooses an upstream of the builds and takes a token of it.
