--- a/internal/base/clock/clock_test.go
+++ b/internal/base/clock/clock_test.go
@@ -37,6 +37,7 @@
 	"internal/front/serve/stop.go: x.deadline.Sub(now).Round(time.Millisecond)":             roundsDuration,
 	"internal/once/fatal/judge.go: at.Sub(tr.base).Truncate(outageTime)":                    roundsDuration,
 	"internal/route/fleet/limit.go: math.Round(count * 100)":                                "rounds a number",
+	"internal/route/learn/learn.go: math.Round(value * paceUnits)":                          "rounds a number",
 	"internal/peer/gossip/exchange.go: e.Clock()":                                           "the time since boot",
 	"internal/peer/gossip/hub.go: e.Clock()":                                                "the time since boot",
 	"internal/limit/hold/conn.go: time.Unix(1, 0)":                                          inPast,
