--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -93,7 +93,8 @@
 	CrashCounter CrashCounter
 	Parts        PartTracker
 	Origins      Origins
-	Shifts       Shifts
+	// Shifts moves services to other builds of their upstreams.
+	Shifts Shifts
 	// SendReport makes the instance report its state to the others at once.
 	SendReport func()
 	Costs      place.Costs
