--- a/internal/app/edge/explain_test.go
+++ b/internal/app/edge/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"testing"
@@ -17,9 +18,8 @@
 	s, r := startSite(t, 3, 1)
 	later := time.Now().Add(time.Hour)
 	r.fleet.SetSwitching(s.Engines[0].ID, later)
-	options := explainOptions{Host: fake.Host, Path: fake.QuotePath + "1", Headers: []string{
-		fake.HeaderID + ": 0badc0de", "Authorization: Token " + fake.Key, "X-Model: " + fake.Model, "X-Token-Usage: 1000,20",
-	}}
+	call := newPromptCall(fake.QuotePath + "1")
+	options := explainOptions{Host: fake.Host, Path: call.Path, Headers: headerLines(t, call)}
 	var out bytes.Buffer
 	must.NoError(t, explain(r.settings, options, &out))
 	var e serve.Explanation
@@ -36,13 +36,24 @@
 		must.Eq(t, 0, len(u.Runs()))
 	}
 
-	sent := newPromptCall(fake.QuotePath + "1")
-	sent.ID = "0badc0de"
-	must.Eq(t, http.StatusOK, r.send(t, sent).Status)
+	must.Eq(t, http.StatusOK, r.send(t, call).Status)
 
 	must.ErrorContains(t, explain(r.settings, explainOptions{Host: fake.Host}, &out), "--path")
-	options.Headers[1] = "Authorization: Token unknown"
+	call.Key = "unknown"
+	options.Headers = headerLines(t, call)
 	must.ErrorContains(t, explain(r.settings, options, &out), "404")
-	options.Headers[1] = "no colon"
-	must.ErrorContains(t, explain(r.settings, options, &out), "colon")
+	options.Headers = []string{"no colon"}
+	must.ErrorContains(t, explain(r.settings, options, &out), "lacks a colon")
+}
+
+// headerLines returns the header of a call as an operator writes it on the command line.
+func headerLines(t *testing.T, call fake.Call) []string {
+	t.Helper()
+	request, err := call.NewRequest(context.Background(), "router")
+	must.NoError(t, err)
+	var lines []string
+	for name, values := range request.Header {
+		lines = append(lines, name+": "+values[0])
+	}
+	return lines
 }
--- a/internal/limit/fair/fair.go
+++ b/internal/limit/fair/fair.go
@@ -18,11 +18,11 @@
 	updateInterval = 100 * time.Millisecond
 	// minChance bounds a chance from below, so that each workspace keeps being seen.
 	minChance = 0.05
-	// restFrom and restUntil are the expected waits, as multiples of the objective, from which requests are refused and at which only
+	// refuseFrom and refuseMostAt are the expected waits, as multiples of the objective, from which requests are refused and at which only
 	// minKeep of them are admitted.
-	restFrom  = 0.75
-	restUntil = 1.75
-	minKeep   = 0.2
+	refuseFrom   = 0.75
+	refuseMostAt = 1.75
+	minKeep      = 0.2
 )
 
 // Demand is what one workspace uses of all services together.
@@ -41,7 +41,7 @@
 	if objective <= 0 {
 		return 1
 	}
-	over := (float64(wait)/float64(objective) - restFrom) / (restUntil - restFrom)
+	over := (float64(wait)/float64(objective) - refuseFrom) / (refuseMostAt - refuseFrom)
 	return 1 - (1-minKeep)*max(0, min(1, over))
 }
 
--- a/internal/limit/fair/fair_test.go
+++ b/internal/limit/fair/fair_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,58 +60,81 @@
 	must.Greater(t, Keep(1500*time.Millisecond, objective), Keep(time.Second, objective))
 }
 
-// Sixteen workspaces use four fifths of the upstreams, then one of them sends eight times its usual. Without shares the wait grows to
-// many times the objective, and all workspaces meet it. With them, the wait stays near the objective, the others are admitted
-// whole, and no room is left unused.
+const (
+	capacity  = 1000.0
+	objective = time.Second
+	step      = 100 * time.Millisecond
+)
+
+// crowdedService is a service whose requests wait in one queue. Workspaces ask for so many units a second.
+type crowdedService struct {
+	shares   *Shares
+	now      time.Time
+	queue    float64
+	admitted []float64
+	// waits are those of the last steps; the oldest one is known.
+	waits  []time.Duration
+	served float64
+	worst  time.Duration
+}
+
+func newCrowdedService(workspaces, delay int) *crowdedService {
+	return &crowdedService{shares: NewShares(), now: time.Unix(0, 0), admitted: make([]float64, workspaces), waits: make([]time.Duration, delay+1)}
+}
+
+// run plays steps in which the workspaces ask for that much, and returns the lowest chance that each had.
+func (c *crowdedService) run(steps int, asked []float64) (lowest []float64) {
+	lowest = slices.Repeat([]float64{1}, len(asked))
+	c.served, c.worst = 0, 0
+	fade := math.Exp(-step.Seconds() / averagingTime.Seconds())
+	for range steps {
+		c.now = c.now.Add(step)
+		c.waits = append(c.waits[1:], time.Duration(c.queue/capacity*float64(time.Second)))
+		demands := make([]Demand, len(c.admitted))
+		for w, rate := range c.admitted {
+			demands[w] = Demand{fmt.Sprint(w), rate, 1}
+		}
+		c.shares.Update(c.now, Keep(c.waits[0], objective), demands)
+		for w := range c.admitted {
+			chance := c.shares.Chance(fmt.Sprint(w))
+			lowest[w] = min(lowest[w], chance)
+			c.admitted[w] = asked[w]*chance + (c.admitted[w]-asked[w]*chance)*fade
+			c.queue += asked[w] * chance * step.Seconds()
+		}
+		done := min(c.queue, capacity*step.Seconds())
+		c.queue -= done
+		c.served += done
+		c.worst = max(c.worst, c.waits[len(c.waits)-1])
+	}
+	return lowest
+}
+
+// Load: sixteen workspaces use four fifths of a service, then one of them asks for eight times its usual. Once the shares have followed,
+// the others are admitted whole, the wait stays near the objective, and no room is left unused.
 func TestOneWorkspaceTakesNoRoomFromOthers(t *testing.T) {
-	const (
-		capacity  = 1000.0
-		objective = time.Second
-		step      = 100 * time.Millisecond
-	)
 	for _, delay := range []int{0, 3} {
 		t.Run(fmt.Sprintf("reports %d steps old", delay), func(t *testing.T) {
-			shares, queue, served := NewShares(), 0.0, 0.0
-			admitted := make([]float64, 16)
-			waits := make([]time.Duration, delay+1)
-			now := time.Unix(0, 0)
-			others, hot, worst := 1.0, 1.0, time.Duration(0)
-			for i := range 200 {
-				now = now.Add(step)
-				waits = append(waits[1:], time.Duration(queue/capacity*float64(time.Second)))
-				demands := make([]Demand, len(admitted))
-				for w, rate := range admitted {
-					demands[w] = Demand{fmt.Sprint(w), rate, 1}
-				}
-				shares.Update(now, Keep(waits[0], objective), demands)
-				arrived := 0.0
-				for w := range admitted {
-					asked := 50.0
-					if w == 0 && i >= 50 {
-						asked *= 8
-					}
-					chance := shares.Chance(fmt.Sprint(w))
-					fade := math.Exp(-step.Seconds() / averagingTime.Seconds())
-					admitted[w] = asked*chance + (admitted[w]-asked*chance)*fade
-					arrived += asked * chance * step.Seconds()
-					if i >= 100 && w == 0 {
-						hot = min(hot, chance)
-					} else if i >= 100 {
-						others = min(others, chance)
-					}
-				}
-				done := min(queue+arrived, capacity*step.Seconds())
-				queue += arrived - done
-				if i >= 100 {
-					served += done
-					worst = max(worst, waits[len(waits)-1])
-				}
-			}
-			t.Logf("others %.2f, hot %.2f, worst wait %s, served %.3f", others, hot, worst, served/(capacity*10))
-			must.Greater(t, 0.95, others)
-			must.Less(t, 0.9, hot)
-			must.Less(t, 2*objective, worst)
-			must.Greater(t, 0.95, served/(capacity*10))
+			c := newCrowdedService(16, delay)
+			asked := slices.Repeat([]float64{50}, 16)
+			c.run(50, asked)
+			asked[0] = 400
+			c.run(50, asked)
+			lowest := c.run(100, asked)
+			t.Logf("others %.2f, hot %.2f, worst wait %s, served %.3f", slices.Min(lowest[1:]), lowest[0], c.worst, c.served/(capacity*10))
+			must.Greater(t, 0.95, slices.Min(lowest[1:]))
+			must.Less(t, 0.9, lowest[0])
+			must.Less(t, 2*objective, c.worst)
+			must.Greater(t, 0.95, c.served/(capacity*10))
 		})
 	}
 }
+
+// Load: two workspaces ask for too much, one of them four times as much as the other, as callers do who repeat what is refused. Both are
+// admitted the same.
+func TestAskingMoreOftenEarnsNothing(t *testing.T) {
+	c := newCrowdedService(3, 1)
+	c.run(200, []float64{100, 600, 2400})
+	t.Logf("admitted %.0f", c.admitted)
+	must.Greater(t, 95, c.admitted[0])
+	must.InDelta(t, c.admitted[1], c.admitted[2], c.admitted[1]/10)
+}
--- a/internal/roll/shift/shift.go
+++ b/internal/roll/shift/shift.go
@@ -81,7 +81,7 @@
 type Bounds struct {
 	Share    float64       // of all requests between order and deadline
 	Slack    float64       // requests beyond Share
-	Rollback time.Duration // from the 50th bad answer to the last request
+	Rollback time.Duration // from the 50th bad answer to the last request; no step reads it: Fresh and Hold are shorter
 }
 
 const (
--- a/internal/roll/shift/shift_test.go
+++ b/internal/roll/shift/shift_test.go
@@ -77,33 +77,49 @@
 }
 
 // Whatever is known of a build, it gets no more than the bounds allow.
-func TestExposureIsBounded(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := draft(t)
-		draftFault(t, m, 0.05, 1)
-		w := m.run()
-		if float64(w.exposedAtDeadline) > w.bound() {
-			t.Fatalf("a bad build got %d of %d requests, %.0f are allowed\n%s", w.exposedAtDeadline, w.arrivedAtDeadline, w.bound(), w.story())
-		}
-	})
+func TestExposureIsBounded(t *testing.T) { rapid.Check(t, exposureIsBounded) }
+
+func exposureIsBounded(t *rapid.T) {
+	m := draft(t)
+	draftFault(t, m, 0.05, 1)
+	w := m.run()
+	if float64(w.exposedAtDeadline) > w.bound() {
+		t.Fatalf("a bad build got %d of %d requests, %.0f are allowed\n%s", w.exposedAtDeadline, w.arrivedAtDeadline, w.bound(), w.story())
+	}
 }
 
-func TestGoodBuildsAreCompletedInTime(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		m := draft(t)
-		if rapid.Bool().Draw(t, "bursts") {
-			from := rapid.Float64Range(0, 0.8).Draw(t, "burst")
-			m.burst[0] = time.Duration(from * float64(m.duration))
-			m.burst[1] = m.burst[0] + 3*time.Second
-		}
-		w := m.run()
-		if w.record.Phase != Completed || w.finished > m.duration {
-			t.Fatalf("%s at %v\n%s", w.record.Phase, w.finished, w.story())
-		}
-		if w.oldAfter > 0 {
-			t.Fatalf("%d requests were running on the old build", w.oldAfter)
-		}
-	})
+func TestGoodBuildsAreCompletedInTime(t *testing.T) { rapid.Check(t, goodBuildIsCompleted) }
+
+func goodBuildIsCompleted(t *rapid.T) {
+	m := draft(t)
+	if rapid.Bool().Draw(t, "bursts") {
+		from := rapid.Float64Range(0, 0.8).Draw(t, "burst")
+		m.burst[0] = time.Duration(from * float64(m.duration))
+		m.burst[1] = m.burst[0] + 3*time.Second
+	}
+	w := m.run()
+	if w.record.Phase != Completed || w.finished > m.duration {
+		t.Fatalf("%s at %v\n%s", w.record.Phase, w.finished, w.story())
+	}
+	if w.oldAfter > 0 {
+		t.Fatalf("%d requests were running on the old build", w.oldAfter)
+	}
+}
+
+// Services of these seeds get a wrong verdict; a known red.
+func TestSeedsOfMovesToOtherBuilds(t *testing.T) {
+	set := func(name, value string) {
+		before := flag.Lookup(name).Value.String()
+		must.NoError(t, flag.Set(name, value))
+		t.Cleanup(func() { must.NoError(t, flag.Set(name, before)) })
+	}
+	set("rapid.checks", "200")
+	set("rapid.nofailfile", "true")
+	for _, seed := range []string{"2", "3", "4"} {
+		set("rapid.seed", seed)
+		t.Run(seed+"/exposure", func(t *testing.T) { rapid.Check(t, exposureIsBounded) })
+		t.Run(seed+"/good", func(t *testing.T) { rapid.Check(t, goodBuildIsCompleted) })
+	}
 }
 
 func TestBuildsThatAreBadUnderLoad(t *testing.T) {
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -110,12 +110,24 @@
 	return func(int) string { return head(http.MethodPost, fake.LookPath+"1", key, last+"\r\n\r\n") }
 }
 
+// prompt is a whole request with a prompt.
+func prompt(call fake.Call) string {
+	var text strings.Builder
+	request, err := call.NewRequest(context.Background(), fake.Host)
+	if err == nil {
+		err = request.Write(&text)
+	}
+	if err != nil {
+		panic(err)
+	}
+	return text.String()
+}
+
 // ways are what callers send that the operators don't control.
 func ways() []Way {
 	length := fmt.Sprintf("Content-Length: %d", bodyLimit)
 	chunked := "Transfer-Encoding: chunked"
 	almost := strings.Repeat("x", bodyLimit-1)
-	quote := fmt.Sprintf("X-Model: %s\r\nX-Token-Usage: 100,20\r\n", fake.Model)
 	pipelined := func(c net.Conn) error {
 		for range 4 {
 			whole := head(http.MethodPost, fake.LookPath+"1", fake.Key, length+"\r\n\r\n") + strings.Repeat("x", bodyLimit)
@@ -143,7 +155,7 @@
 		{Name: "pipelined", Head: func(int) string { return "" }, Body: pipelined},
 		{Name: "unread large answers", Head: func(int) string { return head(http.MethodGet, fake.LookPath+"large", fake.Key, "\r\n") }, SlowReader: true},
 		{Name: "unread streams", Head: func(int) string {
-			return head(http.MethodPost, fake.QuotePath+"1", fake.Key, quote+"Content-Length: 8\r\n\r\na prompt")
+			return prompt(fake.Call{Method: http.MethodPost, Path: fake.QuotePath + "1", ID: fmt.Sprintf("%08x", 1<<24+ids.Add(1)), Key: fake.Key, Prompt: 100, Body: "a prompt"})
 		}, SlowReader: true},
 	}
 }
