policy: since when a version is superseded

The limit on superseded weights counts from the first later version. Placement, sends in progress and the rollout need that time; so far only the newest version's was at hand.

--- a/internal/conf/policy/policy_test.go
+++ b/internal/conf/policy/policy_test.go
@@ -90,6 +90,26 @@
 	must.Eq(t, 3, r.Weights("m").Version)
 }
 
+// A version counts as superseded from the first later one on, however many follow.
+func TestSupersededSinceTheFirstLaterVersion(t *testing.T) {
+	r := NewReplica()
+	r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 2 * time.Second, Observed: true})
+	r.AddAnnouncement(Weights{Model: "m", Version: 5, FirstSeen: 9 * time.Second, Observed: true})
+	r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: 6 * time.Second, Observed: true})
+	for version, want := range map[int64]time.Duration{1: 2 * time.Second, 2: 6 * time.Second, 3: 9 * time.Second, 4: 9 * time.Second} {
+		since, superseded := r.SupersededSince("m", version)
+		must.True(t, superseded)
+		must.Eq(t, want, since, must.Sprint(version))
+	}
+	for _, model := range []string{"m", "other"} {
+		_, superseded := r.SupersededSince(model, 5)
+		must.False(t, superseded)
+	}
+	must.Eq(t, 3, r.MinVersion("m", 6*time.Second))
+	since, _ := r.SupersededSince("m", 1)
+	must.Eq(t, 6*time.Second, since, must.Sprint("version 2 is no longer kept"))
+}
+
 // A restarted instance assumes an early time until another instance reports the observed one. An assumed time never
 // replaces an observed one, and the earliest observed one is used.
 func TestObservedTimeReplacesAssumedTime(t *testing.T) {
--- a/internal/conf/policy/replica.go
+++ b/internal/conf/policy/replica.go
@@ -106,6 +106,19 @@
 	return 0
 }
 
+// SupersededSince returns when the first of the versions that are later than the given one was first seen, or false if there is none.
+func (r *Replica) SupersededSince(model string, version int64) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, superseded := time.Duration(0), false
+	for _, w := range r.weights[model] {
+		if w.Version > version && (!superseded || w.FirstSeen < since) {
+			since, superseded = w.FirstSeen, true
+		}
+	}
+	return since, superseded
+}
+
 // RestoreSettleTime is how long after a restore of the store the operators may take to write again what it has lost.
 const RestoreSettleTime = 2 * time.Second
 
