serve: log and count requests that begin on superseded weights

Cause of the change: a late start could not be traced afterwards. The logs had the floor at the placement, but neither when an attempt began, nor for how long its weights had been superseded, nor when it had a connection.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -154,13 +154,15 @@
 	Status int
 	Header http.Header
 	// Body fails with io.ErrUnexpectedEOF or a network error if the response is incomplete.
-	Body   io.Reader
-	pool   *Pool
-	conn   *conn
-	raw    *http.Response
-	stop   func() bool
-	sent   <-chan error
-	reused bool
+	Body io.Reader
+	// ConnectedAt is when the request had a connection.
+	ConnectedAt time.Time
+	pool        *Pool
+	conn        *conn
+	raw         *http.Response
+	stop        func() bool
+	sent        <-chan error
+	reused      bool
 }
 
 // Send sends a request and returns the head of the response. The context covers the whole exchange, including the
@@ -171,6 +173,7 @@
 		return nil, &UnsentError{err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	connectedAt := time.Now()
 	sent := write(c, r)
 	resp, err := p.read(c, r)
 	if err != nil {
@@ -184,6 +187,7 @@
 		}
 		return nil, fmt.Errorf("no answer: %w", err)
 	}
+	resp.ConnectedAt = connectedAt
 	resp.stop = stop
 	resp.sent = sent
 	resp.reused = reused
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -280,12 +280,16 @@
 		"id", x.info.ID, "upstream", choice.ID, "result", string(r), "error", errorText(err), "sends", x.counts.Sends, "ran", x.counts.Ran,
 		"left_ms", x.remaining().Milliseconds(),
 	}
+	fields = append(fields, x.weightsFields(choice)...)
 	x.Log.Info("route: send brought no answer", append(fields, more...)...)
 }
 
 // relayBuffered reads the whole response before forwarding it, so that a broken one can be retried on another upstream.
 func (x *exchange) relayBuffered(ctx context.Context, c *call, r result) (result, error) {
 	choice, resp := c.choice, c.resp
+	if r == answered {
+		x.recordStart(c.headAt, c)
+	}
 	buffer := x.Memory.Buffer(maxBufferedBytes)
 	defer buffer.Release()
 	_, err := buffer.ReadFrom(resp.Body)
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -83,6 +83,7 @@
 			x.Fleet.Prefilled(c.choice.ID, c.pendingTokens)
 			c.pendingTokens = 0
 			x.Fleet.AnswerStarted(time.Now(), c.choice.ID)
+			x.recordStart(time.Now(), c)
 			x.countAnswer(c, time.Now())
 			x.learnFrom(time.Now(), c, false)
 			x.sendHead(time.Now(), c)
