serve: take back attempts that have not begun when their weights may no longer start requests

Cause: the limit was checked once, when a request was placed, with a constant of 2.5 s for all that follows. An engine's queue has no bound in time (2.5 to 3.2 s in the traces, 72 to 140 requests), nor has the way there; and a version announced while a request waits was not looked at again. Class: a promise about when a request runs that is checked only when it is placed.

Change: from its send until its first event an attempt is watched. When its weights may no longer start requests, it is ended, which makes an engine drop what it has not begun, and it goes elsewhere if it may be repeated. One that was sent may have begun meanwhile, so it counts as run: a stream that cannot be resumed is answered 502, never as not run. The same holds for attempts that replace a silent upstream, that go through another instance and whose version was announced after their placement. The margin is 1 s now, for the age of the announcement and the way of the close.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -59,9 +59,9 @@
 	maxHeaderBytes = 64 << 10
 	// revocationMargin is subtracted from the revocation limit; it covers the network delay to the upstream.
 	revocationMargin = 400 * time.Millisecond
-	// weightsMargin is subtracted from the limit on superseded weights; it covers the age of the announcement and the time
-	// in an engine's queue, since the limit applies to a request's first token.
-	weightsMargin = 2500 * time.Millisecond
+	// weightsMargin is subtracted from the limit on superseded weights; it covers the age of the announcement and the time until an
+	// engine has dropped an attempt that is taken back.
+	weightsMargin = 1000 * time.Millisecond
 	// maxReadyAge is the age of the routing document up to which the instance reports that it is ready.
 	maxReadyAge = 2500 * time.Millisecond
 	// gossipWarmup is how long a new instance receives messages of the others before it reports that it is ready, so that
--- a/internal/app/edge/version_test.go
+++ b/internal/app/edge/version_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/platform"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
@@ -18,19 +20,31 @@
 	limit time.Duration
 }
 
-// startSuperseded starts the site. The second engine is not listed.
-func startSuperseded(t *testing.T) superseded {
+// startSuperseded starts the site. The second engine is not listed. If relayed is set, another instance connects for the router.
+func startSuperseded(t *testing.T, relayed bool) superseded {
 	t.Helper()
 	s := superseded{site: newSite(t, 2, 1), limit: 4 * time.Second}
 	s.site.Timeout = 10000
 	s.site.PublishDocument()
 	s.site.Deregister(s.site.Engines[1])
 	s.site.Engines[0].SetFaults(fake.Faults{Queue: s.limit + 500*time.Millisecond, IgnoreOrders: true})
+	p := newPath()
+	s.router = s.startRouter(t, p.dial)
+	if relayed {
+		s.startRouter(t, link.DialTCP)
+		eventually(t, "attached", func() bool { return len(s.router.exchange.Attached()) == 1 })
+		p.set(cutHang)
+	}
+	return s
+}
+
+func (s superseded) startRouter(t *testing.T, dial platform.Dial) *router {
+	t.Helper()
 	cfg := testSettings(t, s.site)
 	cfg.Weights = s.limit.Milliseconds()
-	s.router = startRouter(t, cfg)
-	eventually(t, "ready", s.router.isReady)
-	return s
+	r := startRouterOn(t, cfg, dial)
+	eventually(t, "ready", r.isReady)
+	return r
 }
 
 // announce announces version 2, which the second engine has, and returns when.
@@ -62,17 +76,20 @@
 		name string
 		path string
 		// before reports whether the version is announced before the request is sent.
-		before bool
-		status int
+		before  bool
+		relayed bool
+		status  int
 	}{
-		{"resumable, announced before", fake.QuotePath, true, http.StatusOK},
-		{"resumable, announced while it waits", fake.QuotePath, false, http.StatusOK},
-		{"not resumable, announced before", fake.BriefPath, true, http.StatusBadGateway},
-		{"not resumable, announced while it waits", fake.BriefPath, false, http.StatusBadGateway},
+		{"resumable, announced before", fake.QuotePath, true, false, http.StatusOK},
+		{"resumable, announced while it waits", fake.QuotePath, false, false, http.StatusOK},
+		{"not resumable, announced before", fake.BriefPath, true, false, http.StatusBadGateway},
+		{"not resumable, announced while it waits", fake.BriefPath, false, false, http.StatusBadGateway},
+		{"through another instance", fake.QuotePath, true, true, http.StatusOK},
+		{"through another instance, announced while it waits", fake.BriefPath, false, true, http.StatusBadGateway},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			s := startSuperseded(t)
+			s := startSuperseded(t, c.relayed)
 			var announced time.Time
 			if c.before {
 				announced = s.announce(t)
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -16,6 +16,8 @@
 // call is a send to one upstream.
 type call struct {
 	choice place.Choice
+	// ctx covers the whole call.
+	ctx context.Context
 	// sentAt is when the send started.
 	sentAt time.Time
 	// pendingTokens is the number of prompt tokens that the upstream is assumed not to have prefilled yet.
@@ -40,6 +42,8 @@
 	first *event
 	// cancel, if set, releases the context of a call that replaced another one.
 	cancel context.CancelFunc
+	// start watches whether the call begins in time. The context of the call ends when it is released.
+	start *startWatch
 }
 
 // isStream reports whether the response is a stream of events.
@@ -69,7 +73,8 @@
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
 	x.Shifts.Sent(x.service, choice.Build)
 	x.holdCache(c)
-	r, err := x.sendCall(ctx, c)
+	c.ctx, c.start = x.watchStart(ctx, choice)
+	r, err := x.sendCall(c)
 	if err != nil {
 		x.end(c)
 		return nil, r, err
@@ -90,14 +95,15 @@
 func (x *exchange) end(c *call) {
 	x.Fleet.RequestEnded(c.choice.ID, c.pendingTokens)
 	x.Fleet.CacheFreed(c.choice.ID, c.held)
+	c.start.release()
 	if c.cancel != nil {
 		c.cancel()
 	}
 }
 
 // sendCall sends a call and classifies the head of the response. The error is nil if the response belongs to the caller.
-func (x *exchange) sendCall(ctx context.Context, c *call) (result, error) {
-	choice := c.choice
+func (x *exchange) sendCall(c *call) (result, error) {
+	ctx, choice := c.ctx, c.choice
 	forward := x.forwardInfo(c.sentAt, choice)
 	c.saving = forward.SaveTo != ""
 	resp, err := x.Pool.Send(ctx, c.sentAt, link.Request{
@@ -112,6 +118,9 @@
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
 		NewConn:   c.again,
 	})
+	if link.NotSent(err) && c.start.isTakenBack() {
+		return x.takeBack(time.Now(), c, unsent)
+	}
 	if link.NotSent(err) {
 		if ctx.Err() == nil && !errors.Is(err, link.ErrConnLimit) && !errors.Is(err, detour.ErrNoPath) {
 			x.Fleet.Failed(time.Now(), choice.ID)
@@ -121,6 +130,9 @@
 	}
 	if err != nil {
 		x.counts.Ran++
+		if c.start.isTakenBack() {
+			return x.takeBack(time.Now(), c, broken)
+		}
 		x.recordBroken(ctx, c, err)
 		return broken, err
 	}
@@ -151,6 +163,10 @@
 		return r, err
 	}
 	x.counts.Ran++
+	if !c.isStream(r, x.route) && !c.start.begin() {
+		resp.Abort()
+		return x.takeBack(time.Now(), c, broken)
+	}
 	if choice.Version > 0 && verdict.Version > choice.Version {
 		x.Fleet.ConfirmWeights(choice.ID, x.info.Model, verdict.Version)
 	}
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -161,6 +161,11 @@
 	}
 	c.events = x.readEvents(c)
 	ev, rest, err := c.events.next()
+	if !c.start.begin() {
+		// The caller of begin discards the call.
+		_, _ = x.takeBack(time.Now(), c, broken)
+		return false
+	}
 	if err == nil {
 		c.first = &ev
 		return true
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -47,7 +47,7 @@
 	other := &standby{x: x, ctx: ctx, silent: c, timeout: x.idleTimeout()}
 	defer other.stop()
 	if other.timeout > 0 {
-		c.resp.WatchIdle(ctx, other.timeout, other.onIdle)
+		c.resp.WatchIdle(c.ctx, other.timeout, other.onIdle)
 	}
 	// goingOn reports whether the next new event is the first one after those of another call.
 	goingOn := x.lastEventID != ""
@@ -63,6 +63,11 @@
 			return other.replacement, broken, nil
 		}
 		other.stop()
+		if first && !c.start.begin() {
+			c.resp.Abort()
+			r, err := x.takeBack(time.Now(), c, broken)
+			return nil, r, err
+		}
 		if err != nil {
 			if err = x.streamError(c, err, rest, news); err == nil {
 				err = x.checkEnd(ctx, c)
