place: leave out engines whose weights are superseded and whose queue is too long for them

Cause: a constant stood for the wait at an engine, in calm (most requests begin within 0.1 s) as in a burst. It let requests join queues that they would leave too late, and in calm kept engines idle from 5.5 s on that could have served until 7 s.

Change: an engine on superseded weights is eligible while the time left for these covers the expected wait and a reserve: 0.3 s, or 1.5 s for a request that could not be sent again after being taken back. The reserve is at most half of the limit, since expected waits of 10 to 70 s were seen where requests began within 4 s; what is misjudged is taken back.

--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -56,6 +56,9 @@
 			q.StalePenalty = latestWait(x.route.Objective)
 		}
 		q.MinVersion = x.Feed.MinVersion(x.info.Model, x.Boot()-x.Settings.SupersededLimit)
+		q.StartTime = x.startTimes(x.Boot())
+		q.MaxStartReserve = x.Settings.SupersededLimit / 2
+		q.Once = !x.route.Repeatable() || x.counts.Ran+1 >= x.route.Attempts
 		for _, part := range x.info.SharedParts() {
 			q.SharedTokens = append(q.SharedTokens, part.Tokens)
 			q.OwnTokens = max(0, q.OwnTokens-part.Tokens)
--- a/internal/front/serve/start.go
+++ b/internal/front/serve/start.go
@@ -50,6 +50,24 @@
 	return x.Settings.SupersededLimit - age, superseded
 }
 
+// startTimes returns a function that returns how much longer a version may start requests, or false if it is not superseded.
+func (x *exchange) startTimes(boot time.Duration) func(version int64) (time.Duration, bool) {
+	type entry struct {
+		left       time.Duration
+		superseded bool
+	}
+	known := make(map[int64]entry, 2)
+	return func(version int64) (time.Duration, bool) {
+		e, ok := known[version]
+		if !ok {
+			since, superseded := x.Feed.SupersededSince(x.info.Model, version)
+			e = entry{x.Settings.SupersededLimit - (boot - since), superseded}
+			known[version] = e
+		}
+		return e.left, e.superseded
+	}
+}
+
 // check ends the attempt if it is time to, and otherwise schedules the next check.
 func (w *startWatch) check() {
 	w.mu.Lock()
--- a/internal/route/place/explain.go
+++ b/internal/route/place/explain.go
@@ -38,6 +38,11 @@
 		q.Avoid[choice.ID] = true
 		candidates = append(candidates, Candidate{Choice: choice})
 	}
+	for i := range views {
+		if v := &views[i]; q.eligible(v) {
+			others = append(others, Candidate{Choice{View: *v}, "is expected to begin after its weights may no longer start requests"})
+		}
+	}
 	slices.SortFunc(others, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return append(candidates, others...)
 }
--- a/internal/route/place/learned.go
+++ b/internal/route/place/learned.go
@@ -91,6 +91,12 @@
 		if !q.eligible(v) {
 			continue
 		}
+		l := q.Learned.load(v, costs)
+		version := v.Weights[q.Model]
+		prefill, missing := cache.get(version).prefillTokens(q, v.ID, l.costs)
+		if !q.startsInTime(version, l.wait+time.Duration(prefill)*l.costs.PerToken) {
+			continue
+		}
 		best.Considered++
 		t := q.tier(v)
 		if bestTier >= 0 && t > bestTier {
@@ -99,9 +105,7 @@
 		if t != bestTier {
 			bestTier, candidates = t, candidates[:0]
 		}
-		l := q.Learned.load(v, costs)
 		l.wait += q.stalePenalty(v)
-		prefill, missing := cache.get(v.Weights[q.Model]).prefillTokens(q, v.ID, l.costs)
 		own := requestCost(q, v, prefill, missing, ranks[v.ID], l.costs)
 		alone := l.wait + time.Duration(tokens)*l.costs.PerToken
 		candidates = append(candidates, candidateCost{v, l, own, alone, prefill})
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -68,6 +68,13 @@
 	StalePenalty time.Duration
 	// MinVersion is the oldest version on which the request may start.
 	MinVersion int64
+	// StartTime returns how much longer a superseded version may start requests, or false if the version is not superseded. Nil if none
+	// is.
+	StartTime func(version int64) (left time.Duration, superseded bool)
+	// MaxStartReserve limits the reserve of that time, because the expected wait may be far too long.
+	MaxStartReserve time.Duration
+	// Once reports whether the request cannot be sent again if an attempt that has not begun is taken back.
+	Once bool
 	// Build is the only build of the upstreams' software that may run the request; nil for any.
 	Build *string
 	// AvoidNewBuilds ranks upstreams of new builds with those that load weights, behind the others.
@@ -140,11 +147,15 @@
 		if !q.eligible(v) {
 			continue
 		}
-		best.Considered++
 		version := v.Weights[q.Model]
 		t := q.tier(v)
 		prefill, missing := cache.get(version).prefillTokens(&q, v.ID, costs)
-		wait := max(queueWait(&q, v, costs), best.WaitFloor)
+		queued := queueWait(&q, v, costs)
+		if !q.startsInTime(version, queued+time.Duration(prefill)*costs.PerToken) {
+			continue
+		}
+		best.Considered++
+		wait := max(queued+q.stalePenalty(v), best.WaitFloor)
 		c := wait + requestCost(&q, v, prefill, missing, ranks[v.ID], costs)
 		if bestTier >= 0 && (t > bestTier || t == bestTier && c >= best.Cost) {
 			continue
@@ -173,7 +184,7 @@
 	waits := make([]time.Duration, 0, len(views))
 	for i := range views {
 		if v := &views[i]; q.eligible(v) && q.tier(v) == 0 && v.Healthy() {
-			waits = append(waits, queueWait(q, v, costs))
+			waits = append(waits, queueWait(q, v, costs)+q.stalePenalty(v))
 		}
 	}
 	return waits
@@ -274,13 +285,13 @@
 	}
 }
 
-// queueWait returns the expected wait due to the requests at an upstream, plus StalePenalty on superseded weights.
+// queueWait returns the expected wait due to the requests at an upstream.
 func queueWait(q *Query, v *fleet.View, costs Costs) time.Duration {
 	w := time.Duration(v.PendingTokens)*costs.PerToken + time.Duration(v.Running)*costs.PerRunning
 	if over := v.Running - v.Slots; v.Slots > 0 && over > 0 {
 		w += time.Duration(over) * queuedDelay
 	}
-	return w + q.stalePenalty(v)
+	return w
 }
 
 // stalePenalty returns the extra wait for superseded weights.
