--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -102,6 +102,7 @@
 	{"upstream stutters", onUpstream, false, 2 * sec, 6 * sec, alternate(stutters...)},
 	{"upstream writes another head", onUpstream, false, 2 * sec, 6 * sec, alternate(strayHeads...)},
 	{"upstreams break off and fail", onUpstream, false, 2 * sec, 6 * sec, breakResumption},
+	{"engines queue", onUpstream, false, 12 * sec, 15 * sec, queueRequests},
 	{"upstream has an odd entry", onUpstream, false, 10 * ms, 100 * ms, oddEntry},
 	{"upstream leaves", onUpstream, false, 3 * sec, 9 * sec, drainUpstream},
 	{"key withdrawn", onAll, true, 10 * ms, 100 * ms, operatorAction(revokeKey)},
@@ -230,6 +231,26 @@
 // resumptions are the faults of engines that cannot go on with a stream.
 var resumptions = []fake.Faults{{NoEvents: true}, {NoEvents: true, NoLength: true}, {Fail: true}, {Deny: true}, {NoLength: true, CutHead: true}}
 
+const (
+	// queueTime is how long requests wait at engines that queue. Some callers wait longer.
+	queueTime = 4500 * ms
+	// announceGap is the time between the versions that are announced meanwhile.
+	announceGap = 3 * sec
+)
+
+// queueRequests makes the engines keep requests in their queues and ignore orders, while versions of the weights are announced.
+func queueRequests(s *edgeSite, n int) func() error {
+	for _, u := range s.Engines {
+		u.SetFaults(fake.Faults{Queue: queueTime, IgnoreOrders: true})
+	}
+	announce := operatorAction(announceWeights)
+	stop := inBackground(announceGap, func(int) { _ = announce(s, n)() })
+	return noError(func() {
+		stop()
+		clearFaults(s.Engines)
+	})
+}
+
 func clearFaults(upstreams []*fake.Upstream) {
 	for _, u := range upstreams {
 		u.SetFaults(fake.Faults{})
--- a/internal/trial/soak/seeds.go
+++ b/internal/trial/soak/seeds.go
@@ -26,4 +26,5 @@
 	{4201, 13, 8 * time.Second, "upstreams break off and fail", "a resumption without an event ended a stream that had broken off within one (bc2888d)"},
 	{67, 5, 6 * time.Second, "upstream killed, upstream killed in chunks, upstream stutters, upstream writes another head, upstreams break off and fail", "a resumption without an event ended a stream that had broken off between events (ce26006)"},
 	{4200, 5, 12 * time.Second, "router stopped amid slow calls", "calls open at the end of the grace period lost their connection; they are answered before it (cffd91f)"},
+	{4300, 5, 14 * time.Second, "engines queue", "requests that waited in an engine's queue began on superseded weights; attempts that have not begun are taken back (92998c4)"},
 }
--- a/internal/trial/soak/soak_test.go
+++ b/internal/trial/soak/soak_test.go
@@ -73,6 +73,9 @@
 	runFaults(t, 67, 6*time.Second, upstreamEnds+", "+resumptionFails)
 }
 
+// Requests that wait in an engine's queue start on superseded weights after the bound.
+func TestRunEdgeEnginesQueue(t *testing.T) { runFaults(t, 4300, 14*time.Second, "engines queue") }
+
 func TestRunEdgeStopsAmidSlowCalls(t *testing.T) {
 	result := runShort(t, Settings{
 		Programs: buildRouter(t, root), Seed: 4201, Length: 6 * time.Second, OnlyFault: "router stopped amid slow calls", Size: Size{Callers: 24},
