policy: assumed dates are due at once, whoever assumed them

What callers could see: a request that begins on superseded weights after the limit, at an instance whose only date of the version is assumed.

An earlier assumed date that was told afterwards was ignored.

Change: the replica takes at least its own AssumedAge, and the earlier one of two assumed dates. A date that is too early costs credit only until an observed one is told.

Test TestAssumedDateIsDueAtOnce; with the old AddAnnouncement behind the new signature it failed (floor 0 where 3 was due). The other tests pass the time at which announcements are learned; their expectations are as before.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -162,6 +162,7 @@
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Learner: e.learner, Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
 		Memory: bound.NewBudget(min(s.MemoryMB<<20/bufferMemoryDivisor, limits.Bytes/2)), Stop: serve.NewStop(),
 	}
+	e.replica.AssumedAge = e.handler.Settings.SupersededLimit
 	if platform.SharesRoom(s.Terms) {
 		e.handler.Shares = serve.NewServiceShares()
 	}
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -188,11 +188,12 @@
 
 // addAnnouncement records an announcement of weights.
 func (e *Edge) addAnnouncement(w policy.Weights, from string) {
-	if !e.replica.AddAnnouncement(w) {
+	now := clock.SinceBoot()
+	if !e.replica.AddAnnouncement(now, w) {
 		return
 	}
 	e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", w.Observed,
-		"age_ms", (clock.SinceBoot() - w.FirstSeen).Milliseconds())
+		"age_ms", (now - w.FirstSeen).Milliseconds())
 	e.rollout.wake()
 	e.exchange.TriggerSend()
 }
--- a/internal/conf/policy/policy_test.go
+++ b/internal/conf/policy/policy_test.go
@@ -79,11 +79,14 @@
 	must.Eq(t, time.Second, age)
 }
 
+// learned is when the replicas of these tests learn of announcements.
+const learned = 10 * time.Second
+
 // A later announcement must not extend the deadline of an earlier one.
 func TestMinVersionUsesTimeOfEachVersion(t *testing.T) {
 	r := NewReplica()
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 2 * time.Second, Observed: true}))
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: 6 * time.Second, Observed: true}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: 2 * time.Second, Observed: true}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: 6 * time.Second, Observed: true}))
 	must.Eq(t, 0, r.MinVersion("m", time.Second))
 	must.Eq(t, 2, r.MinVersion("m", 3*time.Second))
 	must.Eq(t, 3, r.MinVersion("m", 6*time.Second))
@@ -93,9 +96,9 @@
 // A version counts as superseded from the first later one on, however many follow.
 func TestSupersededSinceTheFirstLaterVersion(t *testing.T) {
 	r := NewReplica()
-	r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 2 * time.Second, Observed: true})
-	r.AddAnnouncement(Weights{Model: "m", Version: 5, FirstSeen: 9 * time.Second, Observed: true})
-	r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: 6 * time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: 2 * time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 5, FirstSeen: 9 * time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: 6 * time.Second, Observed: true})
 	for version, want := range map[int64]time.Duration{1: 2 * time.Second, 2: 6 * time.Second, 3: 9 * time.Second, 4: 9 * time.Second} {
 		since, superseded := r.SupersededSince("m", version)
 		must.True(t, superseded)
@@ -114,14 +117,14 @@
 // replaces an observed one, and the earliest observed one is used.
 func TestObservedTimeReplacesAssumedTime(t *testing.T) {
 	r := NewReplica()
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: -5 * time.Second}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: -5 * time.Second}))
 	must.Eq(t, []Weights{{Model: "m", Version: 2, FirstSeen: -5 * time.Second}}, r.RecentAnnouncements(-time.Hour))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 4 * time.Second, Observed: true}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: 4 * time.Second, Observed: true}))
 	must.Eq(t, 0, r.MinVersion("m", 3*time.Second))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 9 * time.Second, Observed: true}))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 2, FirstSeen: 8 * time.Second}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: 9 * time.Second, Observed: true}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 2, FirstSeen: 8 * time.Second}))
 	must.Eq(t, 2, r.MinVersion("m", 4*time.Second))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 1, FirstSeen: 9 * time.Second, Observed: true}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 1, FirstSeen: 9 * time.Second, Observed: true}))
 	must.Eq(t, 2, r.Weights("m").Version)
 }
 
@@ -129,14 +132,14 @@
 // its time, and an earlier version that is due.
 func TestMinVersionDropsWhenAssumedTimeIsCorrected(t *testing.T) {
 	r := NewReplica()
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: 0}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: 0}))
 	must.Eq(t, 4, r.MinVersion("m", 5*time.Second))
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: 4 * time.Second, Observed: true}))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: 8 * time.Second, Observed: true}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: 4 * time.Second, Observed: true}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: 8 * time.Second, Observed: true}))
 	must.Eq(t, 4, r.Weights("m").Version)
 	must.Eq(t, 3, r.MinVersion("m", 5*time.Second))
 	must.Eq(t, 4, r.MinVersion("m", 9*time.Second))
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: 4 * time.Second, Observed: true}), must.Sprint("reported again"))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: 4 * time.Second, Observed: true}), must.Sprint("reported again"))
 	must.Eq(t, 4, r.MinVersion("m", 9*time.Second))
 }
 
@@ -144,27 +147,37 @@
 // the store. The others must accept it and date it by their last confirmation, at 3 s, that the store had nothing newer.
 func TestUnobservedVersionIsDatedByLastConfirmation(t *testing.T) {
 	r := NewReplica()
-	r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: time.Second, Observed: true})
 	r.Confirm(3 * time.Second)
-	must.True(t, r.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
+	must.True(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
 	must.Eq(t, Weights{Model: "m", Version: 4, FirstSeen: 3 * time.Second, Observed: true}, r.Weights("m"))
 	// A repeated report after a later confirmation does not change the time.
 	r.Confirm(6 * time.Second)
-	must.False(t, r.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
+	must.False(t, r.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
 	must.Eq(t, 3*time.Second, r.Weights("m").FirstSeen)
 	// An instance without a confirmation keeps the reported time, also when reported again.
 	unconfirmed := NewReplica()
-	must.True(t, unconfirmed.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
+	must.True(t, unconfirmed.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
 	unconfirmed.Confirm(6 * time.Second)
-	must.False(t, unconfirmed.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
+	must.False(t, unconfirmed.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: -2 * time.Second}))
 	must.Eq(t, 4, unconfirmed.MinVersion("m", 0))
 }
 
 // An instance that was partitioned for long must receive the latest version, however old.
 func TestRecentAnnouncementsIncludeLatestVersion(t *testing.T) {
 	r := NewReplica()
-	r.AddAnnouncement(Weights{Model: "m", Version: 3, FirstSeen: time.Second, Observed: true})
-	r.AddAnnouncement(Weights{Model: "m", Version: 4, FirstSeen: 2 * time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 3, FirstSeen: time.Second, Observed: true})
+	r.AddAnnouncement(learned, Weights{Model: "m", Version: 4, FirstSeen: 2 * time.Second, Observed: true})
 	must.Len(t, 1, r.RecentAnnouncements(time.Hour))
 	must.Len(t, 2, r.RecentAnnouncements(0))
 }
+
+// Guards against assumed dates that are not due: those of builds with a shorter limit, and those that were reported late.
+func TestAssumedDateIsDueAtOnce(t *testing.T) {
+	r := NewReplica()
+	r.AssumedAge = 7 * time.Second
+	r.AddAnnouncement(20*time.Second, Weights{Model: "m", Version: 3, FirstSeen: 16 * time.Second})
+	must.Eq(t, 3, r.MinVersion("m", 13*time.Second))
+	r.AddAnnouncement(21*time.Second, Weights{Model: "m", Version: 3, FirstSeen: 8 * time.Second})
+	must.Eq(t, 8*time.Second, r.Weights("m").FirstSeen)
+}
--- a/internal/conf/policy/replica.go
+++ b/internal/conf/policy/replica.go
@@ -20,6 +20,9 @@
 // Replica is this instance's copy of the routing document and the announced weights. It is safe for concurrent use.
 // Times are on the boot-time clock, which counts suspensions.
 type Replica struct {
+	// AssumedAge is the age of announcements whose date is unknown. It is set before the replica is used.
+	AssumedAge time.Duration
+
 	mu sync.Mutex
 	// doc is nil before the first document; its revision never decreases.
 	doc *Document
@@ -52,17 +55,20 @@
 }
 
 // AddAnnouncement records a version of a model's weights and reports whether it is new. An observed time replaces an assumed
-// one, and the earlier of two observed times is used. Superseded versions are recorded too, because a restarted instance
+// one, and the earlier of two times of a kind is used. Superseded versions are recorded too, because a restarted instance
 // reads only the latest from the store, without its time.
-func (r *Replica) AddAnnouncement(w Weights) bool {
+func (r *Replica) AddAnnouncement(now time.Duration, w Weights) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !w.Observed {
+		w.FirstSeen = min(w.FirstSeen, now-r.AssumedAge)
+	}
 	all := r.weights[w.Model]
 	for i := range all {
 		if all[i].Version != w.Version {
 			continue
 		}
-		if w.Observed && (!all[i].Observed || w.FirstSeen < all[i].FirstSeen) {
+		if w.Observed && !all[i].Observed || w.Observed == all[i].Observed && w.FirstSeen < all[i].FirstSeen {
 			all[i] = w
 		}
 		return false
