policy: report the version that is due beside later ones that are not

What callers could see: a request that begins on weights replaced long before, at an instance that has just started.

Cause: the store's row holds the latest version only, and instances told superseded ones for 15 s after their own announcement. An instance that started after version N+1 and more than 15 s after version N never learned of N: until N+1 was due it took any weights. Where the limit is over 15 s, instances that follow learned too little as well.

Change: the latest observed version from before that time is told too, and the time is at least two limits.

Tests: TestReportsIncludeTheVersionThatIsDue and, played with two instances, TestInstanceThatStartsLearnsWhichVersionIsDue (limits of 8 and 30 s).

--- /dev/null
+++ b/internal/app/edge/announce_test.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
+	"github.com/skylarkquay/skylarkquay/platform/fake"
+)
+
+// Guards against an instance that starts after a version was announced, and does not learn that the one before it has long been due.
+func TestInstanceThatStartsLearnsWhichVersionIsDue(t *testing.T) {
+	for name, limit := range map[string]time.Duration{"short limit": 8 * time.Second, "long limit": 30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 1)
+			start := func() *router {
+				settings := testSettings(t, s)
+				settings.Weights = limit.Milliseconds()
+				r := startRouter(t, settings)
+				eventually(t, "ready", r.isReady)
+				return r
+			}
+			first := start()
+			boot := clock.SinceBoot()
+			for version, age := range map[int64]time.Duration{2: minAnnouncementTTL + limit, 3: limit - 2*time.Second} {
+				first.addAnnouncement(policy.Weights{Model: fake.Model, Version: version, FirstSeen: boot - age, Observed: true}, "test")
+			}
+			s.PublishWeights(3)
+			second := start()
+			eventually(t, "version 3 dated", func() bool { return second.replica.Weights(fake.Model).Observed })
+			must.Eq(t, 2, second.replica.MinVersion(fake.Model, clock.SinceBoot()-second.handler.Settings.SupersededLimit))
+		})
+	}
+}
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -9,8 +9,14 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-// supersededReportTTL is how long after its announcement a superseded version of weights is still reported.
-const supersededReportTTL = 15 * time.Second
+// minAnnouncementTTL is how long at least a version of weights is reported after the announcement of the next one.
+const minAnnouncementTTL = 15 * time.Second
+
+// announcementTTL returns how long a version of weights is reported after the announcement of the next one. Before that one is due, the
+// earlier one is the oldest on which requests may start.
+func (e *Edge) announcementTTL() time.Duration {
+	return max(minAnnouncementTTL, 2*e.handler.Settings.SupersededLimit)
+}
 
 // Fill implements gossip.Source.
 func (e *Edge) Fill(boot time.Duration, m *gossip.Message) (time.Duration, bool) {
@@ -30,7 +36,7 @@
 	if e.kvStorePoller.Load() {
 		m.KVStores = e.handler.KVStores.All()
 	}
-	for _, w := range e.replica.RecentAnnouncements(boot - supersededReportTTL) {
+	for _, w := range e.replica.RecentAnnouncements(boot - e.announcementTTL()) {
 		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
 	}
 	m.Streams = e.origins.Report(now, func(service string) bool { return e.needsRecord(boot, now, service) })
--- a/internal/conf/policy/policy_test.go
+++ b/internal/conf/policy/policy_test.go
@@ -181,3 +181,17 @@
 	r.AddAnnouncement(21*time.Second, Weights{Model: "m", Version: 3, FirstSeen: 8 * time.Second})
 	must.Eq(t, 8*time.Second, r.Weights("m").FirstSeen)
 }
+
+// Guards against an instance that starts and does not learn which version is due, because the others report the latest one only.
+func TestReportsIncludeTheVersionThatIsDue(t *testing.T) {
+	r, started := NewReplica(), NewReplica()
+	r.AddAnnouncement(time.Second, Weights{Model: "m", Version: 2, FirstSeen: time.Second, Observed: true})
+	r.AddAnnouncement(2*time.Second, Weights{Model: "m", Version: 3, FirstSeen: 2 * time.Second, Observed: true})
+	r.AddAnnouncement(19*time.Second, Weights{Model: "m", Version: 4, FirstSeen: 19 * time.Second, Observed: true})
+	recent := r.RecentAnnouncements(5 * time.Second)
+	must.Len(t, 2, recent)
+	for _, w := range recent {
+		started.AddAnnouncement(20*time.Second, w)
+	}
+	must.Eq(t, 3, started.MinVersion("m", 13*time.Second))
+}
--- a/internal/conf/policy/replica.go
+++ b/internal/conf/policy/replica.go
@@ -188,17 +188,18 @@
 	return all
 }
 
-// RecentAnnouncements returns the announcements that were first seen after a time, and the latest one of each model.
+// RecentAnnouncements returns the announcements that were first seen after a time, and the latest one of each model that was observed by
+// then. An instance that knows none of them, and does not learn of that one, starts requests on weights that it supersedes.
 func (r *Replica) RecentAnnouncements(after time.Duration) []Weights {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var recent []Weights
 	for _, all := range r.weights {
-		for i, w := range all {
-			if w.FirstSeen > after || i == len(all)-1 {
-				recent = append(recent, w)
-			}
+		first := len(all) - 1
+		for first > 0 && !(all[first].Observed && all[first].FirstSeen <= after) {
+			first--
 		}
+		recent = append(recent, all[first:]...)
 	}
 	return recent
 }
