policy: date superseded versions by what was known of them, not by later confirmations

What callers could see: requests that begin on superseded weights after the limit, at an instance that started or was cut while versions were named.

Cause: a version with an assumed time was dated to the last confirmation, as observed. The store's row shows the latest version only, so a confirmation made when a later version was known says nothing about an earlier one. The same step made two more faults: the bound was told as an observation and could not be corrected by one, and a row that operators write again (after a restore, or at any time) counted as the announcement of a version whose time was assumed.

Change: the replica keeps for each version when it learned of it, when an instance observed its announcement, and the last confirmation from before it knew this version or a later one; only that bounds its date. Order of the bases: observed, bounded, assumed. A time after the version or a later one was known is no observation of it and is ignored. A bound or an assumption gives way to an observation, also to a later one, so MinVersion drops earlier versions only when the later one was certainly announced long enough ago (observed, or known since). Instances tell their bounds (`u`), placed on the receiver's clock by sentAfter, so that one that starts gets them.

Builds side by side: earlier ones ignore `u` and take a bound for an observation, as they did. What they tell as observed although it is wrong is ignored where a later version contradicts it: the version then counts from this instance's own bound, or as due. That is so for superseded versions that they dated beside an observed later one, unless the call behind their confirmation was open when the later one was announced. Beside a later version whose time they only assumed, the wrong date is believed until the later one is dated.

Ruled out: ages of reports that are read late. FirstSeen is then late by the way of the report, but each report holds all versions and the earliest observation goes first: the next report, 250 ms later (100 ms in large sites, 1 s to an instance that was silent for 5 s), corrects it, unless its only observer is gone by then. Bounds would not be corrected (the latest goes first), hence sentAfter.

--- a/internal/app/edge/announce_test.go
+++ b/internal/app/edge/announce_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -35,3 +36,34 @@
 		})
 	}
 }
+
+// Guards against an instance that starts and dates a version, which no instance observed, by a confirmation of the version after it.
+func TestInstanceThatStartsDatesSupersededVersions(t *testing.T) {
+	s := newSite(t, 2, 1)
+	limit := 3 * time.Second
+	start := func() *router {
+		settings := testSettings(t, s)
+		settings.Weights = (limit + weightsMargin).Milliseconds()
+		return startRouter(t, settings)
+	}
+	s.Engines[0].SetFaults(fake.Faults{IgnoreOrders: true})
+	s.PublishWeights(2)
+	announced := clock.SinceBoot()
+	first := start()
+	eventually(t, "first ready", first.isReady)
+	time.Sleep(limit - (clock.SinceBoot() - announced))
+	s.PublishWeights(3)
+	eventually(t, "version 3 observed", func() bool { return first.replica.Weights(fake.Model).Observed })
+	second := start()
+	eventually(t, "both ready", func() bool { return second.isReady() && second.replica.Weights(fake.Model).Observed })
+	for _, r := range []*router{first, second} {
+		since, superseded := r.replica.SupersededSince(fake.Model, 1)
+		must.True(t, superseded)
+		must.LessEq(t, announced, since)
+		must.Eq(t, 2, r.replica.MinVersion(fake.Model, clock.SinceBoot()-limit))
+	}
+	for range 10 {
+		must.Eq(t, http.StatusOK, second.send(t, newPromptCall(fake.QuotePath+"1")).Status)
+	}
+	must.SliceEmpty(t, s.Engines[0].Runs())
+}
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -37,7 +37,7 @@
 		m.KVStores = e.handler.KVStores.All()
 	}
 	for _, w := range e.replica.RecentAnnouncements(boot - e.announcementTTL()) {
-		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
+		m.Announcements = append(m.Announcements, announcement(boot, w))
 	}
 	m.Streams = e.origins.Report(now, func(service string) bool { return e.needsRecord(boot, now, service) })
 	m.Departures = e.fleet.Departures(now)
@@ -73,9 +73,7 @@
 	e.budget.SetInstances(e.exchange.Count())
 	e.fleet.SetInstances(e.exchange.Count(), e.exchange.PropagationDelay())
 	for _, a := range m.Announcements {
-		e.addAnnouncement(policy.Weights{
-			Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed,
-		}, m.Address)
+		e.addAnnouncement(weights(boot, a, sentAfter, known), m.Address)
 	}
 	for _, d := range m.Departures {
 		e.markLeaving(now, d, false, m.Address)
@@ -112,6 +110,25 @@
 	}
 }
 
+// announcement returns the report of a version.
+func announcement(boot time.Duration, w policy.Weights) gossip.Announcement {
+	a := gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: w.Basis() == policy.Assumed}
+	if w.Bounded {
+		a.Unannounced = max(1, int64(boot-w.Unannounced))
+	}
+	return a
+}
+
+// weights returns a version that another instance reported. A bound is dated by a time before the report was sent, because the report
+// may have been under way for long. Observed dates that are too late for that reason are corrected by the next report.
+func weights(boot time.Duration, a gossip.Announcement, sentAfter time.Duration, known bool) policy.Weights {
+	w := policy.Weights{Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed && a.Age != a.Unannounced}
+	if known && a.Unannounced > 0 {
+		w.Bounded, w.Unannounced = true, sentAfter-time.Duration(a.Unannounced)
+	}
+	return w
+}
+
 // markLeaving records that an upstream has announced that it stops, to this instance (own) or to another one.
 func (e *Edge) markLeaving(now time.Time, d fleet.Departure, own bool, from string) {
 	if e.fleet.MarkLeaving(now, d, own) {
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -177,23 +177,19 @@
 	if !ok {
 		return
 	}
-	// A version whose announcement was not observed counts as past the limit, unless AddAnnouncement has a confirmation
-	// that bounds its age.
-	firstSeen := clock.SinceBoot()
-	if !live {
-		firstSeen -= e.handler.Settings.SupersededLimit
-	}
-	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: firstSeen, Observed: live}, "store")
+	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: clock.SinceBoot(), Observed: live}, "store")
 }
 
-// addAnnouncement records an announcement of weights.
+// addAnnouncement records what is learned of an announcement of weights.
 func (e *Edge) addAnnouncement(w policy.Weights, from string) {
 	now := clock.SinceBoot()
-	if !e.replica.AddAnnouncement(now, w) {
-		return
+	for _, c := range e.replica.AddAnnouncement(now, w) {
+		if !c.IsNew() {
+			continue
+		}
+		e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", c.After.Observed,
+			"age_ms", (now - c.After.FirstSeen).Milliseconds())
+		e.rollout.wake()
+		e.exchange.TriggerSend()
 	}
-	e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", w.Observed,
-		"age_ms", (now - w.FirstSeen).Milliseconds())
-	e.rollout.wake()
-	e.exchange.TriggerSend()
 }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -102,11 +102,12 @@
 type Announcement struct {
 	Model   string `json:"m"`
 	Version int64  `json:"v"`
-	// Age is the time in nanoseconds since the version was first seen.
+	// Age is the time in nanoseconds since the version was first seen, or Unannounced if no instance saw the announcement.
 	Age int64 `json:"g"`
-	// Assumed reports whether the age is an estimate, because no instance saw the announcement. The estimate is rather too long
-	// than too short.
+	// Assumed reports whether the age is an estimate, because neither is known. The estimate is rather too long than too short.
 	Assumed bool `json:"z,omitempty"`
+	// Unannounced is the time in nanoseconds since the version was last known not to be announced; zero if that is not known.
+	Unannounced int64 `json:"u,omitempty"`
 }
 
 // ListUpdate is an update of the list of upstreams.
