--- a/internal/app/edge/announce_test.go
+++ b/internal/app/edge/announce_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
@@ -112,3 +113,30 @@
 	close(stop)
 	<-done
 }
+
+// The log says what the date of an announcement was taken from, and when that changes.
+func TestDatesOfAnnouncementsAreLogged(t *testing.T) {
+	_, r := startSite(t, 1, 1)
+	w := policy.Weights{Model: "other", Version: 2, FirstSeen: clock.SinceBoot()}
+	r.stopAndWait(t)
+	var lines []string
+	r.log = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	r.addAnnouncement(w, fromStore)
+	w.Observed = true
+	r.addAnnouncement(w, "127.0.0.1:9")
+	w.FirstSeen -= minLoggedShift - time.Millisecond
+	r.addAnnouncement(w, "127.0.0.1:9")
+	w.FirstSeen -= time.Second
+	r.addAnnouncement(w, "127.0.0.1:9")
+	w.Version = 3
+	r.addAnnouncement(w, fromStore)
+	must.Len(t, 4, lines)
+	for i, want := range []string{
+		`"weights: announced" "model"="other" "version"=2 "from"="store" "seen"=false "dated"="bounded"`,
+		`"weights: date changed" "model"="other" "version"=2 "from"="127.0.0.1:9" "was"="bounded" "dated"="peer"`,
+		`"weights: date changed" "model"="other" "version"=2 "from"="127.0.0.1:9" "was"="observed" "dated"="peer"`,
+		`"weights: announced" "model"="other" "version"=3 "from"="store" "seen"=true "dated"="observed"`,
+	} {
+		must.StrContains(t, lines[i], want)
+	}
+}
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -177,18 +177,40 @@
 	if !ok {
 		return
 	}
-	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: clock.SinceBoot(), Observed: live}, "store")
+	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: clock.SinceBoot(), Observed: live}, fromStore)
+}
+
+const (
+	// fromStore names the store in logs, beside the addresses of instances.
+	fromStore = "store"
+	// datedByPeer is logged of an announcement that another instance observed.
+	datedByPeer = "peer"
+	// minLoggedShift is the difference from which another date on the same basis is logged. Reports take different times to arrive.
+	minLoggedShift = 10 * time.Millisecond
+)
+
+// dated returns what the date of an announcement was taken from, for logs.
+func dated(w policy.Weights, from string) string {
+	if w.Observed && from != fromStore {
+		return datedByPeer
+	}
+	return string(w.Basis())
 }
 
 // addAnnouncement records what is learned of an announcement of weights.
 func (e *Edge) addAnnouncement(w policy.Weights, from string) {
 	now := clock.SinceBoot()
 	for _, c := range e.replica.AddAnnouncement(now, w) {
+		before, after := c.Before, c.After
 		if !c.IsNew() {
+			if before.Basis() != after.Basis() || (after.FirstSeen-before.FirstSeen).Abs() >= minLoggedShift {
+				e.log.Info("weights: date changed", "model", after.Model, "version", after.Version, "from", from, "was", string(before.Basis()),
+					"dated", dated(after, from), "old_age_ms", (now - before.FirstSeen).Milliseconds(), "age_ms", (now - after.FirstSeen).Milliseconds())
+			}
 			continue
 		}
-		e.log.Info("weights: announced", "model", w.Model, "version", w.Version, "from", from, "seen", c.After.Observed,
-			"age_ms", (now - c.After.FirstSeen).Milliseconds())
+		e.log.Info("weights: announced", "model", after.Model, "version", after.Version, "from", from, "seen", after.Observed,
+			"dated", dated(after, from), "age_ms", (now - after.FirstSeen).Milliseconds())
 		e.rollout.wake()
 		e.exchange.TriggerSend()
 	}
