edge: the epoch of a restored store is known only with the pause of confirmations

What callers could see: a key that is accepted although it was withdrawn in a document that a restore of the store lost. Not seen; found by reading, while looking for confirmations that prove too much.

Cause: the goroutine that first met an epoch recorded it, and stopped confirmations in a later step. Another one that got a response of that epoch in between took the restore for known and could confirm by the restored store. The window is a few microseconds, or a freeze in it.

Change: both happen under the tracker's lock, as with the date of a restore. TestRestoreIsKnownWithItsEpoch; with the callback moved out of the lock it fails (scratch change).

--- a/internal/app/edge/epoch.go
+++ b/internal/app/edge/epoch.go
@@ -25,8 +25,9 @@
 	restoredAt time.Duration
 }
 
-// observe records an epoch and returns the previous one. Risen reports whether the store was restored since.
-func (t *epochTracker) observe(boot time.Duration, epoch int64) (previous int64, risen bool) {
+// observe records an epoch and returns the previous one. Risen reports whether the store was restored since. It calls restored if the
+// store may have been restored just now; until that returns, nobody else learns of the epoch.
+func (t *epochTracker) observe(boot time.Duration, epoch int64, restored func()) (previous int64, risen bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	previous = t.current
@@ -37,6 +38,7 @@
 	if epoch > 0 {
 		// The store may have been restored just now, also if this instance has just started.
 		t.restoredAt = boot
+		restored()
 	}
 	return previous, previous != unknownEpoch
 }
@@ -63,10 +65,7 @@
 // version of the store is read again; docs/design/restore.md lists it.
 func (e *Edge) observeEpoch(epoch int64, from string) {
 	boot := clock.SinceBoot()
-	previous, risen := e.epochs.observe(boot, epoch)
-	if previous == unknownEpoch && epoch > 0 {
-		e.replica.Restored(boot + policy.RestoreSettleTime)
-	}
+	previous, risen := e.epochs.observe(boot, epoch, func() { e.replica.Restored(boot + policy.RestoreSettleTime) })
 	if !risen {
 		return
 	}
@@ -75,7 +74,6 @@
 	e.log.Info("store: restored from a copy", "epoch", epoch, "previous", previous, "from", from, "confirmed_ms", age.Milliseconds(),
 		"list_row", listVersion)
 	e.metrics.Counter("store_restored").Inc(1)
-	e.replica.Restored(boot + policy.RestoreSettleTime)
 	// Upstreams that the copy lacks write their entries again.
 	e.fleet.MarkStoreUnreachable(time.Now())
 	e.list.restore()
--- a/internal/app/edge/restore_test.go
+++ b/internal/app/edge/restore_test.go
@@ -208,3 +208,18 @@
 	must.LessEq(t, restored+time.Second, restoredAt)
 	must.Positive(t, restoredAt)
 }
+
+// Guards against a confirmation by a store that was just restored, at an instance that learns of the restore in two goroutines.
+func TestRestoreIsKnownWithItsEpoch(t *testing.T) {
+	tracker := epochTracker{current: 0}
+	begun, settled := make(chan struct{}), false
+	go tracker.observe(time.Second, 1, func() {
+		close(begun)
+		time.Sleep(50 * time.Millisecond)
+		settled = true
+	})
+	<-begun
+	_, risen := tracker.observe(time.Second, 1, func() { t.Error("restored twice") })
+	must.False(t, risen)
+	must.True(t, settled)
+}
