--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -9,12 +9,20 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-// supersededReportTTL is how long after its announcement a superseded version of weights is still reported.
-const supersededReportTTL = 15 * time.Second
+// minAnnouncementTTL is how long at least a version of weights is reported after the announcement of the next one.
+const minAnnouncementTTL = 15 * time.Second
+
+// announcementTTL returns how long a version of weights is reported after the announcement of the next one. Before that one is due, the
+// earlier one is the oldest on which requests may start.
+func (e *Edge) announcementTTL() time.Duration {
+	return max(minAnnouncementTTL, 2*e.handler.Settings.SupersededLimit)
+}
 
 // Fill implements gossip.Source.
 func (e *Edge) Fill(boot time.Duration, m *gossip.Message) (time.Duration, bool) {
 	now := time.Now()
+	// First, because the confirmation of a later state must not vouch for this one.
+	age, known := e.replica.ConfirmationAge(boot)
 	m.Rates = e.quota.Report(boot)
 	if e.checkDetached() {
 		m.Detached = []string{e.settings.Peer}
@@ -30,8 +38,8 @@
 	if e.kvStorePoller.Load() {
 		m.KVStores = e.handler.KVStores.All()
 	}
-	for _, w := range e.replica.RecentAnnouncements(boot - supersededReportTTL) {
-		m.Announcements = append(m.Announcements, gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: !w.Observed})
+	for _, w := range e.replica.RecentAnnouncements(boot - e.announcementTTL()) {
+		m.Announcements = append(m.Announcements, announcement(boot, w))
 	}
 	m.Streams = e.origins.Report(now, func(service string) bool { return e.needsRecord(boot, now, service) })
 	m.Departures = e.fleet.Departures(now)
@@ -43,7 +51,6 @@
 	}
 	m.Epoch, _ = e.epochs.get()
 	m.Epoch = max(0, m.Epoch)
-	age, known := e.replica.ConfirmationAge(boot)
 	return boot - age, known
 }
 
@@ -67,9 +74,7 @@
 	e.budget.SetInstances(e.exchange.Count())
 	e.fleet.SetInstances(e.exchange.Count(), e.exchange.PropagationDelay())
 	for _, a := range m.Announcements {
-		e.addAnnouncement(policy.Weights{
-			Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed,
-		}, m.Address)
+		e.addAnnouncement(weights(boot, a, sentAfter, known), m.Address)
 	}
 	for _, d := range m.Departures {
 		e.markLeaving(now, d, false, m.Address)
@@ -106,6 +111,25 @@
 	}
 }
 
+// announcement returns the report of a version.
+func announcement(boot time.Duration, w policy.Weights) gossip.Announcement {
+	a := gossip.Announcement{Model: w.Model, Version: w.Version, Age: int64(boot - w.FirstSeen), Assumed: w.Basis() == policy.Assumed}
+	if w.Bounded {
+		a.Unannounced = max(1, int64(boot-w.Unannounced))
+	}
+	return a
+}
+
+// weights returns a version that another instance reported. A bound is dated by a time before the report was sent, because the report
+// may have been under way for long. Observed dates that are too late for that reason are corrected by the next report.
+func weights(boot time.Duration, a gossip.Announcement, sentAfter time.Duration, known bool) policy.Weights {
+	w := policy.Weights{Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed && a.Age != a.Unannounced}
+	if known && a.Unannounced > 0 {
+		w.Bounded, w.Unannounced = true, sentAfter-time.Duration(a.Unannounced)
+	}
+	return w
+}
+
 // markLeaving records that an upstream has announced that it stops, to this instance (own) or to another one.
 func (e *Edge) markLeaving(now time.Time, d fleet.Departure, own bool, from string) {
 	if e.fleet.MarkLeaving(now, d, own) {
