weights: log for how long an engine's weights have been superseded, and the stuck loads

A plan now says how many engines wait and for how long the first of them has been superseded, and how many loads are under way and how many stuck; a plan that starts nothing is logged when the number of stuck loads changes. Lines of engines have superseded_ms. What is planned is the same as before.

--- a/internal/app/edge/orders.go
+++ b/internal/app/edge/orders.go
@@ -26,7 +26,8 @@
 		r.progress[engine.ID] = plan.Progress{RetryAt: now.Add(orderRetryDelay)}
 		r.edge.fleet.SetSwitching(engine.ID, now)
 		r.edge.log.Info("weights: engine failed to load", "upstream", engine.ID, "model", model, "version", version,
-			"took_ms", now.Sub(started).Milliseconds(), "error", err.Error())
+			"took_ms", now.Sub(started).Milliseconds(),
+			"superseded_ms", r.supersededFor(model, engine.Weights[model]).Milliseconds(), "error", err.Error())
 		return
 	}
 	delete(r.progress, engine.ID)
@@ -35,7 +36,7 @@
 		Loaded: gossip.Loaded{Upstream: engine.ID, Model: model, Version: version}, until: now.Add(loadedReportTTL),
 	})
 	r.edge.log.Info("weights: engine loaded", "upstream", engine.ID, "model", model, "version", version,
-		"took_ms", now.Sub(started).Milliseconds())
+		"took_ms", now.Sub(started).Milliseconds(), "superseded_ms", r.supersededFor(model, engine.Weights[model]).Milliseconds())
 	r.edge.exchange.TriggerSend()
 	r.wake()
 }
@@ -52,6 +53,8 @@
 	engine := load.Engine
 	// orderCount is the engine's number of orders including the last one sent, resendAt is when another may be sent.
 	orderCount, resendAt := int64(0), time.Time{}
+	// first is the engine's number of orders at the first report; negative before.
+	first := int64(-1)
 	for {
 		r.edge.fleet.CountSend(time.Now(), engine.ID)
 		report, err := r.edge.engines.Report(ctx, engine.ID, engine.Address)
@@ -65,6 +68,12 @@
 		if report.Weights[model] >= version && !report.Busy {
 			return nil
 		}
+		if first < 0 {
+			first = report.Orders
+		}
+		if report.Busy || report.Orders > first {
+			r.noteAccepted(engine.ID, time.Now())
+		}
 		if now := time.Now(); !report.Busy && report.Orders >= orderCount && !now.Before(resendAt) {
 			if orderCount, err = r.sendOrder(ctx, load, model, version, report); err != nil {
 				return err
@@ -96,14 +105,37 @@
 		reason = err.Error()
 	}
 	r.edge.log.Info("weights: order given", "upstream", engine.ID, "model", model, "version", version, "token", lease.Token,
-		"mode", string(load.Mode), "after", report.Orders, "running", report.Running, "outcome", string(outcome), "error", reason)
+		"mode", string(load.Mode), "after", report.Orders, "running", report.Running, "weights", report.Weights[model],
+		"superseded_ms", r.supersededFor(model, report.Weights[model]).Milliseconds(), "outcome", string(outcome), "error", reason)
 	switch outcome {
 	case plan.Accepted, plan.AlreadyLoaded:
+		r.noteAccepted(engine.ID, time.Now())
 		return report.Orders + 1, nil
 	case plan.Unknown:
 		// The engine may have accepted it; the next report shows whether it did.
+		r.noteUnanswered(engine.ID)
 		return report.Orders, nil
 	default:
 		return report.Orders, err
 	}
 }
+
+// noteAccepted records that an engine carries out an order.
+func (r *rollout) noteAccepted(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.progress[id]
+	if p.AcceptedAt.IsZero() {
+		p.AcceptedAt = now
+		r.progress[id] = p
+	}
+}
+
+// noteUnanswered records that an order to an engine brought no answer.
+func (r *rollout) noteUnanswered(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.progress[id]
+	p.Unanswered++
+	r.progress[id] = p
+}
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -61,6 +61,8 @@
 	progress map[string]plan.Progress
 	// loaded are the completed loads that are still reported.
 	loaded []loadedReport
+	// stuck is the last number of stuck loads by model.
+	stuck map[string]int
 	// leaderSeen is when another instance last reported that it holds the lease, leaderAddress is its address.
 	leaderSeen    time.Time
 	leaderAddress string
@@ -71,7 +73,7 @@
 }
 
 func newRollout(e *Edge) *rollout {
-	return &rollout{edge: e, wakeup: make(chan struct{}, 1), progress: make(map[string]plan.Progress)}
+	return &rollout{edge: e, wakeup: make(chan struct{}, 1), progress: make(map[string]plan.Progress), stuck: make(map[string]int)}
 }
 
 func (r *rollout) wake() {
@@ -369,14 +371,41 @@
 		r.progress[l.Engine.ID] = plan.Progress{LoadingSince: now, Version: target.Version}
 		r.edge.fleet.SetSwitching(l.Engine.ID, now.Add(loadTimeout))
 	}
+	stuckBefore := r.stuck[target.Model]
+	r.stuck[target.Model] = next.Stuck
 	r.mu.Unlock()
-	if len(next.Drain)+len(next.Load) == 0 {
+	if len(next.Drain)+len(next.Load) == 0 && next.Stuck == stuckBefore {
 		return
 	}
-	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", target.Age.Milliseconds(),
-		"drain", len(next.Drain), "load", len(next.Load))
+	r.logPlan(target, next)
 	r.edge.exchange.TriggerSend()
 	for _, l := range next.Load {
 		r.loads.Go(func() { r.loadEngine(ctx, l, target.Model, target.Version) })
 	}
 }
+
+// logPlan logs a plan, and for how long the weights of its engines have been superseded.
+func (r *rollout) logPlan(target plan.Target, next plan.Plan) {
+	oldest := time.Duration(0)
+	for i := range next.Waiting {
+		oldest = max(oldest, r.supersededFor(target.Model, next.Waiting[i].Weights[target.Model]))
+	}
+	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", target.Age.Milliseconds(),
+		"drain", len(next.Drain), "load", len(next.Load), "waiting", len(next.Waiting), "waiting_superseded_ms", oldest.Milliseconds(),
+		"draining", next.Draining, "loading", next.Loading, "stuck", next.Stuck)
+	for i := range next.Drain {
+		e := &next.Drain[i]
+		version := e.Weights[target.Model]
+		r.edge.log.Info("weights: engine drains", "upstream", e.ID, "model", target.Model, "weights", version, "version", target.Version,
+			"superseded_ms", r.supersededFor(target.Model, version).Milliseconds(), "running", e.Running)
+	}
+}
+
+// supersededFor returns for how long a version of a model's weights has been superseded.
+func (r *rollout) supersededFor(model string, version int64) time.Duration {
+	since, superseded := r.edge.replica.SupersededSince(model, version)
+	if !superseded {
+		return 0
+	}
+	return clock.SinceBoot() - since
+}
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -74,12 +74,33 @@
 	DrainingSince time.Time
 	// LoadingSince is when loading began; zero if it is not in progress.
 	LoadingSince time.Time
+	// AcceptedAt is when the engine was found to carry out an order; zero before.
+	AcceptedAt time.Time
+	// Unanswered is the number of orders that brought no answer.
+	Unanswered int
 	// Version is the version that the engine drains for or loads.
 	Version int64
 	// RetryAt is the earliest time of the next attempt after a failure.
 	RetryAt time.Time
 }
 
+// stuckAfter is the time after which a load that has not ended is stuck. The weights store takes about half of it while half of the
+// engines load.
+const stuckAfter = 2 * time.Second
+
+// Stuck reports whether the engine is known not to load now: an order brought no answer and no report shows that it is carried out, or
+// the load takes long, as it does while requests finish.
+func (p *Progress) Stuck(now time.Time) bool {
+	switch {
+	case p.LoadingSince.IsZero():
+		return false
+	case p.AcceptedAt.IsZero():
+		return p.Unanswered > 0 || now.Sub(p.LoadingSince) >= stuckAfter
+	default:
+		return now.Sub(p.AcceptedAt) >= stuckAfter
+	}
+}
+
 const (
 	// maxUnavailable is the fraction of the healthy engines that may be loading or draining at a time. The weights store can
 	// serve a fifth or a sixth of them at full speed, and the remaining engines must carry peak load.
@@ -114,6 +135,10 @@
 	Drain []fleet.View
 	// Load are the engines that should start loading.
 	Load []Load
+	// Waiting are the other engines that run older weights and are not loading yet.
+	Waiting []fleet.View
+	// Draining, Loading and Stuck are the numbers of engines of each kind before the plan. Stuck ones are not among Loading.
+	Draining, Loading, Stuck int
 }
 
 // Next returns the engines that should drain and those that should start loading, sorted by running requests. Most of the
@@ -122,6 +147,7 @@
 // they would not load.
 func Next(now time.Time, t Target, engines []fleet.View, progress map[string]Progress) Plan {
 	var candidates []fleet.View
+	var plan Plan
 	loading, draining, healthy := 0, 0, 0
 	for i := range engines {
 		e := &engines[i]
@@ -130,6 +156,7 @@
 		}
 		healthy += 1 - failing(e)
 		p := progress[e.ID]
+		plan.count(now, &p)
 		switch {
 		case !p.LoadingSince.IsZero():
 			loading += 1 - failing(e)
@@ -149,7 +176,6 @@
 	if t.Age > urgentAge {
 		limit = max(2, healthy/2)
 	}
-	var plan Plan
 	for i := range candidates {
 		e := &candidates[i]
 		drainingSince := progress[e.ID].DrainingSince
@@ -165,6 +191,7 @@
 		case mayStart && drainingSince.IsZero():
 			plan.Drain = append(plan.Drain, *e)
 		default:
+			plan.Waiting = append(plan.Waiting, *e)
 			continue
 		}
 		if !drainingSince.IsZero() {
@@ -174,6 +201,18 @@
 	return plan
 }
 
+// count counts the engine with the given progress.
+func (p *Plan) count(now time.Time, progress *Progress) {
+	switch {
+	case progress.Stuck(now):
+		p.Stuck++
+	case !progress.LoadingSince.IsZero():
+		p.Loading++
+	case !progress.DrainingSince.IsZero():
+		p.Draining++
+	}
+}
+
 // failing returns 1 for a failing engine, else 0.
 func failing(v *fleet.View) int {
 	if v.Ejected || !v.Healthy() {
