plan: load engines by when their own weights were superseded; stuck loads free their places

Cause: urgency was that of the newest version, so that each announcement started the clock again: a later announcement extended the deadline of an earlier one, as once at placement (TestMinVersionUsesTimeOfEachVersion). An engine that had just loaded was idle and so went on to the next version before those that had waited from the first. Places were taken by loads that did not proceed, for up to 9 s. Failing engines, which full ones are as well, were not bounded among themselves: with none sound, all drained at once.

Change: each engine has its own age, from Replica.SupersededSince of the version that it runs; those superseded first go first. From 0.85 of the time for which superseded weights may start requests, an engine loads without draining and competes only with loads that proceed, at most half of the engines. A load is stuck, and holds no place, once an order brought no answer and no report shows that it is carried out, or 2 s after it was accepted. Stuck ones, drains and loads together stay within half of the sound engines until an engine is urgent. Failing engines have places of their own.

Tests: in package plan, on the logic before behind the same types, TestLaterVersionDoesNotDelaySupersededEngines (3, 12, 60 and 300 engines) and TestStuckLoadsDoNotKeepOthersWaiting (4, 12, 300) fail at 11.05 s of virtual time (11 allowed), as do TestEnginesThatWereSupersededFirstGoFirst, TestFailingEnginesLoadInTurns (20 of 20 at once, 7 allowed) and TestOverdueFailingEngineDoesNotWait.

--- a/internal/app/edge/orders.go
+++ b/internal/app/edge/orders.go
@@ -95,9 +95,11 @@
 	if !lease.Valid(clock.SinceBoot()) {
 		return 0, errLeaseLost
 	}
-	r.edge.fleet.CountSend(time.Now(), engine.ID)
+	now := time.Now()
+	mode := load.Mode(now)
+	r.edge.fleet.CountSend(now, engine.ID)
 	outcome, err := r.edge.engines.OrderLoad(ctx, plan.Order{
-		Upstream: engine.ID, Address: engine.Address, Model: model, Version: version, Mode: load.Mode,
+		Upstream: engine.ID, Address: engine.Address, Model: model, Version: version, Mode: mode,
 		Holder: r.edge.settings.Peer, Token: lease.Token, After: report.Orders,
 	})
 	reason := ""
@@ -105,7 +107,7 @@
 		reason = err.Error()
 	}
 	r.edge.log.Info("weights: order given", "upstream", engine.ID, "model", model, "version", version, "token", lease.Token,
-		"mode", string(load.Mode), "after", report.Orders, "running", report.Running, "weights", report.Weights[model],
+		"mode", string(mode), "after", report.Orders, "running", report.Running, "weights", report.Weights[model],
 		"superseded_ms", r.supersededFor(model, report.Weights[model]).Milliseconds(), "outcome", string(outcome), "error", reason)
 	switch outcome {
 	case plan.Accepted, plan.AlreadyLoaded:
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/internal/roll/leader"
 	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
@@ -159,7 +160,7 @@
 			continue
 		}
 		for _, w := range r.edge.replica.LatestWeights() {
-			r.advance(ctx, now, plan.Target{Model: w.Model, Version: w.Version, Age: clock.SinceBoot() - w.FirstSeen})
+			r.advance(ctx, now, w)
 		}
 	}
 }
@@ -357,8 +358,12 @@
 	return state, nil
 }
 
-// advance starts to drain or load the engines that are next for the version.
-func (r *rollout) advance(ctx context.Context, now time.Time, target plan.Target) {
+// advance starts to drain or load the engines that are next for the latest weights of a model.
+func (r *rollout) advance(ctx context.Context, now time.Time, latest policy.Weights) {
+	target := plan.Target{
+		Model: latest.Model, Version: latest.Version, StartLimit: r.edge.handler.Settings.SupersededLimit,
+		SupersededFor: func(version int64) time.Duration { return r.supersededFor(latest.Model, version) },
+	}
 	doc := r.edge.replica.Document()
 	views := r.edge.fleet.Views(now, doc.ServiceOfModel(target.Model))
 	r.mu.Lock()
@@ -377,7 +382,7 @@
 	if len(next.Drain)+len(next.Load) == 0 && next.Stuck == stuckBefore {
 		return
 	}
-	r.logPlan(target, next)
+	r.logPlan(target, clock.SinceBoot()-latest.FirstSeen, next)
 	r.edge.exchange.TriggerSend()
 	for _, l := range next.Load {
 		r.loads.Go(func() { r.loadEngine(ctx, l, target.Model, target.Version) })
@@ -385,12 +390,12 @@
 }
 
 // logPlan logs a plan, and for how long the weights of its engines have been superseded.
-func (r *rollout) logPlan(target plan.Target, next plan.Plan) {
+func (r *rollout) logPlan(target plan.Target, age time.Duration, next plan.Plan) {
 	oldest := time.Duration(0)
 	for i := range next.Waiting {
 		oldest = max(oldest, r.supersededFor(target.Model, next.Waiting[i].Weights[target.Model]))
 	}
-	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", target.Age.Milliseconds(),
+	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", age.Milliseconds(),
 		"drain", len(next.Drain), "load", len(next.Load), "waiting", len(next.Waiting), "waiting_superseded_ms", oldest.Milliseconds(),
 		"draining", next.Draining, "loading", next.Loading, "stuck", next.Stuck)
 	for i := range next.Drain {
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -84,8 +84,7 @@
 	RetryAt time.Time
 }
 
-// stuckAfter is the time after which a load that has not ended is stuck. The weights store takes about half of it while half of the
-// engines load.
+// stuckAfter is the time after which a load that has not ended is stuck. Loads take about half of it while half of the engines load.
 const stuckAfter = 2 * time.Second
 
 // Stuck reports whether the engine is known not to load now: an order brought no answer and no report shows that it is carried out, or
@@ -102,31 +101,45 @@
 }
 
 const (
-	// maxUnavailable is the fraction of the healthy engines that may be loading or draining at a time. The weights store can
-	// serve a fifth or a sixth of them at full speed, and the remaining engines must carry peak load.
+	// maxUnavailable is the fraction of the engines that may be loading or draining at a time. The weights store can serve a fifth or a
+	// sixth of them at full speed, and the remaining engines must carry peak load.
 	maxUnavailable = 0.35
+	// maxUnavailableStuck is the same with stuck loads, and the fraction that may load at a time once they are urgent.
+	maxUnavailableStuck = 0.5
+	// minPlaces is the number of engines that may always load or drain.
+	minPlaces = 2
 	// drainTimeout is how long an engine drains before it loads even if requests are still running. Most responses take less.
 	drainTimeout = 1200 * time.Millisecond
 	// drainedLimit is the number of running requests up to which an engine counts as drained. Completing them on the new
 	// weights costs less than the load itself.
 	drainedLimit = 2
-	// urgentAge is the time since the announcement after which engines load without draining. All engines must have loaded
-	// within 11 s, and no request may start on superseded weights after that.
-	urgentAge = 6 * time.Second
+	// urgentShare is the part of Target.StartLimit after which an engine loads without draining.
+	urgentShare = 0.85
 )
 
-// Load is an engine that should start loading, with the mode for its running requests.
+// Load is an engine that should start loading.
 type Load struct {
 	Engine fleet.View
-	Mode   Mode
+	// FinishUntil is the time until which an order may let the running requests finish. Such an order cannot be taken back.
+	FinishUntil time.Time
+}
+
+// Mode returns the mode of an order that is sent at a time.
+func (l *Load) Mode(now time.Time) Mode {
+	if now.Before(l.FinishUntil) {
+		return Finish
+	}
+	return Continue
 }
 
 // Target is the version that the engines of a model should run.
 type Target struct {
 	Model   string
 	Version int64
-	// Age is the time since its announcement.
-	Age time.Duration
+	// SupersededFor returns for how long a version has been superseded.
+	SupersededFor func(version int64) time.Duration
+	// StartLimit is how long superseded weights may start requests.
+	StartLimit time.Duration
 }
 
 // Plan lists the engines to act on now.
@@ -141,84 +154,150 @@
 	Draining, Loading, Stuck int
 }
 
-// Next returns the engines that should drain and those that should start loading, sorted by running requests. Most of the
-// healthy engines keep serving. No engine has cached prefixes for new weights, so a fleet in which only the first few engines
-// with these weights serve queues requests for seconds. Failing engines come last and take no other engine's place, because
-// they would not load.
+// candidate is an engine that may drain or load now.
+type candidate struct {
+	fleet.View
+	progress      Progress
+	supersededFor time.Duration
+	failing       bool
+}
+
+func (t *Target) urgent(supersededFor time.Duration) bool {
+	return supersededFor >= t.urgentAge()
+}
+
+func (t *Target) urgentAge() time.Duration {
+	return time.Duration(float64(t.StartLimit) * urgentShare)
+}
+
+// places counts the engines of one kind, sound or failing.
+type places struct {
+	ready, draining, loading, stuck int
+}
+
+// free reports whether another engine may drain or load. Stuck loads do not make urgent engines wait.
+func (p *places) free(urgent bool) bool {
+	most := max(minPlaces, int(float64(p.ready)*maxUnavailableStuck))
+	if urgent {
+		return p.loading < most
+	}
+	unavailable := p.draining + p.loading
+	return unavailable < max(minPlaces, int(float64(p.ready)*maxUnavailable)) && unavailable+p.stuck < most
+}
+
+func (p *places) add(now time.Time, progress *Progress) {
+	p.ready++
+	switch {
+	case progress.Stuck(now):
+		p.stuck++
+	case !progress.LoadingSince.IsZero():
+		p.loading++
+	case !progress.DrainingSince.IsZero():
+		p.draining++
+	}
+}
+
+// site is the state of the engines of a model.
+type site struct {
+	sound, failing places
+	candidates     []candidate
+}
+
+// Next returns the engines that should drain and those that should start loading. Those whose weights were superseded first go first,
+// then those with few running requests. Most of the sound engines keep serving until their weights are about to be superseded for too
+// long. No engine has cached prefixes for new weights, so a fleet in which only the first few engines with these weights serve queues
+// requests for seconds. Failing engines come last and take no other engine's place, because they would not load.
 func Next(now time.Time, t Target, engines []fleet.View, progress map[string]Progress) Plan {
-	var candidates []fleet.View
-	var plan Plan
-	loading, draining, healthy := 0, 0, 0
+	s := survey(now, &t, engines, progress)
+	plan := Plan{
+		Draining: s.sound.draining + s.failing.draining, Loading: s.sound.loading + s.failing.loading, Stuck: s.sound.stuck + s.failing.stuck,
+	}
+	for i := range s.candidates {
+		s.advance(now, &t, &s.candidates[i], &plan)
+	}
+	return plan
+}
+
+func survey(now time.Time, t *Target, engines []fleet.View, progress map[string]Progress) *site {
+	s := &site{}
 	for i := range engines {
 		e := &engines[i]
-		if e.State != fleet.Ready || e.Weights[t.Model] == 0 {
+		version := e.Weights[t.Model]
+		if e.State != fleet.Ready || version == 0 {
 			continue
 		}
-		healthy += 1 - failing(e)
-		p := progress[e.ID]
-		plan.count(now, &p)
-		switch {
-		case !p.LoadingSince.IsZero():
-			loading += 1 - failing(e)
-		case !e.RetryAt.IsZero() && t.Age <= urgentAge:
-			// The engine wants nothing from this instance yet.
-		case e.Weights[t.Model] < t.Version && !now.Before(p.RetryAt):
-			candidates = append(candidates, *e)
-			if !p.DrainingSince.IsZero() {
-				draining += 1 - failing(e)
-			}
+		c := candidate{View: *e, progress: progress[e.ID], failing: e.Ejected || !e.Healthy()}
+		s.places(&c).add(now, &c.progress)
+		if version >= t.Version || !c.progress.LoadingSince.IsZero() || now.Before(c.progress.RetryAt) {
+			continue
+		}
+		c.supersededFor = t.SupersededFor(version)
+		// An engine that wants nothing from this instance yet is left alone as long as its weights allow.
+		if e.RetryAt.IsZero() || t.urgent(c.supersededFor) {
+			s.candidates = append(s.candidates, c)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b fleet.View) int {
-		return cmp.Or(failing(&a)-failing(&b), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+	slices.SortFunc(s.candidates, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.failing, b.failing), cmp.Compare(b.supersededFor, a.supersededFor), cmp.Compare(a.Running, b.Running),
+			cmp.Compare(a.ID, b.ID))
 	})
-	limit := max(2, int(float64(healthy)*maxUnavailable))
-	if t.Age > urgentAge {
-		limit = max(2, healthy/2)
+	return s
+}
+
+// places returns the places of the candidate's kind.
+func (s *site) places(c *candidate) *places {
+	if c.failing {
+		return &s.failing
 	}
-	for i := range candidates {
-		e := &candidates[i]
-		drainingSince := progress[e.ID].DrainingSince
-		timedOut := !drainingSince.IsZero() && now.Sub(drainingSince) >= drainTimeout
-		// A draining engine already counts as unavailable, so it needs no free place to start loading.
-		unavailable := loading + draining + len(plan.Load) + len(plan.Drain)
-		mayStart := unavailable < limit || !drainingSince.IsZero()
-		switch {
-		case mayStart && (e.Running <= drainedLimit || t.Age > urgentAge):
-			plan.Load = append(plan.Load, Load{Engine: *e, Mode: Continue})
-		case mayStart && timedOut:
-			plan.Load = append(plan.Load, Load{Engine: *e, Mode: Finish})
-		case mayStart && drainingSince.IsZero():
-			plan.Drain = append(plan.Drain, *e)
-		default:
-			plan.Waiting = append(plan.Waiting, *e)
-			continue
-		}
-		if !drainingSince.IsZero() {
-			draining -= 1 - failing(e)
-		}
+	return &s.sound
+}
+
+// mayStart reports whether a candidate may drain or load. One that drains has its place.
+func (s *site) mayStart(c *candidate, urgent bool) bool {
+	switch {
+	case !urgent && !c.progress.DrainingSince.IsZero():
+		return true
+	case c.failing && !urgent && !s.sound.free(false):
+		return false
+	default:
+		return s.places(c).free(urgent)
 	}
-	return plan
 }
 
-// count counts the engine with the given progress.
-func (p *Plan) count(now time.Time, progress *Progress) {
+// advance adds a candidate to the plan.
+func (s *site) advance(now time.Time, t *Target, c *candidate, plan *Plan) {
+	urgent, drains := t.urgent(c.supersededFor), !c.progress.DrainingSince.IsZero()
+	timedOut := drains && now.Sub(c.progress.DrainingSince) >= drainTimeout
+	p := s.places(c)
 	switch {
-	case progress.Stuck(now):
-		p.Stuck++
-	case !progress.LoadingSince.IsZero():
-		p.Loading++
-	case !progress.DrainingSince.IsZero():
-		p.Draining++
+	case !s.mayStart(c, urgent) || drains && !urgent && !timedOut && c.Running > drainedLimit:
+		plan.Waiting = append(plan.Waiting, c.View)
+		return
+	case urgent || c.Running <= drainedLimit || timedOut:
+		load := Load{Engine: c.View}
+		if !urgent && c.Running > drainedLimit {
+			load.FinishUntil = now.Add(t.urgentAge() - c.supersededFor)
+		}
+		plan.Load = append(plan.Load, load)
+		p.loading++
+	default:
+		plan.Drain = append(plan.Drain, c.View)
+		p.draining++
+	}
+	if drains {
+		p.draining--
 	}
 }
 
-// failing returns 1 for a failing engine, else 0.
-func failing(v *fleet.View) int {
-	if v.Ejected || !v.Healthy() {
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
 		return 1
 	}
-	return 0
 }
 
 // Pending returns the number of outdated engines: ready ones that run an older version of the model than the given one.
--- /dev/null
+++ b/internal/roll/plan/rollout_test.go
@@ -0,0 +1,340 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
+)
+
+const (
+	// startLimit and completeLimit are how long superseded weights may start requests, and the time by which engines have loaded newer ones.
+	startLimit    = 7 * time.Second
+	completeLimit = 11 * time.Second
+	// storeLoadTime is the time to load from the weights store, which serves a storeShare of the engines at full speed.
+	storeLoadTime = 570 * time.Millisecond
+	storeShare    = 6
+	// orderTime is the time of an order that gets no answer, with the pause before the next one.
+	orderTime = 550 * time.Millisecond
+	// loadTimeout is the time after which a load is given up, and retryDelay the time until the next.
+	loadTimeout = 9 * time.Second
+	retryDelay  = 700 * time.Millisecond
+	// step is the interval between plans.
+	step = 50 * time.Millisecond
+)
+
+// announcement is a version and when it is announced.
+type announcement struct {
+	version int64
+	at      time.Time
+}
+
+// machine is a stand-in for an engine.
+type machine struct {
+	fleet.View
+	// ignoresUntil is the time until which it leaves orders without an answer.
+	ignoresUntil time.Time
+	// runTime is the time in which the running requests end once no new ones are placed.
+	runTime time.Duration
+	// loading is the version that it loads; zero if none. loadsAt is when its requests have finished, remaining the time left to load.
+	loading   int64
+	loadsAt   time.Time
+	remaining time.Duration
+	// ordered is when the next order is sent to it.
+	ordered time.Time
+	load    Load
+	// running is the number of requests that ran when it began to drain.
+	running int
+}
+
+// rollout plays a rollout in virtual time.
+type rollout struct {
+	announced []announcement
+	machines  []*machine
+	progress  map[string]Progress
+	now       time.Time
+}
+
+func newRollout(n int, announced ...announcement) *rollout {
+	r := &rollout{announced: announced, progress: make(map[string]Progress), now: start}
+	for i := range n {
+		r.machines = append(r.machines, &machine{View: fleet.View{
+			Entry:   fleet.Entry{ID: fmt.Sprintf("%03d", i), State: fleet.Ready, Weights: map[string]int64{"m": 1}},
+			Running: 20,
+		}, runTime: 2 * time.Second, running: 20})
+	}
+	return r
+}
+
+func (r *rollout) target() Target {
+	t := Target{Model: "m", StartLimit: startLimit, SupersededFor: r.supersededFor}
+	for _, a := range r.announced {
+		if !r.now.Before(a.at) {
+			t.Version = max(t.Version, a.version)
+		}
+	}
+	return t
+}
+
+func (r *rollout) supersededFor(version int64) time.Duration {
+	longest := time.Duration(0)
+	for _, a := range r.announced {
+		if a.version > version {
+			longest = max(longest, r.now.Sub(a.at))
+		}
+	}
+	return longest
+}
+
+func (r *rollout) views() []fleet.View {
+	var views []fleet.View
+	for _, m := range r.machines {
+		views = append(views, m.View)
+	}
+	return views
+}
+
+func (r *rollout) machine(id string) *machine {
+	for _, m := range r.machines {
+		if m.ID == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// step plays one interval.
+func (r *rollout) step() Plan {
+	r.now = r.now.Add(step)
+	target := r.target()
+	next := Next(r.now, target, r.views(), r.progress)
+	for _, e := range next.Drain {
+		r.progress[e.ID] = Progress{DrainingSince: r.now, Version: target.Version}
+		r.machine(e.ID).running = e.Running
+	}
+	for _, l := range next.Load {
+		r.progress[l.Engine.ID] = Progress{LoadingSince: r.now, Version: target.Version}
+		m := r.machine(l.Engine.ID)
+		m.load, m.ordered = l, r.now
+	}
+	r.order(target.Version)
+	r.giveUp()
+	r.drain()
+	r.loadWeights()
+	return next
+}
+
+// order sends the orders that are due.
+func (r *rollout) order(version int64) {
+	for _, m := range r.machines {
+		p := r.progress[m.ID]
+		switch {
+		case p.LoadingSince.IsZero() || m.loading > 0 || r.now.Before(m.ordered):
+		case r.now.Before(m.ignoresUntil):
+			p.Unanswered++
+			m.ordered = r.now.Add(orderTime)
+		default:
+			p.AcceptedAt = r.now
+			m.loading, m.loadsAt, m.remaining = version, r.now, storeLoadTime
+			if m.load.Mode(r.now) == Finish {
+				m.loadsAt = r.now.Add(m.runTime)
+			}
+		}
+		if !p.LoadingSince.IsZero() {
+			r.progress[m.ID] = p
+		}
+	}
+}
+
+// giveUp ends loads that have taken too long. What an engine carries out goes on.
+func (r *rollout) giveUp() {
+	for id, p := range r.progress {
+		if !p.LoadingSince.IsZero() && r.now.Sub(p.LoadingSince) >= loadTimeout {
+			r.progress[id] = Progress{RetryAt: r.now.Add(retryDelay)}
+		}
+	}
+}
+
+// drain ends requests of draining engines.
+func (r *rollout) drain() {
+	for _, m := range r.machines {
+		if p := r.progress[m.ID]; !p.DrainingSince.IsZero() {
+			m.Running = max(0, m.running-int(r.now.Sub(p.DrainingSince)*time.Duration(m.running)/m.runTime))
+		}
+	}
+}
+
+// loadWeights serves the engines that load.
+func (r *rollout) loadWeights() {
+	var loading []*machine
+	for _, m := range r.machines {
+		if m.loading > 0 && !r.now.Before(m.loadsAt) {
+			loading = append(loading, m)
+		}
+	}
+	capacity := float64(len(r.machines)) / storeShare
+	rate := min(1, capacity/float64(max(1, len(loading))))
+	for _, m := range loading {
+		if m.remaining -= time.Duration(rate * float64(step)); m.remaining <= 0 {
+			m.Weights = map[string]int64{"m": m.loading}
+			m.loading, m.Running = 0, 0
+			delete(r.progress, m.ID)
+		}
+	}
+}
+
+// late returns the engines that answer orders and whose weights have been superseded for longer than a limit.
+func (r *rollout) late(limit time.Duration) []string {
+	var late []string
+	for _, m := range r.machines {
+		if !r.now.Before(m.ignoresUntil) && r.supersededFor(m.Weights["m"]) > limit {
+			late = append(late, fmt.Sprintf("%s on %d", m.ID, m.Weights["m"]))
+		}
+	}
+	return late
+}
+
+// playUntilDone plays until all engines that answer have the latest version, and checks that none has older weights for too long.
+func (r *rollout) playUntilDone(t must.T, ignoring int) {
+	last := r.announced[len(r.announced)-1]
+	for Pending("m", last.version, r.views()) > ignoring || r.now.Before(last.at) {
+		r.step()
+		must.SliceEmpty(t, r.late(completeLimit), must.Sprintf("at %v", r.now.Sub(start)))
+		must.Less(t, 60*time.Second, r.now.Sub(start))
+	}
+}
+
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// Guards against versions announced seconds apart that delay the engines whose weights were superseded first.
+func TestLaterVersionDoesNotDelaySupersededEngines(t *testing.T) {
+	for _, n := range []int{3, 12, 60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			var announced []announcement
+			for i := range 8 {
+				announced = append(announced, announcement{int64(2 + i), after(3 * float64(i))})
+			}
+			newRollout(n, announced...).playUntilDone(t, 0)
+		})
+	}
+}
+
+// Guards against stuck loads that keep other engines waiting past their due time.
+func TestStuckLoadsDoNotKeepOthersWaiting(t *testing.T) {
+	for _, n := range []int{4, 12, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r := newRollout(n, announcement{2, start}, announcement{3, after(3)}, announcement{4, after(6)})
+			for i, m := range r.machines {
+				if i < n/2 {
+					m.ignoresUntil = after(1000)
+				}
+			}
+			r.playUntilDone(t, n/2)
+		})
+	}
+}
+
+func TestEnginesThatWereSupersededFirstGoFirst(t *testing.T) {
+	views := enginesOn(3, 3, 2, 2, 3, 2, 2, 2)
+	for i := range views {
+		views[i].Running = i
+	}
+	superseded := map[int64]time.Duration{2: 5 * time.Second, 3: time.Second}
+	next := Next(start, Target{Model: "m", Version: 4, StartLimit: startLimit, SupersededFor: func(v int64) time.Duration { return superseded[v] }}, views, nil)
+	must.Eq(t, []string{"2"}, ids(next.Load))
+	must.Len(t, 1, next.Drain)
+	must.Eq(t, "3", next.Drain[0].ID)
+}
+
+// An engine that drained for a version that is superseded meanwhile loads the latest one.
+func TestDrainingEngineGoesOnToLatestVersion(t *testing.T) {
+	views := enginesOn(1, 1, 1, 1)
+	views[2].Running = 0
+	progress := map[string]Progress{"2": {DrainingSince: start, Version: 2}}
+	next := Next(start.Add(time.Second), target(3, 0), views, progress)
+	must.Eq(t, []string{"2"}, ids(next.Load))
+}
+
+// Urgency does not let all engines load at once: the weights store serves few of them at full speed.
+func TestOverdueEnginesLoadInTurns(t *testing.T) {
+	for _, n := range []int{3, 12, 300} {
+		next := Next(start, target(2, time.Minute), enginesOn(versions(n, 1)...), nil)
+		must.SliceEmpty(t, next.Drain)
+		must.Len(t, max(minPlaces, n/2), next.Load)
+	}
+}
+
+// All engines fail, for example because all are full, so that none counts as sound.
+func TestFailingEnginesLoadInTurns(t *testing.T) {
+	views := enginesOn(versions(20, 1)...)
+	for i := range views {
+		views[i].Ejected = true
+	}
+	progress := map[string]Progress{}
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * step)
+		next := Next(now, target(2, 0), views, progress)
+		for _, e := range next.Drain {
+			progress[e.ID] = Progress{DrainingSince: now, Version: 2}
+		}
+		for _, l := range next.Load {
+			progress[l.Engine.ID] = Progress{LoadingSince: now, Version: 2}
+		}
+	}
+	must.MapLen(t, int(20*maxUnavailable), progress)
+}
+
+// A failing engine that is overdue does not wait for sound ones that are not.
+func TestOverdueFailingEngineDoesNotWait(t *testing.T) {
+	views := enginesOn(1, 2, 2, 2, 2)
+	views[0].Ejected = true
+	superseded := map[int64]time.Duration{1: startLimit, 2: time.Second}
+	next := Next(start, Target{Model: "m", Version: 3, StartLimit: startLimit, SupersededFor: func(v int64) time.Duration { return superseded[v] }}, views, nil)
+	must.Eq(t, []string{"0"}, ids(next.Load))
+}
+
+// Stuck is known from answers and reports.
+func TestStuckLoads(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		p    Progress
+		want bool
+	}{
+		{"idle", Progress{RetryAt: start}, false},
+		{"drains", Progress{DrainingSince: start}, false},
+		{"no order yet", Progress{LoadingSince: start.Add(time.Second)}, false},
+		{"no order for long", Progress{LoadingSince: start.Add(-stuckAfter)}, true},
+		{"no answer", Progress{LoadingSince: start, Unanswered: 1}, true},
+		{"no answer, carried out", Progress{LoadingSince: start, Unanswered: 1, AcceptedAt: start}, false},
+		{"carried out for long", Progress{LoadingSince: start.Add(-stuckAfter), AcceptedAt: start.Add(-stuckAfter)}, true},
+	} {
+		must.Eq(t, c.want, c.p.Stuck(start), must.Sprint(c.name))
+	}
+}
+
+// An engine that has asked for no requests is left alone until its own weights are urgent, whatever has been announced since.
+func TestEngineThatWantsNoRequestsIsLeftAloneUntilUrgent(t *testing.T) {
+	views := enginesOn(1)
+	views[0].RetryAt = start.Add(time.Minute)
+	must.SliceEmpty(t, Next(start, target(2, urgentAge-1), views, nil).Load)
+	superseded := map[int64]time.Duration{1: urgentAge, 2: 0}
+	next := Next(start, Target{Model: "m", Version: 3, StartLimit: startLimit, SupersededFor: func(v int64) time.Duration { return superseded[v] }}, views, nil)
+	must.Eq(t, []string{"0"}, ids(next.Load))
+}
+
+// Guards against two orders to one engine for two of its models.
+func TestEngineThatLoadsOneModelWaitsForTheOther(t *testing.T) {
+	views := enginesOn(1, 1)
+	for i := range views {
+		views[i].Weights["n"] = 1
+	}
+	progress := map[string]Progress{"0": {LoadingSince: start, Version: 2}}
+	other := target(2, startLimit)
+	other.Model = "n"
+	must.Eq(t, []string{"1"}, ids(Next(start, other, views, progress).Load))
+}
