plan: let requests finish before a load only where the last is expected to end in time

Orders in mode finish cannot be taken back, block an engine until its last request ends, and were given whenever an engine had drained for 1.2 s: loads took 7.7 s and, given up after, over 9 s, so that the engine ran weights superseded for 9.8 s and longer.

Cause: nothing estimated how long the requests last. Class: an order that cannot be taken back, given without looking at the deadline.

Change: the mean duration is that by which so many requests ended while the engine drained; the last of n is expected within ln n + 2 of it (durations taken as exponential). If that is before the engine is urgent, the order lets them finish, and only if it is accepted in time for that; else they continue on the new weights.

Tests: TestLongRequestsDoNotKeepOthersWaiting (six engines have older weights after 11 s without the rule; stuck places alone do not help the engine itself), TestRequestsFinishOnlyWhereTheyEndInTime (four of six cases fail without it) and the property TestEnginesThatAnswerLoadInTime, which draws engines, versions, requests, engines that ignore orders and a change of leader, and fails without it. TestDrainingEngineLoadsWhenDrainedOrTimedOut now says how many requests ran when the drain began, which the decision needs.

--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -369,7 +369,7 @@
 	r.mu.Lock()
 	next := plan.Next(now, target, views, r.progress)
 	for _, e := range next.Drain {
-		r.progress[e.ID] = plan.Progress{DrainingSince: now, Version: target.Version}
+		r.progress[e.ID] = plan.Progress{DrainingSince: now, Running: e.Running, Version: target.Version}
 		r.edge.fleet.SetSwitching(e.ID, now.Add(drainingTTL))
 	}
 	for _, l := range next.Load {
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -72,6 +73,8 @@
 type Progress struct {
 	// DrainingSince is when the engine stopped getting new requests so that it can load soon; zero while it gets them.
 	DrainingSince time.Time
+	// Running is the number of requests that ran when the engine began to drain.
+	Running int
 	// LoadingSince is when loading began; zero if it is not in progress.
 	LoadingSince time.Time
 	// AcceptedAt is when the engine was found to carry out an order; zero before.
@@ -115,6 +118,9 @@
 	drainedLimit = 2
 	// urgentShare is the part of Target.StartLimit after which an engine loads without draining.
 	urgentShare = 0.85
+	// finishReserve is how many mean durations beyond the logarithm of their number requests may take to finish: the last of them, with
+	// exponential durations, ends earlier in seven of eight cases.
+	finishReserve = 2
 )
 
 // Load is an engine that should start loading.
@@ -276,7 +282,7 @@
 	case urgent || c.Running <= drainedLimit || timedOut:
 		load := Load{Engine: c.View}
 		if !urgent && c.Running > drainedLimit {
-			load.FinishUntil = now.Add(t.urgentAge() - c.supersededFor)
+			load.FinishUntil = t.finishUntil(now, c)
 		}
 		plan.Load = append(plan.Load, load)
 		p.loading++
@@ -289,6 +295,17 @@
 	}
 }
 
+// finishUntil returns the time until which an order that lets the running requests finish is expected to end before the engine is urgent.
+// The mean duration of the requests is that by which so many ended while the engine drained.
+func (t *Target) finishUntil(now time.Time, c *candidate) time.Time {
+	if c.Running >= c.progress.Running {
+		return time.Time{}
+	}
+	before, after := math.Log(float64(c.progress.Running)), math.Log(float64(c.Running))
+	mean := float64(now.Sub(c.progress.DrainingSince)) / (before - after)
+	return now.Add(t.urgentAge() - c.supersededFor - time.Duration(mean*(after+finishReserve)))
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
