weights: order the newest version, and wait 0.4 s for the answer to an order

Cause: an engine whose orders got no answer was ordered the version that was planned, for up to 9 s, though newer ones were announced meanwhile; what it then loaded was superseded. Each order without an answer took 0.7 s, and the next followed 0.85 s after it.

Change: each order names the version that is the newest when it is sent, and the load ends with whichever version the engine reports, if it is the planned one or later. An answer is awaited for 0.4 s; the next order follows 0.55 s after one that brought none. Orders depend on the number of orders that the engine had accepted, so that one that is carried out late has no effect after another.

Test: TestEnginesThatAnswerLoadWhileOthersIgnoreOrders now also checks which version engines load first once they answer: 3 before, though 4 was announced 6 s earlier.

--- a/internal/app/edge/orders.go
+++ b/internal/app/edge/orders.go
@@ -12,31 +12,31 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-// loadEngine makes one engine load a version and waits until it is loaded.
+// loadEngine makes one engine load a version or a later one, and waits until it is loaded.
 func (r *rollout) loadEngine(ctx context.Context, load plan.Load, model string, version int64) {
 	engine := load.Engine
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	started := time.Now()
-	err := r.ensureLoaded(ctx, load, model, version)
+	loaded, err := r.ensureLoaded(ctx, load, model, version)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	supersededFor := r.supersededFor(model, engine.Weights[model])
 	if err != nil {
 		r.progress[engine.ID] = plan.Progress{RetryAt: now.Add(orderRetryDelay)}
 		r.edge.fleet.SetSwitching(engine.ID, now)
 		r.edge.log.Info("weights: engine failed to load", "upstream", engine.ID, "model", model, "version", version,
-			"took_ms", now.Sub(started).Milliseconds(),
-			"superseded_ms", r.supersededFor(model, engine.Weights[model]).Milliseconds(), "error", err.Error())
+			"took_ms", now.Sub(started).Milliseconds(), "superseded_ms", supersededFor.Milliseconds(), "error", err.Error())
 		return
 	}
 	delete(r.progress, engine.ID)
-	r.edge.fleet.ConfirmWeights(engine.ID, model, version)
+	r.edge.fleet.ConfirmWeights(engine.ID, model, loaded)
 	r.loaded = append(r.loaded, loadedReport{
-		Loaded: gossip.Loaded{Upstream: engine.ID, Model: model, Version: version}, until: now.Add(loadedReportTTL),
+		Loaded: gossip.Loaded{Upstream: engine.ID, Model: model, Version: loaded}, until: now.Add(loadedReportTTL),
 	})
-	r.edge.log.Info("weights: engine loaded", "upstream", engine.ID, "model", model, "version", version,
-		"took_ms", now.Sub(started).Milliseconds(), "superseded_ms", r.supersededFor(model, engine.Weights[model]).Milliseconds())
+	r.edge.log.Info("weights: engine loaded", "upstream", engine.ID, "model", model, "version", loaded,
+		"took_ms", now.Sub(started).Milliseconds(), "superseded_ms", supersededFor.Milliseconds())
 	r.edge.exchange.TriggerSend()
 	r.wake()
 }
@@ -47,9 +47,9 @@
 // errEngineLeaves means that the engine has announced that it stops.
 var errEngineLeaves = errors.New("the engine stops")
 
-// ensureLoaded polls the engine until the version is loaded and sends orders when needed. Each order is conditional on the
-// number of earlier orders, so that one that arrives late has no effect.
-func (r *rollout) ensureLoaded(ctx context.Context, load plan.Load, model string, version int64) error {
+// ensureLoaded polls the engine until the version or a later one is loaded, which it returns, and sends orders when needed. Each order is
+// conditional on the number of earlier orders, so that one that arrives late has no effect.
+func (r *rollout) ensureLoaded(ctx context.Context, load plan.Load, model string, version int64) (int64, error) {
 	engine := load.Engine
 	// orderCount is the engine's number of orders including the last one sent, resendAt is when another may be sent.
 	orderCount, resendAt := int64(0), time.Time{}
@@ -59,14 +59,14 @@
 		r.edge.fleet.CountSend(time.Now(), engine.ID)
 		report, err := r.edge.engines.Report(ctx, engine.ID, engine.Address)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if report.Leaving {
 			r.edge.markLeaving(time.Now(), fleet.Departure{ID: engine.ID, Born: engine.Born}, true, "report")
-			return errEngineLeaves
+			return 0, errEngineLeaves
 		}
 		if report.Weights[model] >= version && !report.Busy {
-			return nil
+			return report.Weights[model], nil
 		}
 		if first < 0 {
 			first = report.Orders
@@ -75,13 +75,14 @@
 			r.noteAccepted(engine.ID, time.Now())
 		}
 		if now := time.Now(); !report.Busy && report.Orders >= orderCount && !now.Before(resendAt) {
-			if orderCount, err = r.sendOrder(ctx, load, model, version, report); err != nil {
-				return err
+			newest := max(version, r.edge.replica.Weights(model).Version)
+			if orderCount, err = r.sendOrder(ctx, load, model, newest, report); err != nil {
+				return 0, err
 			}
 			resendAt = now.Add(resendInterval)
 		}
 		if err := sleep.For(ctx, max(reportPollInterval, r.edge.fleet.CallInterval(engine.ID))); err != nil {
-			return err
+			return 0, err
 		}
 	}
 }
@@ -98,6 +99,8 @@
 	now := time.Now()
 	mode := load.Mode(now)
 	r.edge.fleet.CountSend(now, engine.ID)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	outcome, err := r.edge.engines.OrderLoad(ctx, plan.Order{
 		Upstream: engine.ID, Address: engine.Address, Model: model, Version: version, Mode: mode,
 		Holder: r.edge.settings.Peer, Token: lease.Token, After: report.Orders,
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -28,7 +28,9 @@
 	// reportPollInterval is the pause between polls of a loading engine; its reports are some 100 ms old.
 	reportPollInterval = 150 * time.Millisecond
 	// resendInterval is the time until an order is sent again; by then reports show whether the first one took effect.
-	resendInterval = 600 * time.Millisecond
+	resendInterval = 500 * time.Millisecond
+	// orderTimeout bounds an order. Engines answer orders at once, and one that comes late has no effect after another.
+	orderTimeout = 400 * time.Millisecond
 	// orderRetryDelay is the delay before the next attempt on an engine that failed to load.
 	orderRetryDelay = 700 * time.Millisecond
 	// leaderHeadStart is how long other instances wait for the previous leader to start the rollout.
--- a/internal/app/edge/stuckload_test.go
+++ b/internal/app/edge/stuckload_test.go
@@ -38,5 +38,6 @@
 	for _, u := range s.Engines[:ignoring] {
 		u.SetFaults(fake.Faults{})
 		eventually(t, "loaded once it answers", func() bool { return u.Version() == 4 })
+		must.Eq(t, 4, u.Orders()[0].Version, must.Sprint(u.ID))
 	}
 }
