plan: forget drains that led to no load

Cause: an engine that drained when its leader lost the lease, or while the leader was held up, kept that state; minutes later, in the next rollout that this instance led, the engine counted as drained for long and loaded at once with all its requests, and held a place until then.

Change: a drain ends after the 2 s for which the engine is avoided.

Test: TestDrainOfEarlierRolloutIsForgotten, two loads at once before.

--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -23,8 +23,6 @@
 	idleInterval    = 300 * time.Millisecond
 	// loadTimeout bounds the time that one engine takes to complete its requests and load.
 	loadTimeout = 9 * time.Second
-	// drainingTTL is how long a draining engine is avoided if it does not start loading.
-	drainingTTL = 2 * time.Second
 	// reportPollInterval is the pause between polls of a loading engine; its reports are some 100 ms old.
 	reportPollInterval = 150 * time.Millisecond
 	// resendInterval is the time until an order is sent again; by then reports show whether the first one took effect.
@@ -94,7 +92,7 @@
 		m.RolloutLeader = r.edge.settings.Peer
 	}
 	for id, p := range r.progress {
-		if !p.LoadingSince.IsZero() || now.Sub(p.DrainingSince) < drainingTTL {
+		if !p.LoadingSince.IsZero() || p.Draining(now) {
 			m.Switching = append(m.Switching, id)
 		}
 	}
@@ -372,7 +370,7 @@
 	next := plan.Next(now, target, views, r.progress)
 	for _, e := range next.Drain {
 		r.progress[e.ID] = plan.Progress{DrainingSince: now, Running: e.Running, Version: target.Version}
-		r.edge.fleet.SetSwitching(e.ID, now.Add(drainingTTL))
+		r.edge.fleet.SetSwitching(e.ID, now.Add(plan.DrainTTL))
 	}
 	for _, l := range next.Load {
 		r.progress[l.Engine.ID] = plan.Progress{LoadingSince: now, Version: target.Version}
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -103,6 +103,11 @@
 	}
 }
 
+// Draining reports whether the engine gets no new requests so that it can load soon.
+func (p *Progress) Draining(now time.Time) bool {
+	return !p.DrainingSince.IsZero() && now.Sub(p.DrainingSince) < DrainTTL
+}
+
 const (
 	// maxUnavailable is the fraction of the engines that may be loading or draining at a time. The weights store can serve a fifth or a
 	// sixth of them at full speed, and the remaining engines must carry peak load.
@@ -113,6 +118,8 @@
 	minPlaces = 2
 	// drainTimeout is how long an engine drains before it loads even if requests are still running. Most responses take less.
 	drainTimeout = 1200 * time.Millisecond
+	// DrainTTL is how long an engine is avoided that drains. A drain that has not led to a load by then has ended.
+	DrainTTL = 2 * time.Second
 	// drainedLimit is the number of running requests up to which an engine counts as drained. Completing them on the new
 	// weights costs less than the load itself.
 	drainedLimit = 2
@@ -198,7 +205,7 @@
 		p.stuck++
 	case !progress.LoadingSince.IsZero():
 		p.loading++
-	case !progress.DrainingSince.IsZero():
+	case progress.Draining(now):
 		p.draining++
 	}
 }
@@ -259,9 +266,9 @@
 }
 
 // mayStart reports whether a candidate may drain or load. One that drains has its place.
-func (s *site) mayStart(c *candidate, urgent bool) bool {
+func (s *site) mayStart(c *candidate, urgent, drains bool) bool {
 	switch {
-	case !urgent && !c.progress.DrainingSince.IsZero():
+	case !urgent && drains:
 		return true
 	case c.failing && !urgent && !s.sound.free(false):
 		return false
@@ -272,11 +279,11 @@
 
 // advance adds a candidate to the plan.
 func (s *site) advance(now time.Time, t *Target, c *candidate, plan *Plan) {
-	urgent, drains := t.urgent(c.supersededFor), !c.progress.DrainingSince.IsZero()
+	urgent, drains := t.urgent(c.supersededFor), c.progress.Draining(now)
 	timedOut := drains && now.Sub(c.progress.DrainingSince) >= drainTimeout
 	p := s.places(c)
 	switch {
-	case !s.mayStart(c, urgent) || drains && !urgent && !timedOut && c.Running > drainedLimit:
+	case !s.mayStart(c, urgent, drains) || drains && !urgent && !timedOut && c.Running > drainedLimit:
 		plan.Waiting = append(plan.Waiting, c.View)
 		return
 	case urgent || c.Running <= drainedLimit || timedOut:
--- a/internal/roll/plan/rollout_test.go
+++ b/internal/roll/plan/rollout_test.go
@@ -424,3 +424,13 @@
 	other.Model = "n"
 	must.Eq(t, []string{"1"}, ids(Next(start, other, views, progress).Load))
 }
+
+// A drain that led to no load, since this instance lost the lease, does not count in a later rollout.
+func TestDrainOfEarlierRolloutIsForgotten(t *testing.T) {
+	views := enginesOn(1, 1, 1, 1)
+	progress := map[string]Progress{"0": {DrainingSince: start, Running: 30}, "1": {DrainingSince: start, Running: 30}}
+	next := Next(start.Add(time.Hour), target(2, 0), views, progress)
+	must.SliceEmpty(t, next.Load)
+	must.Len(t, 2, next.Drain)
+	must.Zero(t, next.Draining)
+}
