plan: tests and documents of the rollout by engine

Two rules had no test: each was taken out and no test failed, which the tests of this commit now do: an engine that has asked for no requests does not drain either before it is urgent, and before that engines with stuck loads leave half of the engines serving.

--- a/internal/roll/plan/rollout_test.go
+++ b/internal/roll/plan/rollout_test.go
@@ -407,12 +407,28 @@
 func TestEngineThatWantsNoRequestsIsLeftAloneUntilUrgent(t *testing.T) {
 	views := enginesOn(1)
 	views[0].RetryAt = start.Add(time.Minute)
-	must.SliceEmpty(t, Next(start, target(2, urgentAge-1), views, nil).Load)
+	next := Next(start, target(2, urgentAge-1), views, nil)
+	must.SliceEmpty(t, next.Load)
+	must.SliceEmpty(t, next.Drain)
 	superseded := map[int64]time.Duration{1: urgentAge, 2: 0}
-	next := Next(start, Target{Model: "m", Version: 3, StartLimit: startLimit, SupersededFor: func(v int64) time.Duration { return superseded[v] }}, views, nil)
+	next = Next(start, Target{Model: "m", Version: 3, StartLimit: startLimit, SupersededFor: func(v int64) time.Duration { return superseded[v] }}, views, nil)
 	must.Eq(t, []string{"0"}, ids(next.Load))
 }
 
+// Stuck engines are avoided as well, so they bound how many others drain or load until one is urgent.
+func TestHalfOfEnginesServeBesideStuckLoads(t *testing.T) {
+	views := enginesOn(versions(12, 1)...)
+	for _, c := range []struct{ stuck, drain int }{{2, 4}, {5, 1}, {6, 0}, {8, 0}} {
+		progress := map[string]Progress{}
+		for _, v := range views[:c.stuck] {
+			progress[v.ID] = Progress{LoadingSince: start, Unanswered: 1}
+		}
+		next := Next(start, target(2, time.Second), views, progress)
+		must.Len(t, c.drain, next.Drain)
+		must.SliceEmpty(t, next.Load)
+	}
+}
+
 // Guards against two orders to one engine for two of its models.
 func TestEngineThatLoadsOneModelWaitsForTheOther(t *testing.T) {
 	views := enginesOn(1, 1)
