--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
 	"github.com/skylarkquay/skylarkquay/internal/roll/leader"
 	"github.com/skylarkquay/skylarkquay/internal/roll/plan"
@@ -22,12 +23,12 @@
 	idleInterval    = 300 * time.Millisecond
 	// loadTimeout bounds the time that one engine takes to complete its requests and load.
 	loadTimeout = 9 * time.Second
-	// drainingTTL is how long a draining engine is avoided if it does not start loading.
-	drainingTTL = 2 * time.Second
 	// reportPollInterval is the pause between polls of a loading engine; its reports are some 100 ms old.
 	reportPollInterval = 150 * time.Millisecond
 	// resendInterval is the time until an order is sent again; by then reports show whether the first one took effect.
-	resendInterval = 600 * time.Millisecond
+	resendInterval = 500 * time.Millisecond
+	// orderTimeout bounds an order. Engines answer orders at once, and one that comes late has no effect after another.
+	orderTimeout = 400 * time.Millisecond
 	// orderRetryDelay is the delay before the next attempt on an engine that failed to load.
 	orderRetryDelay = 700 * time.Millisecond
 	// leaderHeadStart is how long other instances wait for the previous leader to start the rollout.
@@ -61,6 +62,8 @@
 	progress map[string]plan.Progress
 	// loaded are the completed loads that are still reported.
 	loaded []loadedReport
+	// stuck is the last number of stuck loads by model.
+	stuck map[string]int
 	// leaderSeen is when another instance last reported that it holds the lease, leaderAddress is its address.
 	leaderSeen    time.Time
 	leaderAddress string
@@ -71,7 +74,7 @@
 }
 
 func newRollout(e *Edge) *rollout {
-	return &rollout{edge: e, wakeup: make(chan struct{}, 1), progress: make(map[string]plan.Progress)}
+	return &rollout{edge: e, wakeup: make(chan struct{}, 1), progress: make(map[string]plan.Progress), stuck: make(map[string]int)}
 }
 
 func (r *rollout) wake() {
@@ -89,7 +92,7 @@
 		m.RolloutLeader = r.edge.settings.Peer
 	}
 	for id, p := range r.progress {
-		if !p.LoadingSince.IsZero() || now.Sub(p.DrainingSince) < drainingTTL {
+		if !p.LoadingSince.IsZero() || p.Draining(now) {
 			m.Switching = append(m.Switching, id)
 		}
 	}
@@ -157,7 +160,7 @@
 			continue
 		}
 		for _, w := range r.edge.replica.LatestWeights() {
-			r.advance(ctx, now, plan.Target{Model: w.Model, Version: w.Version, Age: clock.SinceBoot() - w.FirstSeen})
+			r.advance(ctx, now, w)
 		}
 	}
 }
@@ -355,28 +358,59 @@
 	return state, nil
 }
 
-// advance starts to drain or load the engines that are next for the version.
-func (r *rollout) advance(ctx context.Context, now time.Time, target plan.Target) {
+// advance starts to drain or load the engines that are next for the latest weights of a model.
+func (r *rollout) advance(ctx context.Context, now time.Time, latest policy.Weights) {
+	target := plan.Target{
+		Model: latest.Model, Version: latest.Version, StartLimit: r.edge.handler.Settings.SupersededLimit,
+		SupersededFor: func(version int64) time.Duration { return r.supersededFor(latest.Model, version) },
+	}
 	doc := r.edge.replica.Document()
 	views := r.edge.fleet.Views(now, doc.ServiceOfModel(target.Model))
 	r.mu.Lock()
 	next := plan.Next(now, target, views, r.progress)
 	for _, e := range next.Drain {
-		r.progress[e.ID] = plan.Progress{DrainingSince: now, Version: target.Version}
-		r.edge.fleet.SetSwitching(e.ID, now.Add(drainingTTL))
+		r.progress[e.ID] = plan.Progress{DrainingSince: now, Running: e.Running, Version: target.Version}
+		r.edge.fleet.SetSwitching(e.ID, now.Add(plan.DrainTTL))
 	}
 	for _, l := range next.Load {
 		r.progress[l.Engine.ID] = plan.Progress{LoadingSince: now, Version: target.Version}
 		r.edge.fleet.SetSwitching(l.Engine.ID, now.Add(loadTimeout))
 	}
+	stuckBefore := r.stuck[target.Model]
+	r.stuck[target.Model] = next.Stuck
 	r.mu.Unlock()
-	if len(next.Drain)+len(next.Load) == 0 {
+	if len(next.Drain)+len(next.Load) == 0 && next.Stuck == stuckBefore {
 		return
 	}
-	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", target.Age.Milliseconds(),
-		"drain", len(next.Drain), "load", len(next.Load))
+	r.logPlan(target, clock.SinceBoot()-latest.FirstSeen, next)
 	r.edge.exchange.TriggerSend()
 	for _, l := range next.Load {
 		r.loads.Go(func() { r.loadEngine(ctx, l, target.Model, target.Version) })
 	}
 }
+
+// logPlan logs a plan, and for how long the weights of its engines have been superseded.
+func (r *rollout) logPlan(target plan.Target, age time.Duration, next plan.Plan) {
+	oldest := time.Duration(0)
+	for i := range next.Waiting {
+		oldest = max(oldest, r.supersededFor(target.Model, next.Waiting[i].Weights[target.Model]))
+	}
+	r.edge.log.Info("weights: planned", "model", target.Model, "version", target.Version, "age_ms", age.Milliseconds(),
+		"drain", len(next.Drain), "load", len(next.Load), "waiting", len(next.Waiting), "waiting_superseded_ms", oldest.Milliseconds(),
+		"draining", next.Draining, "loading", next.Loading, "stuck", next.Stuck)
+	for i := range next.Drain {
+		e := &next.Drain[i]
+		version := e.Weights[target.Model]
+		r.edge.log.Info("weights: engine drains", "upstream", e.ID, "model", target.Model, "weights", version, "version", target.Version,
+			"superseded_ms", r.supersededFor(target.Model, version).Milliseconds(), "running", e.Running)
+	}
+}
+
+// supersededFor returns for how long a version of a model's weights has been superseded.
+func (r *rollout) supersededFor(model string, version int64) time.Duration {
+	since, superseded := r.edge.replica.SupersededSince(model, version)
+	if !superseded {
+		return 0
+	}
+	return clock.SinceBoot() - since
+}
