--- a/internal/front/serve/start_test.go
+++ b/internal/front/serve/start_test.go
@@ -41,7 +41,9 @@
 // A version that is announced while an attempt waits counts too.
 func TestAttemptIsTakenBackWhenItsWeightsAreSupersededLater(t *testing.T) {
 	announced := time.Now().Add(2 * startCheckInterval)
-	ctx, w := newWatch(func() (time.Duration, bool) { return time.Until(announced.Add(startCheckInterval)), time.Now().After(announced) })
+	ctx, w := newWatch(func() (time.Duration, bool) {
+		return time.Until(announced.Add(startCheckInterval)), time.Now().After(announced)
+	})
 	must.NoError(t, ctx.Err())
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(time.Minute), wait.Gap(startCheckInterval/10), wait.BoolFunc(func() bool { return ctx.Err() != nil })))
 	must.False(t, time.Now().Before(announced.Add(startCheckInterval)))
