route: check the upstream again when the connection is made

What callers saw: nothing yet. An upstream got requests after this instance knew that it stops, refuses for a time, has left the list or is another process: those that were placed before and whose connection was still being made (up to 0.4 s, and through another instance).

Cause: the same as that of requests that begin late on superseded weights (docs/incidents/late-starts.md). The upstream is checked once, when the request is placed, though the promise is about the arrival.

Change: link.Request has Prepare, which the link calls when there is a connection, before the first byte. It compares the upstream with its entry at the placement.

--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -101,6 +101,9 @@
 	// NewConn requires a new connection. A request that was sent to the upstream before has the same ID, so that on another connection
 	// an earlier response, written once more, would pass for that to this send.
 	NewConn bool
+	// Prepare is called when there is a connection, right before the first byte is written. If it returns an error, nothing is sent and
+	// Send returns the error in an UnsentError. Nil if there is nothing to check.
+	Prepare func(now time.Time) error
 }
 
 type conn struct {
@@ -172,6 +175,12 @@
 	if err != nil {
 		return nil, &UnsentError{err}
 	}
+	if r.Prepare != nil {
+		if err := r.Prepare(time.Now()); err != nil {
+			p.discard(c)
+			return nil, &UnsentError{err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	connectedAt := time.Now()
 	sent := write(c, r)
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -407,3 +407,29 @@
 	must.GreaterEq(t, 2000, userTimeout)
 	must.Zero(t, keepAlive)
 }
+
+// A request that may no longer be sent once there is a connection leaves nothing on it and nothing behind.
+func TestRequestThatIsNotPreparedIsNotSent(t *testing.T) {
+	barred := errors.New("barred")
+	for _, reused := range []bool{false, true} {
+		u := respondWith(t, response("1", "a"), response("2", "b"))
+		p := newTestPool(1)
+		if reused {
+			_, err := roundTrip(t, p, request(u, "1"))
+			must.NoError(t, err)
+		}
+		before := u.requests.Load()
+		r := request(u, "x")
+		r.Prepare = func(time.Time) error { return barred }
+		_, err := roundTrip(t, p, r)
+		must.ErrorIs(t, err, barred)
+		must.True(t, NotSent(err))
+		must.Eq(t, before, u.requests.Load())
+		// The connection does not count any more.
+		r = request(u, fmt.Sprint(before+1))
+		r.Prepare = func(time.Time) error { return nil }
+		_, err = roundTrip(t, p, r)
+		must.NoError(t, err)
+		must.Eq(t, before+1, u.requests.Load())
+	}
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -117,7 +117,14 @@
 		Matches:   func(h http.Header) bool { return x.Dialect.ParseResponse(h).ID == x.info.ID },
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
 		NewConn:   c.again,
+		Prepare:   func(now time.Time) error { return x.prepare(now, c) },
 	})
+	var barred *barredError
+	if errors.As(err, &barred) {
+		x.logSend(unsent, choice, err)
+		x.Metrics.Tagged(map[string]string{"reason": string(barred.reason)}).Counter("barred").Inc(1)
+		return unsent, err
+	}
 	if link.NotSent(err) && c.start.isTakenBack() {
 		return x.takeBack(time.Now(), c, unsent)
 	}
