route: check the caller's key at each attempt, when the connection is made

What callers saw: a request whose key was withdrawn, given to another workspace, or no longer confirmed, was still sent: while its connection was made, and again after an attempt that broke off or was refused, up to the end of its time.

Cause: the key is checked once, on admission. revocationMargin (0.4 s) stands for all that follows; a second attempt comes any number of seconds later.

Change: link.Request.Prepare checks the key too. Such a request goes to no other upstream: 401 or 503 if nothing ran, else 502 or the end of the stream. A silent stream keeps its upstream. Requests that waited when their key was withdrawn and were served before are refused now.

Evidence: TestKeyWithdrawnWhileAConnectionIsMade (4 cases), TestKeyWithdrawnBeforeTheSecondAttempt (4 cases) and TestKeyNotConfirmedBeforeTheSecondAttempt all failed with the check taken out, and pass with it.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -138,3 +139,97 @@
 		}
 	}
 }
+
+// withdrawKey takes the key of acme away, or gives it to another workspace, and makes that known to the router.
+func withdrawKey(r *router, to string) {
+	doc := *r.replica.Document()
+	doc.Revision++
+	doc.Keys = maps.Clone(doc.Keys)
+	delete(doc.Keys, fake.Key)
+	for _, w := range doc.Workspaces {
+		if w.Name == to {
+			doc.Keys[fake.Key] = w
+		}
+	}
+	r.replica.InstallIfNewer(&doc)
+}
+
+// Guards against requests that are sent with a key that was withdrawn while the connection was made.
+func TestKeyWithdrawnWhileAConnectionIsMade(t *testing.T) {
+	for _, to := range []string{"", "walled"} {
+		for _, c := range callsFor {
+			t.Run(c.name+" "+to, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 1, 1)
+				d := &slowDial{}
+				r := startRouterOn(t, testSettings(t, s), d.dial)
+				eventually(t, "ready", r.isReady)
+				u := c.of(s)[0]
+				d.set(func(address string) bool {
+					if address != s.Address(u) {
+						return false
+					}
+					withdrawKey(r, to)
+					return true
+				})
+				must.Eq(t, http.StatusUnauthorized, r.send(t, c.call()).Status)
+				must.Zero(t, u.Requests())
+			})
+		}
+	}
+}
+
+// Guards against later attempts of a request whose key was withdrawn during an earlier one.
+func TestKeyWithdrawnBeforeTheSecondAttempt(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		call   fake.Call
+		of     func(*fake.Site) []*fake.Upstream
+		faults fake.Faults
+		status int
+	}{
+		{"plain", newLookCall(), func(s *fake.Site) []*fake.Upstream { return s.Jobs }, fake.Faults{Work: time.Second, Crash: true}, http.StatusBadGateway},
+		{"not run", newLookCall(), func(s *fake.Site) []*fake.Upstream { return s.Jobs }, fake.Faults{Work: time.Second, Shed: true}, http.StatusUnauthorized},
+		{"stream", newPromptCall(fake.QuotePath + "1"), func(s *fake.Site) []*fake.Upstream { return s.Engines }, fake.Faults{PauseAfter: 1, Pause: time.Second, CutAfter: 2}, http.StatusOK},
+		{"silent stream", newPromptCall(fake.QuotePath + "1"), func(s *fake.Site) []*fake.Upstream { return s.Engines }, fake.Faults{PauseAfter: 1, Pause: 2 * time.Second}, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s, r := startSite(t, 2, 2)
+			upstreams := c.of(s)
+			for _, u := range upstreams {
+				u.SetFaults(c.faults)
+			}
+			requests := func() int { return upstreams[0].Requests() + upstreams[1].Requests() }
+			replies := make(chan fake.Response, 1)
+			go func() { replies <- r.send(t, c.call) }()
+			eventually(t, "sent", func() bool { return requests() == 1 })
+			withdrawKey(r, "")
+			reply := <-replies
+			must.Eq(t, c.status, reply.Status)
+			must.Eq(t, 1, requests())
+			if c.name == "silent stream" {
+				// The first attempt goes on.
+				must.Eq(t, events(1, 5), reply.Body)
+			}
+		})
+	}
+}
+
+// Guards against later attempts when keys were last confirmed too long ago.
+func TestKeyNotConfirmedBeforeTheSecondAttempt(t *testing.T) {
+	s := newSite(t, 1, 2)
+	cfg := testSettings(t, s)
+	cfg.Revocation = 2000
+	r := startRouter(t, cfg)
+	eventually(t, "ready", r.isReady)
+	for _, u := range s.Jobs {
+		u.SetFaults(fake.Faults{Work: 2500 * time.Millisecond, Crash: true})
+	}
+	replies := make(chan fake.Response, 1)
+	go func() { replies <- r.send(t, newLookCall()) }()
+	eventually(t, "sent", func() bool { return s.Jobs[0].Requests()+s.Jobs[1].Requests() == 1 })
+	s.Store.SetFault(fake.Busy)
+	must.Eq(t, http.StatusBadGateway, (<-replies).Status)
+	must.Eq(t, 1, s.Jobs[0].Requests()+s.Jobs[1].Requests())
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -119,10 +120,9 @@
 		NewConn:   c.again,
 		Prepare:   func(now time.Time) error { return x.prepare(now, c) },
 	})
-	var barred *barredError
-	if errors.As(err, &barred) {
+	if reason := barredReason(err); reason != fleet.NotBarred {
 		x.logSend(unsent, choice, err)
-		x.Metrics.Tagged(map[string]string{"reason": string(barred.reason)}).Counter("barred").Inc(1)
+		x.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("barred").Inc(1)
 		return unsent, err
 	}
 	if link.NotSent(err) && c.start.isTakenBack() {
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -1,22 +1,78 @@
 package serve
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
+// badKey is the reason of a request that may not be sent to any upstream, because of its key.
+const badKey fleet.Bar = "key"
+
 // barredError is returned when a request that was placed may no longer be sent to its upstream. Nothing was sent.
-type barredError struct{ reason fleet.Bar }
+type barredError struct {
+	reason fleet.Bar
+	// refusal is why no upstream may run the request; nil if others may.
+	refusal error
+}
 
 // Error implements error.
 func (e *barredError) Error() string { return "barred after it was placed: " + string(e.reason) }
 
+// barredReason returns why a request was barred, or NotBarred if err says nothing of that.
+func barredReason(err error) fleet.Bar {
+	var barred *barredError
+	if errors.As(err, &barred) {
+		return barred.reason
+	}
+	return fleet.NotBarred
+}
+
+// refusalOf returns why no upstream may run a request whose attempt ended with err, or nil.
+func refusalOf(err error) error {
+	var barred *barredError
+	if errors.As(err, &barred) {
+		return barred.refusal
+	}
+	return nil
+}
+
 // prepare returns an error if a call may no longer be sent. It is called when there is a connection, which may take longer than it takes
-// to learn that the upstream must not get the request.
+// to learn that the upstream must not get the request. First and later attempts are checked alike.
 func (x *exchange) prepare(now time.Time, c *call) error {
+	if err := x.checkKeyAgain(x.Boot()); err != nil {
+		return &barredError{badKey, err}
+	}
 	if bar := x.Fleet.Check(now, c.choice.Entry); bar != fleet.NotBarred {
-		return &barredError{bar}
+		return &barredError{bar, nil}
 	}
 	return nil
 }
+
+// checkKeyAgain returns an error if the caller's key may not be used any more.
+func (x *exchange) checkKeyAgain(boot time.Duration) error {
+	if x.workspace == nil {
+		return nil
+	}
+	doc, age, known := x.Feed.Current(boot)
+	if len(doc.Workspaces) == 0 {
+		return nil
+	}
+	x.docAge = age
+	w := doc.Keys[x.info.Key]
+	if w != nil && w.Name != x.workspace.Name {
+		w = nil
+	}
+	return x.checkKey(w, known, known && age < freshAge)
+}
+
+// refuseSend ends a request that may not be sent to any upstream any more.
+func (x *exchange) refuseSend(ctx context.Context, refusal error) {
+	if x.streaming || x.counts.Ran > 0 || x.r.Context().Err() != nil {
+		x.failUnknown(ctx, refusal)
+		return
+	}
+	x.respondError(refusal)
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -57,6 +57,10 @@
 			return
 		}
 		r, err := x.attempt(ctx, choice)
+		if refusal := refusalOf(err); refusal != nil {
+			x.refuseSend(ctx, refusal)
+			return
+		}
 		switch x.decide(ctx, r) {
 		case sendAgain:
 			if r == failed {
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -237,11 +237,9 @@
 		return x.rejectUnknown(fresh, fault.UnknownRoute, "no route matches host and path")
 	}
 	if !x.route.Open && len(x.doc.Workspaces) > 0 {
-		if x.workspace = x.doc.Keys[x.info.Key]; x.workspace == nil {
-			return x.rejectUnknown(fresh, fault.BadKey, "the key is unknown")
-		}
-		if !known || age > x.Settings.MaxKeyAge {
-			return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "keys were last confirmed %s ago", age.Round(time.Millisecond))
+		x.workspace = x.doc.Keys[x.info.Key]
+		if err := x.checkKey(x.workspace, known, fresh); err != nil {
+			return err
 		}
 	}
 	if x.discarded || x.unread {
@@ -266,6 +264,18 @@
 // maxCrashes is the number of upstreams that may crash while running a request before it is rejected.
 const maxCrashes = 3
 
+// checkKey returns an error if the caller's key may not be used. The workspace is that of the key in the document whose age is known,
+// nil if it has none.
+func (x *exchange) checkKey(w *policy.Workspace, known, fresh bool) error {
+	if w == nil {
+		return x.rejectUnknown(fresh, fault.BadKey, "the key is unknown")
+	}
+	if !known || x.docAge > x.Settings.MaxKeyAge {
+		return fault.NewRetryAfter(fault.NotCurrent, retryAfterNotCurrent, "keys were last confirmed %s ago", x.docAge.Round(time.Millisecond))
+	}
+	return nil
+}
+
 // rejectUnknown returns the error for a route or key that the document lacks. If the document may be outdated, the error asks
 // the caller to retry.
 func (x *exchange) rejectUnknown(fresh bool, kind fault.Kind, message string) error {
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -60,7 +60,7 @@
 		s.log(o.call.choice.ID, nil)
 		return 0
 	}
-	if o.result == unsent || o.result == notRun {
+	if (o.result == unsent || o.result == notRun) && refusalOf(o.err) == nil {
 		return s.start(o.result == notRun)
 	}
 	s.log("", o.err)
