detour: check the upstream again when the connection for another instance is made

What callers saw: nothing yet. An instance that connects for another one passed requests on to an upstream although it had learned, while the connection was made, that the upstream stops, has left the list, or refuses what comes from this instance for a time. The instance that asked may not know it, and Retry-After counts for the instance from which a request comes.

Cause: Accepts was called before the connection only.

Change: it is called again afterwards. The other instance hears 503, as if it had been declined at first, and asks the next one; nothing was sent.

Evidence: TestUpstreamBarredWhileAnotherInstanceConnectsGetsNoRequest, four events x bookings and streams: all 8 failed without the second check, all pass with it.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -68,14 +68,14 @@
 		s.Deregister(u)
 		r.fleet.Drop(time.Now(), u.ID)
 	}},
+	{"refuses with Retry-After", func(_ *fake.Site, r *router, u *fake.Upstream) {
+		r.fleet.PauseUntil(time.Now(), u.ID, 1+u.Incarnation, time.Now().Add(10*time.Second))
+	}},
 	{"starts again with another build", func(s *fake.Site, r *router, u *fake.Upstream) {
 		u.Incarnation, u.Build = u.Incarnation+1, "v2"
 		s.Register(u, "ready")
 		relist(r, u, func(e *fleet.Entry) { e.Born, e.Build = e.Born+1, u.Build })
 	}},
-	{"refuses with Retry-After", func(_ *fake.Site, r *router, u *fake.Upstream) {
-		r.fleet.PauseUntil(time.Now(), u.ID, 1+u.Incarnation, time.Now().Add(10*time.Second))
-	}},
 }
 
 // atAddress returns the upstream at an address, or nil.
@@ -233,3 +233,36 @@
 	must.Eq(t, http.StatusBadGateway, (<-replies).Status)
 	must.Eq(t, 1, s.Jobs[0].Requests()+s.Jobs[1].Requests())
 }
+
+// Guards against requests through another instance that learns, while it makes the connection, that the upstream must get none from it.
+func TestUpstreamBarredWhileAnotherInstanceConnectsGetsNoRequest(t *testing.T) {
+	for _, m := range moments[:len(moments)-1] {
+		for _, c := range callsFor {
+			t.Run(m.name+" "+c.name, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 3, 3)
+				p, d := newPath(), &slowDial{}
+				r := startRouterOn(t, testSettings(t, s), p.dial)
+				other := startRouterOn(t, testSettings(t, s), d.dial)
+				t.Cleanup(func() { r.stop(); other.stop() })
+				for _, r := range []*router{r, other} {
+					eventually(t, "ready", func() bool { return r.isReady() && len(r.exchange.Attached()) == 1 })
+				}
+				p.set(cutHang)
+				var barred *fake.Upstream
+				d.set(func(address string) bool {
+					u := atAddress(s, c.of(s), address)
+					if u == nil {
+						return false
+					}
+					barred = u
+					m.happens(s, other, u)
+					return true
+				})
+				must.Eq(t, http.StatusOK, r.send(t, c.call()).Status)
+				must.NotNil(t, barred)
+				must.Zero(t, barred.Requests())
+			})
+		}
+	}
+}
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -60,6 +60,11 @@
 	}
 	defer func() { _ = upstream.Close() }()
 	r.Dialer.Paths.Connected(time.Now(), target.Address)
+	if !r.Accepts(time.Now(), target) {
+		// That became known while the connection was made.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	caller, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
