detour: another instance connects to the process that was chosen only

What callers saw: nothing yet. An upstream that starts again at its address, with another build under the same ID, got requests that were placed at the process before, if the instance that connected knew of the new one and the instance that asked did not. A stream may so begin, or go on, at a build that is not the one it is bound to. Upstreams check their ID only.

Cause: the instance that asks names ID and address, not the incarnation, so that the check at the other instance could not tell them apart.

Change: detour.Target has Born, sent as the query parameter born. Earlier builds neither send nor read it: what they ask is not compared.

Evidence: TestUpstreamBarredWhileAnotherInstanceConnectsGetsNoRequest with "starts again with another build", bookings and streams: both failed before, three times of three, and pass.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
@@ -236,7 +237,7 @@
 
 // Guards against requests through another instance that learns, while it makes the connection, that the upstream must get none from it.
 func TestUpstreamBarredWhileAnotherInstanceConnectsGetsNoRequest(t *testing.T) {
-	for _, m := range moments[:len(moments)-1] {
+	for _, m := range moments {
 		for _, c := range callsFor {
 			t.Run(m.name+" "+c.name, func(t *testing.T) {
 				t.Parallel()
@@ -266,3 +267,17 @@
 		}
 	}
 }
+
+// Guards against a request for one process that another instance passes on to a later one, which that instance alone knows.
+func TestAnotherInstanceConnectsToTheNamedProcessOnly(t *testing.T) {
+	s, r := startSite(t, 1, 1)
+	u := s.Engines[0]
+	v, ok := r.fleet.View(time.Now(), u.ID)
+	must.True(t, ok)
+	target := detour.Target{ID: u.ID, Address: s.Address(u)}
+	must.True(t, r.acceptsRelay(time.Now(), target), must.Sprint("an earlier build"))
+	target.Born = v.Born
+	must.True(t, r.acceptsRelay(time.Now(), target))
+	target.Born++
+	must.False(t, r.acceptsRelay(time.Now(), target))
+}
--- a/internal/app/edge/paths.go
+++ b/internal/app/edge/paths.go
@@ -42,7 +42,7 @@
 // instance holds for all requests that it gets from there.
 func (e *Edge) acceptsRelay(now time.Time, t detour.Target) bool {
 	v, ok := e.fleet.View(now, t.ID)
-	return ok && v.Address == t.Address && v.State == fleet.Ready && v.RetryAt.IsZero() && !e.handler.Draining.Load()
+	return ok && v.Address == t.Address && (t.Born == 0 || t.Born == v.Born) && v.State == fleet.Ready && v.RetryAt.IsZero() && !e.handler.Draining.Load()
 }
 
 func (e *Edge) recordRelayedHead(now, connected time.Time, t detour.Target, head *http.Response) {
--- a/internal/front/detour/ask.go
+++ b/internal/front/detour/ask.go
@@ -36,6 +36,9 @@
 	return &Conn{Conn: conn, Via: peer, reader: reader}, nil
 }
 
+// bornName is the query parameter for Target.Born. Instances of earlier builds neither send nor read it.
+const bornName = "born"
+
 // handshake returns the reader of what the upstream sends. Instances of builds before frames send none.
 func handshake(conn net.Conn, peer string, t Target, left time.Duration) (io.Reader, error) {
 	if err := conn.SetDeadline(time.Now().Add(askTimeout)); err != nil {
@@ -44,6 +47,9 @@
 	query := url.Values{
 		"id": {t.ID}, "address": {t.Address}, "left": {strconv.FormatInt(left.Milliseconds(), 10)}, framedName: {"1"},
 	}
+	if t.Born != 0 {
+		query.Set(bornName, strconv.FormatInt(t.Born, 10))
+	}
 	if _, err := fmt.Fprintf(conn, "POST %s?%s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", Path, query.Encode(), peer); err != nil {
 		return nil, err
 	}
--- a/internal/front/detour/paths.go
+++ b/internal/front/detour/paths.go
@@ -23,6 +23,8 @@
 type Target struct {
 	ID      string
 	Address string
+	// Born distinguishes processes with the same ID; zero for any.
+	Born int64
 }
 
 // failure is a failed connection to an upstream.
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -46,7 +46,7 @@
 // ServeHTTP connects to the upstream that the request names and copies bytes in both directions.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
-	target := Target{ID: query.Get("id"), Address: query.Get("address")}
+	target := Target{ID: query.Get("id"), Address: query.Get("address"), Born: bornOf(query.Get(bornName))}
 	defer r.open.Add(-1)
 	if r.open.Add(1) > r.Max || r.Dialer.Paths.Detached() || !r.Accepts(time.Now(), target) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -82,6 +82,15 @@
 	}
 }
 
+// bornOf returns the process that a request names, or zero if it names none.
+func bornOf(text string) int64 {
+	born, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return born
+}
+
 // responseHead returns the head of the response that precedes the bytes of the upstream.
 func responseHead(framed bool) string {
 	if framed {
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -85,8 +85,9 @@
 
 // Request is a request to an upstream.
 type Request struct {
-	// Upstream is the upstream's ID.
+	// Upstream is the upstream's ID, and Born its incarnation.
 	Upstream string
+	Born     int64
 	Address  string
 	Method   string
 	// Target is the request target as the caller sent it.
@@ -365,7 +366,7 @@
 	if !p.reserve(r.Address, p.limit(r.Address)) {
 		return nil, false, ErrConnLimit
 	}
-	raw, err := p.dialer.Dial(ctx, detour.Target{ID: r.Upstream, Address: r.Address}, dialTimeout)
+	raw, err := p.dialer.Dial(ctx, detour.Target{ID: r.Upstream, Address: r.Address, Born: r.Born}, dialTimeout)
 	if err != nil {
 		p.release(r.Address)
 		return nil, false, err
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -109,6 +109,7 @@
 	c.saving = forward.SaveTo != ""
 	resp, err := x.Pool.Send(ctx, c.sentAt, link.Request{
 		Upstream:  choice.ID,
+		Born:      choice.Born,
 		Address:   choice.Address,
 		Method:    x.r.Method,
 		Target:    x.r.RequestURI,
