route: check the build again when the connection is made

What callers saw: nothing yet. A build that an order puts on trial, or that is given up, got requests that were placed there before, while their connection was made.

Cause: which builds may run an attempt is asked when it is placed.

Change: link.Request.Prepare asks again, by the same rule and seed. A barred attempt goes to another build at once.

Evidence: TestBuildThatMayNotRunRequestsAnyMoreGetsNone, an order and a verdict x bookings and look-ups: all 4 failed with the check taken out, all pass with it. TestGoodBuildIsCompleted and TestBadBuildIsRolledBack pass.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -281,3 +283,36 @@
 	target.Born++
 	must.False(t, r.acceptsRelay(time.Now(), target))
 }
+
+// Guards against requests to a build that was put on trial, or given up, while the connection to one of its upstreams was made.
+func TestBuildThatMayNotRunRequestsAnyMoreGetsNone(t *testing.T) {
+	for _, phase := range []shift.Phase{"", shift.RolledBack} {
+		for _, call := range []fake.Call{newBookCall(), newLookCall()} {
+			t.Run(string(phase)+call.Path, func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 1, 2)
+				s.Jobs[1].Build = "v2"
+				s.Register(s.Jobs[1], "ready")
+				d := &slowDial{}
+				r := startRouterOn(t, testSettings(t, s), d.dial)
+				eventually(t, "ready", r.isReady)
+				var barred *fake.Upstream
+				d.set(func(address string) bool {
+					if barred = atAddress(s, s.Jobs, address); barred == nil {
+						return false
+					}
+					r.decider.order(shift.Order{Service: fake.JobsService, To: barred.Build, Row: 3})
+					if phase != "" {
+						r.decider.mu.Lock()
+						defer r.decider.mu.Unlock()
+						r.decider.adopt(clock.SinceBoot(), shift.Record{Service: fake.JobsService, To: barred.Build, Row: 3, Started: 5, Step: 4, Phase: phase}, "test")
+					}
+					return true
+				})
+				must.Eq(t, http.StatusOK, r.send(t, call).Status)
+				must.NotNil(t, barred)
+				must.Zero(t, barred.Requests())
+			})
+		}
+	}
+}
--- a/internal/front/serve/placing.go
+++ b/internal/front/serve/placing.go
@@ -45,9 +45,12 @@
 	return choice, ok
 }
 
+// seed returns a number that is the same for all attempts of the request.
+func (x *exchange) seed() uint64 { return xxhash.Sum64String(x.info.ID) }
+
 // query returns what decides where the request may go.
 func (x *exchange) query(now time.Time) place.Query {
-	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: xxhash.Sum64String(x.info.ID), OwnTokens: x.info.PromptTokens, Build: x.build}
+	q := place.Query{Zone: x.Settings.Zone, Avoid: x.avoid, Seed: x.seed(), OwnTokens: x.info.PromptTokens, Build: x.build}
 	q.AvoidNewBuilds = x.route.Kind == policy.Streaming
 	if x.route.Language && x.info.Model != "" {
 		latest := x.Feed.Weights(x.info.Model)
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -8,8 +8,12 @@
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 )
 
-// badKey is the reason of a request that may not be sent to any upstream, because of its key.
-const badKey fleet.Bar = "key"
+const (
+	// badKey is the reason of a request that may not be sent to any upstream, because of its key.
+	badKey fleet.Bar = "key"
+	// otherBuild is that of a request whose service has been moved to another build.
+	otherBuild fleet.Bar = "build"
+)
 
 // barredError is returned when a request that was placed may no longer be sent to its upstream. Nothing was sent.
 type barredError struct {
@@ -48,9 +52,18 @@
 	if bar := x.Fleet.Check(now, c.choice.Entry); bar != fleet.NotBarred {
 		return &barredError{bar, nil}
 	}
+	if !x.allowsBuild(c.choice.Build) {
+		return &barredError{otherBuild, nil}
+	}
 	return nil
 }
 
+// allowsBuild reports whether a build may still run the attempt that is being made.
+func (x *exchange) allowsBuild(build string) bool {
+	builds, others := x.Shifts.Builds(x.service, x.seed(), x.build, x.counts.Sends > 1)
+	return builds.Allows(build) || others != nil && others.Allows(build)
+}
+
 // checkKeyAgain returns an error if the caller's key may not be used any more.
 func (x *exchange) checkKeyAgain(boot time.Duration) error {
 	if x.workspace == nil {
