--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -10,6 +10,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
+	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/place"
 )
 
@@ -108,6 +109,7 @@
 	c.saving = forward.SaveTo != ""
 	resp, err := x.Pool.Send(ctx, c.sentAt, link.Request{
 		Upstream:  choice.ID,
+		Born:      choice.Born,
 		Address:   choice.Address,
 		Method:    x.r.Method,
 		Target:    x.r.RequestURI,
@@ -117,7 +119,13 @@
 		Matches:   func(h http.Header) bool { return x.Dialect.ParseResponse(h).ID == x.info.ID },
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
 		NewConn:   c.again,
+		Prepare:   func(now time.Time) error { return x.prepare(now, c) },
 	})
+	if reason := barredReason(err); reason != fleet.NotBarred {
+		x.logSend(unsent, choice, err)
+		x.Metrics.Tagged(map[string]string{"reason": string(reason)}).Counter("barred").Inc(1)
+		return unsent, err
+	}
 	if link.NotSent(err) && c.start.isTakenBack() {
 		return x.takeBack(time.Now(), c, unsent)
 	}
