--- a/internal/base/clock/clock_test.go
+++ b/internal/base/clock/clock_test.go
@@ -31,7 +31,6 @@
 	"internal/front/link/link.go: time.Unix(1, 0)":                                          inPast,
 	"internal/front/link/watch.go: time.Unix(1, 0)":                                         inPast,
 	"internal/front/serve/stop.go: time.Unix(1, 0)":                                         inPast,
-	"internal/front/serve/serve.go: age.Round(time.Millisecond)":                            roundsDuration,
 	"internal/front/serve/serve.go: x.docAge.Round(time.Millisecond)":                       roundsDuration,
 	"internal/front/serve/stop.go: x.Stop.due(x.deadline).Sub(now).Round(time.Millisecond)": roundsDuration,
 	"internal/front/serve/stop.go: x.deadline.Sub(now).Round(time.Millisecond)":             roundsDuration,
