chat: the load report that is read after a failure has a limit

Callers saw: with an engine that answers without end, the router kept what it read for the 500 ms of the check whether the engine had crashed, once for each failed attempt.

Cause: of the two readers of load reports only the periodic one had a limit.

Both readers now use the same limit, status.MaxReportBytes.

--- a/internal/app/daemon/loops.go
+++ b/internal/app/daemon/loops.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/conf/ledger"
 	"github.com/skylarkquay/skylarkquay/internal/conf/rules"
 	"github.com/skylarkquay/skylarkquay/internal/peer/lease"
@@ -33,7 +34,6 @@
 	// idleLoadInterval is the time between two rounds on an instance that places no prompts.
 	idleLoadInterval = 10 * time.Second
 	loadTimeout      = time.Second
-	maxReportBytes   = 64 << 10
 )
 
 // loops lists the router's background loops.
@@ -255,7 +255,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	var report status.Report
-	if json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxReportBytes)).Decode(&report) == nil {
+	if json.NewDecoder(bound.Reader(res.Body, status.MaxReportBytes)).Decode(&report) == nil {
 		r.fleet.LoadReported(sent, name, report)
 	}
 }
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -290,7 +290,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	var report status.Report
-	if json.NewDecoder(res.Body).Decode(&report) != nil {
+	if json.NewDecoder(bound.Reader(res.Body, status.MaxReportBytes)).Decode(&report) != nil {
 		return false
 	}
 	return incarnation != "" && report.Incarnation != incarnation
--- /dev/null
+++ b/internal/front/chat/endless_test.go
@@ -0,0 +1,66 @@
+package chat
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/front/relay"
+	"github.com/skylarkquay/skylarkquay/internal/route/status"
+)
+
+// countingDial counts the bytes that are read from upstreams.
+func countingDial(read *atomic.Int64) relay.Dial {
+	return func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		c, err := relay.DialTCP(ctx, address, timeout)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{c, read}, nil
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// endlessServer answers each request with a text and then bytes without end.
+func endlessServer(t *testing.T, text string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		piece := strings.Repeat("x", 32<<10)
+		for _, err := io.WriteString(w, text); err == nil; _, err = io.WriteString(w, piece) {
+		}
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// The report that is read after a failure had no bound.
+func TestReportWithoutEndIsCutOff(t *testing.T) {
+	var read atomic.Int64
+	h := newHandler()
+	h.Pool = relay.NewPool(countingDial(&read))
+	a := &attempt{view: status.View{Address: endlessServer(t, `{"incarnation":"`), Incarnation: "one"}}
+	must.False(t, h.engineCrashed(t.Context(), a))
+	must.LessEq(t, status.MaxReportBytes+bound.MaxHeaderBytes, read.Load())
+}
--- a/internal/route/status/fleet.go
+++ b/internal/route/status/fleet.go
@@ -25,6 +25,9 @@
 	unreportedTTL = 5 * time.Second
 )
 
+// MaxReportBytes bounds the body of a load report.
+const MaxReportBytes = 64 << 10
+
 // Report is the load that an upstream reports.
 type Report struct {
 	// Incarnation is unique to one run of the upstream.
