relay: buffered responses share a memory budget

Callers saw: with upstreams that answer without end, or slowly, the router held up to 16 MB for each request and ran out of memory; the requests of other clients ended with it.

Cause: a limit for each response and none for all together. Class: a bound on one that is taken for a bound on many.

Evidence: TestBufferedResponsesWithoutEndShareABudget failed before with 336 MB read for 20 attempts.

Change: what answers of engines and of calls that run once take beyond 16 KB each is counted in a budget of a sixteenth of the process's memory, until the response is written and stored. A response for which there is no room counts as too long.

--- a/internal/app/daemon/callers.go
+++ b/internal/app/daemon/callers.go
@@ -14,6 +14,8 @@
 	// connections. The rest is for responses, the program itself and garbage.
 	requestsDivisor    = 5
 	connectionsDivisor = 4
+	// responsesDivisor is the divisor that gives the memory of upstreams' responses beyond 16 KB each.
+	responsesDivisor = 16
 	// descriptorsDivisor leaves descriptors to upstreams, peers, stores and operators.
 	descriptorsDivisor = 2
 	// heapFraction is the fraction of the process's memory that is set as the garbage collector's soft limit.
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -98,7 +97,7 @@
 		return err
 	}
 	defer func() { _ = a.res.Body.Close() }()
-	return a.read(ctx, j.req.Stream)
+	return a.read(ctx, h.Pool.Memory, j.req.Stream)
 }
 
 // send sends the request to the engine and returns once a valid response header has arrived.
@@ -120,16 +119,17 @@
 }
 
 // read reads the events of a stream, or a whole response as one event.
-func (a *attempt) read(ctx context.Context, stream bool) error {
+func (a *attempt) read(ctx context.Context, memory *bound.Budget, stream bool) error {
 	if !stream {
-		body, err := io.ReadAll(bound.Reader(a.res.Body, maxResponseBytes))
+		e, err := relay.ReadWhole(a.res.Body, memory, maxResponseBytes)
 		if err != nil {
 			return err
 		}
-		if !json.Valid(body) {
+		if !json.Valid(e.Data) {
+			e.Release()
 			return relay.ErrTruncated
 		}
-		return a.deliver(ctx, relay.Event{Data: body})
+		return a.deliver(ctx, e)
 	}
 	events := relay.NewEventReader(a.res.Body)
 	for {
@@ -143,12 +143,13 @@
 	}
 }
 
-// deliver hands an event to the reader of the attempt's events.
+// deliver hands an event to the reader of the attempt's events, or releases it.
 func (a *attempt) deliver(ctx context.Context, e relay.Event) error {
 	select {
 	case a.events <- e:
 		return nil
 	case <-ctx.Done():
+		e.Release()
 		return ctx.Err()
 	}
 }
@@ -173,7 +174,8 @@
 	if a.events == nil {
 		return
 	}
-	for range a.events {
+	for e := range a.events {
+		e.Release()
 	}
 }
 
--- a/internal/front/chat/endless_test.go
+++ b/internal/front/chat/endless_test.go
@@ -64,3 +64,35 @@
 	must.False(t, h.engineCrashed(t.Context(), a))
 	must.LessEq(t, status.MaxReportBytes+bound.MaxHeaderBytes, read.Load())
 }
+
+// Each buffered response took up to 16 MB, however many there were.
+func TestBufferedResponsesWithoutEndShareABudget(t *testing.T) {
+	const budget = 1 << 20
+	var read atomic.Int64
+	h := newHandler()
+	h.Pool = relay.NewPool(countingDial(&read))
+	h.Pool.Memory = bound.NewBudget(budget)
+	address := endlessServer(t, "{")
+	const attempts = 20
+	errs := make(chan error, attempts)
+	for range attempts {
+		go func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address, nil)
+			if err != nil {
+				errs <- err
+				return
+			}
+			a := &attempt{events: make(chan relay.Event)}
+			if a.res, err = h.Pool.Do(req); err == nil {
+				err = a.read(t.Context(), h.Pool.Memory, false)
+				_ = a.res.Body.Close()
+			}
+			errs <- err
+		}()
+	}
+	for range attempts {
+		must.ErrorIs(t, <-errs, bound.ErrTooLong)
+	}
+	must.Eq(t, 0, h.Pool.Memory.Used())
+	must.LessEq(t, attempts*(budget+bound.MaxHeaderBytes), read.Load())
+}
--- a/internal/front/chat/race.go
+++ b/internal/front/chat/race.go
@@ -22,7 +22,7 @@
 type output interface {
 	// offset returns the number of events that engines may skip.
 	offset() int64
-	// receive takes the next event and reports whether the answer is complete.
+	// receive takes the next event, which it releases, and reports whether the answer is complete.
 	receive(e relay.Event) (bool, error)
 }
 
--- a/internal/front/chat/race_test.go
+++ b/internal/front/chat/race_test.go
@@ -382,7 +382,7 @@
 			out := &responseBuffer{}
 			r := &race{h: h, j: &job{avoid: make(map[string]bool)}, out: out, start: s.start, lastErr: context.Canceled}
 			must.NoError(t, r.run(t.Context()))
-			must.Eq(t, c.want, string(out.body))
+			must.Eq(t, c.want, string(out.response.Data))
 			must.Eq(t, 0, s.running)
 			must.Eq(t, min(c.first, firstTokenTimeout+c.second), time.Since(s.begin))
 		})
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -78,6 +78,7 @@
 // serveBuffered serves a request that is not streamed, and retries on another engine after a failure. It returns the tokens used.
 func (h *Handler) serveBuffered(ctx context.Context, w http.ResponseWriter, j *job) int64 {
 	out := &responseBuffer{}
+	defer out.release()
 	if err := h.relayAnswer(ctx, j, out); err != nil {
 		h.refuse(w, j.caller.Workspace, cancelCause(ctx, j.mayHaveRun, h.finalError(j, err)))
 		if !j.mayHaveRun {
@@ -87,21 +88,24 @@
 	}
 	h.recordSuccess(j, 1)
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(out.body)
-	return j.promptTokens + completionTokens(out.body, j.req.MaxTokens)
+	_, _ = w.Write(out.response.Data)
+	return j.promptTokens + completionTokens(out.response.Data, j.req.MaxTokens)
 }
 
 // responseBuffer holds the response to a request that is not streamed.
 type responseBuffer struct {
-	body []byte
+	response relay.Event
 }
 
+// release releases the response, if any.
+func (o *responseBuffer) release() { o.response.Release() }
+
 // offset implements output.
 func (*responseBuffer) offset() int64 { return 0 }
 
 // receive implements output.
 func (o *responseBuffer) receive(e relay.Event) (bool, error) {
-	o.body = e.Data
+	o.response = e
 	return true, nil
 }
 
@@ -136,6 +140,7 @@
 
 // receive implements output. It skips events that were already sent.
 func (o *eventWriter) receive(e relay.Event) (bool, error) {
+	defer e.Release()
 	if e.Done() {
 		if e.ID != 0 && e.ID < o.sent {
 			return false, errShorter
--- a/internal/front/plain/once.go
+++ b/internal/front/plain/once.go
@@ -5,11 +5,10 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/once/claim"
@@ -47,12 +46,28 @@
 		h.refuse(w, c.caller.Workspace, err)
 		return
 	}
+	defer response.release()
 	h.storeResponse(claimed, response)
-	writeResponse(w, response)
+	writeResponse(w, response.Response)
+}
+
+// heldResponse is a response whose memory is released once it has been written and stored.
+type heldResponse struct {
+	*claim.Response
+	body relay.Event
+	// holders is the number of uses that have not ended.
+	holders atomic.Int32
+}
+
+// release ends one use.
+func (r *heldResponse) release() {
+	if r.holders.Add(-1) == 0 {
+		r.body.Release()
+	}
 }
 
 // sendClaimed sends a claimed call to the first upstream that accepts a connection.
-func (h *Handler) sendClaimed(ctx context.Context, w http.ResponseWriter, c *call, claimed *claim.Claim) (*claim.Response, error) {
+func (h *Handler) sendClaimed(ctx context.Context, w http.ResponseWriter, c *call, claimed *claim.Claim) (*heldResponse, error) {
 	if !h.Claims.MarkSent(claimed) {
 		return nil, fault.New(fault.ClaimBusy, "another router took the call over")
 	}
@@ -72,14 +87,14 @@
 			h.Fleet.Failed(time.Now(), v.Name)
 			return nil, h.outcomeUnknown(c, claimed, err)
 		}
-		response, err := readResponse(res)
+		response, err := h.readResponse(res)
 		if err != nil {
 			return nil, h.outcomeUnknown(c, claimed, err)
 		}
 		h.Fleet.Succeeded(time.Now(), v.Name, "")
 		return response, nil
 	}
-	h.retryInBackground(func(ctx context.Context) error { return h.Claims.Cancel(ctx, claimed) })
+	h.retryInBackground(func(ctx context.Context) error { return h.Claims.Cancel(ctx, claimed) }, func() {})
 	return nil, fault.New(fault.NoUpstream, "no upstream of service %s takes the call", c.route.Service)
 }
 
@@ -91,28 +106,27 @@
 }
 
 // storeResponse stores the response in the background and waits for it up to storeWait.
-func (h *Handler) storeResponse(claimed *claim.Claim, response *claim.Response) {
-	done := h.retryInBackground(func(ctx context.Context) error {
-		record := *response
-		if len(record.Body) > claim.MaxResponseBytes {
-			record.Body = nil
-			record.Dropped = true
-		}
-		return h.Claims.Finish(ctx, claimed, &record)
-	})
+func (h *Handler) storeResponse(claimed *claim.Claim, response *heldResponse) {
+	record := *response.Response
+	if len(record.Body) > claim.MaxResponseBytes {
+		record.Body = nil
+		record.Dropped = true
+	}
+	done := h.retryInBackground(func(ctx context.Context) error { return h.Claims.Finish(ctx, claimed, &record) }, response.release)
 	select {
 	case <-done:
 	case <-time.After(storeWait):
 	}
 }
 
-// retryInBackground retries a write to the claim store until it succeeds or times out, then closes the returned channel.
-func (h *Handler) retryInBackground(write func(ctx context.Context) error) <-chan struct{} {
+// retryInBackground retries a write to the claim store until it succeeds or times out, then calls end and closes the returned channel.
+func (h *Handler) retryInBackground(write func(ctx context.Context) error, end func()) <-chan struct{} {
 	done := make(chan struct{})
 	h.pending.Add(1)
 	go func() {
 		defer h.pending.Done()
 		defer close(done)
+		defer end()
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 		defer cancel()
 		for {
@@ -141,13 +155,18 @@
 	writeResponse(w, stored)
 }
 
-func readResponse(res *http.Response) (*claim.Response, error) {
+func (h *Handler) readResponse(res *http.Response) (*heldResponse, error) {
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(bound.Reader(res.Body, maxResponseBytes))
+	body, err := relay.ReadWhole(res.Body, h.Pool.Memory, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
-	return &claim.Response{Status: res.StatusCode, Header: relay.FilterResponseHeader(res.Header), Body: body}, nil
+	response := &heldResponse{
+		Response: &claim.Response{Status: res.StatusCode, Header: relay.FilterResponseHeader(res.Header), Body: body.Data}, body: body,
+	}
+	// It is written and stored.
+	response.holders.Store(2)
+	return response, nil
 }
 
 func writeResponse(w http.ResponseWriter, response *claim.Response) {
--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -19,12 +19,31 @@
 // ErrTruncated is returned for a truncated response, such as a stream without [DONE].
 var ErrTruncated = errors.New("the stream ended before its end mark")
 
-// Event is one server-sent event of an engine.
+// Event is one server-sent event of an engine, or a whole response. Its receiver releases it after its last use.
 type Event struct {
 	// ID is the event's number in the stream, from 1, or 0 when the engine sends none. That of the [DONE] event is the number of the
 	// last event before it.
 	ID   int64
 	Data []byte
+	// buffer holds the data, or is nil if that is short.
+	buffer *bound.Buffer
+}
+
+// ReadWhole reads a response of at most limit bytes as one event.
+func ReadWhole(r io.Reader, memory *bound.Budget, limit int64) (Event, error) {
+	buffer := memory.Buffer(limit)
+	if _, err := buffer.ReadFrom(r); err != nil {
+		buffer.Release()
+		return Event{}, err
+	}
+	return Event{Data: buffer.Bytes(), buffer: buffer}, nil
+}
+
+// Release returns the memory of the data to its budget.
+func (e Event) Release() {
+	if e.buffer != nil {
+		e.buffer.Release()
+	}
 }
 
 // Done reports whether the event is the [DONE] event.
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -19,6 +19,8 @@
 	// one round trip.
 	idleConnTimeout     = time.Second
 	maxIdleConnsPerHost = 64
+	// defaultMemoryBytes is the budget of a pool that is given none.
+	defaultMemoryBytes = 64 << 20
 )
 
 // DialError is a failure to connect: nothing has been sent to the upstream.
@@ -51,6 +53,8 @@
 
 // Pool holds one connection pool for each upstream address.
 type Pool struct {
+	// Memory is the budget of the responses that are held in memory, in whole or in part. It is set before the first request.
+	Memory     *bound.Budget
 	dial       Dial
 	mu         sync.Mutex
 	transports map[string]*http.Transport
@@ -59,7 +63,7 @@
 
 // NewPool returns an empty pool that connects by the given function.
 func NewPool(dial Dial) *Pool {
-	p := &Pool{dial: dial, transports: make(map[string]*http.Transport)}
+	p := &Pool{Memory: bound.NewBudget(defaultMemoryBytes), dial: dial, transports: make(map[string]*http.Transport)}
 	p.unpooled = p.newTransport()
 	p.unpooled.DisableKeepAlives = true
 	return p
