route: a brittle upstream that is full gets nothing that was placed before

What callers saw: nothing yet. A brittle upstream that had rejected a request for want of room got more of them, and fell over: those that had been placed while it seemed to have room, and whose connection was made meanwhile.

Cause: seats are checked when a request is placed. Also, the room that a rejection shows counted the requests without a connection, which were not there.

Requests without a connection are counted apart (Fleet.Connecting, Connected) and are part of neither the room nor of what is there.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -316,3 +317,33 @@
 		}
 	}
 }
+
+// Guards against requests that a brittle upstream rejects although it has turned away another one while their connection was made.
+func TestBrittleUpstreamThatIsFullGetsNoRequestThatWasPlacedBefore(t *testing.T) {
+	s := newSite(t, 1, 1)
+	u := s.Jobs[0]
+	var event atomic.Pointer[func()]
+	r := startRouterOn(t, testSettings(t, s), func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		if f := event.Load(); f != nil && address == s.Address(u) && event.CompareAndSwap(f, nil) {
+			(*f)()
+		}
+		return link.DialTCP(ctx, address, timeout)
+	})
+	eventually(t, "ready", r.isReady)
+	u.SetFaults(fake.Faults{Brittle: 1, Room: 2, Work: 1500 * time.Millisecond})
+	var running sync.WaitGroup
+	must.Eq(t, http.StatusOK, r.send(t, newDistinctCall()).Status)
+	for range 2 {
+		running.Go(func() { must.Eq(t, http.StatusOK, r.send(t, newDistinctCall()).Status) })
+	}
+	eventually(t, "full", func() bool { return u.Requests() == 3 })
+	rejected := func() {
+		must.Eq(t, http.StatusServiceUnavailable, r.send(t, newDistinctCall()).Status)
+	}
+	event.Store(&rejected)
+	must.Eq(t, http.StatusServiceUnavailable, r.send(t, newDistinctCall()).Status)
+	must.Nil(t, event.Load())
+	must.Eq(t, 4, u.Requests())
+	must.SliceEmpty(t, u.Crashes())
+	running.Wait()
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -27,6 +27,8 @@
 	held int64
 	// again reports whether the request was sent to the upstream before.
 	again bool
+	// connected reports whether it has, or had, a connection.
+	connected bool
 	// saving reports whether the upstream was asked to save the prefix to the KV store.
 	saving bool
 	// resp is nil until the head of the response has arrived, at headAt.
@@ -72,6 +74,7 @@
 	c.again = x.sent[choice.ID]
 	x.sent[choice.ID] = true
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
+	x.Fleet.Connecting(choice.ID)
 	x.Shifts.Sent(x.service, choice.Build)
 	x.holdCache(c)
 	c.ctx, c.start = x.watchStart(ctx, choice)
@@ -94,6 +97,7 @@
 
 // end records that the upstream no longer works on a call.
 func (x *exchange) end(c *call) {
+	x.connected(c)
 	x.Fleet.RequestEnded(c.choice.ID, c.pendingTokens)
 	x.Fleet.CacheFreed(c.choice.ID, c.held)
 	c.start.release()
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -49,15 +49,24 @@
 	if err := x.checkKeyAgain(x.Boot()); err != nil {
 		return &barredError{badKey, err}
 	}
-	if bar := x.Fleet.Check(now, c.choice.Entry); bar != fleet.NotBarred {
+	if bar := x.Fleet.Check(now, c.sentAt, c.choice.Entry); bar != fleet.NotBarred {
 		return &barredError{bar, nil}
 	}
 	if !x.allowsBuild(c.choice.Build) {
 		return &barredError{otherBuild, nil}
 	}
+	x.connected(c)
 	return nil
 }
 
+// connected records that a call has a connection, or ends without one.
+func (x *exchange) connected(c *call) {
+	if !c.connected {
+		c.connected = true
+		x.Fleet.Connected(c.choice.ID)
+	}
+}
+
 // allowsBuild reports whether a build may still run the attempt that is being made.
 func (x *exchange) allowsBuild(build string) bool {
 	builds, others := x.Shifts.Builds(x.service, x.seed(), x.build, x.counts.Sends > 1)
--- a/internal/route/fleet/brittle.go
+++ b/internal/route/fleet/brittle.go
@@ -195,6 +195,19 @@
 // offsets is the number of offsets by which seats are rounded.
 const offsets = 1 << 16
 
+// isFull reports whether a brittle upstream has rejected a request since a time and has no room for another one now. The requests of this
+// instance that have no connection are not there. The caller holds the lock.
+func (f *Fleet) isFull(now, since time.Time, u *upstream) bool {
+	brittle, ok := f.brittleOf(now, &u.entry)
+	n := f.noticed(&u.entry)
+	if !ok || n == nil || !n.crowdedAt.After(since) {
+		return false
+	}
+	there := u.local.running - u.local.connecting + f.peerLoad(now, u.entry.ID).Running
+	room, _ := n.roomOf(now, brittle, u.entry.Slots, there, f.instances)
+	return there >= int(room)
+}
+
 // crowd records that a brittle upstream rejected a request of this instance for want of room, and reports whether it is brittle. The
 // caller holds the lock.
 func (f *Fleet) crowd(now time.Time, u *upstream) bool {
@@ -202,8 +215,8 @@
 	if n == nil || n.brittle == nil {
 		return false
 	}
-	// The rejected request still counts as running.
-	n.room = max(0, u.local.running-1) + f.peerLoad(now, u.entry.ID).Running
+	// The rejected request still counts as running. Those without a connection are not there.
+	n.room = max(0, u.local.running-u.local.connecting-1) + f.peerLoad(now, u.entry.ID).Running
 	n.crowdedAt, n.crowdedSeen = now, now
 	u.shared.lostSeats++
 	return true
--- a/internal/route/fleet/check.go
+++ b/internal/route/fleet/check.go
@@ -15,10 +15,13 @@
 	Leaving Bar = "leaving"
 	// Paused: the upstream accepts no requests of this instance for a time.
 	Paused Bar = "paused"
+	// Full: the upstream is brittle and has rejected a request for want of room since.
+	Full Bar = "full"
 )
 
-// Check returns whether a request that was placed at an upstream, by its entry at that time, may still be sent to it.
-func (f *Fleet) Check(now time.Time, placed Entry) Bar {
+// Check returns whether a request that was placed at an upstream at a time, by its entry then, may still be sent to it. The request has no
+// connection yet.
+func (f *Fleet) Check(now, placedAt time.Time, placed Entry) Bar {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u, ok := f.upstreams[placed.ID]
@@ -29,6 +32,8 @@
 		return Leaving
 	case !f.retryAt(now, &u.entry).IsZero():
 		return Paused
+	case f.isFull(now, placedAt, u):
+		return Full
 	default:
 		return NotBarred
 	}
--- a/internal/route/fleet/check_test.go
+++ b/internal/route/fleet/check_test.go
@@ -32,11 +32,28 @@
 		{"announced by an earlier incarnation", func(f *Fleet) { f.MarkLeaving(start, Departure{"a", 0}, true) }, NotBarred},
 		{"paused", func(f *Fleet) { f.PauseUntil(start, "a", 1, start.Add(2*time.Second)) }, Paused},
 		{"paused until now", func(f *Fleet) { f.PauseUntil(start, "a", 1, start.Add(time.Second)) }, NotBarred},
+		{"rejected a request, with room for others", func(f *Fleet) { crowdAt(f, start.Add(time.Millisecond), 1); f.RequestEnded("a", 0) }, NotBarred},
+		{"rejected a request", func(f *Fleet) { crowdAt(f, start.Add(time.Millisecond), 2) }, Full},
+		{"rejected a request before", func(f *Fleet) { crowdAt(f, start, 2) }, NotBarred},
 		{"lapsed while the store was away", func(f *Fleet) { f.MarkStoreUnreachable(start); f.Drop(start, "a") }, NotBarred},
 	} {
 		f := New()
 		f.Put(placed)
 		c.apply(f)
-		must.Eq(t, c.want, f.Check(start.Add(time.Second), placed), must.Sprint(c.name))
+		must.Eq(t, c.want, f.Check(start.Add(time.Second), start, placed), must.Sprint(c.name))
 	}
 }
+
+// crowdAt makes the brittle upstream of the test reject a request for want of room at a time. Others are there, and one has no
+// connection.
+func crowdAt(f *Fleet, at time.Time, there int) {
+	brittle := 2.0
+	f.ObserveLimit(at, Limit{ID: "a", Born: 1, Brittle: &brittle}, true)
+	f.RequestSent(at, "a", 0)
+	f.Connecting("a")
+	for range there + 1 {
+		f.RequestSent(at, "a", 0)
+	}
+	f.MarkFull(at, "a", 0)
+	f.RequestEnded("a", 0)
+}
--- a/internal/route/fleet/events.go
+++ b/internal/route/fleet/events.go
@@ -23,6 +23,16 @@
 	})
 }
 
+// Connecting records that a request that counts as sent has no connection yet.
+func (f *Fleet) Connecting(id string) {
+	f.update(id, func(u *upstream) { u.local.connecting++ })
+}
+
+// Connected records that such a request has a connection, or ends without one.
+func (f *Fleet) Connected(id string) {
+	f.update(id, func(u *upstream) { u.local.connecting = max(0, u.local.connecting-1) })
+}
+
 // Prefilled records that a request's prompt was read, so its tokens are no longer pending.
 func (f *Fleet) Prefilled(id string, tokens int64) {
 	f.update(id, func(u *upstream) {
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -83,8 +83,10 @@
 	running int
 	// reserved counts the requests that have been placed at the upstream and not sent yet.
 	reserved int
-	tokens   int64
-	held     int64
+	// connecting counts the running requests that have no connection yet.
+	connecting int
+	tokens     int64
+	held       int64
 }
 
 type upstream struct {
