route: check the planned stop again when the connection is made

What callers saw: nothing yet. A request was sent although this instance had begun to stop while its connection was made, with less time than the request may need: its outcome is unknown to its caller if it runs for that long, where a refusal would have been certain.

Cause: the time until the stop is checked when the request is placed.

Change: link.Request.Prepare checks it too. The request was not sent and is refused with 503.

Evidence: TestStopThatBeginsWhileAConnectionIsMade failed for bookings and streams with the check taken out, and passes.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -375,3 +375,29 @@
 		})
 	}
 }
+
+// Guards against requests that are sent although this instance began, while their connection was made, a stop that they do not fit in.
+func TestStopThatBeginsWhileAConnectionIsMade(t *testing.T) {
+	for _, c := range callsFor {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 1)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			u := c.of(s)[0]
+			d.set(func(address string) bool {
+				if address != s.Address(u) {
+					return false
+				}
+				// The requests have 500 ms or more to go.
+				r.handler.Stop.Begin(time.Now(), time.Now().Add(600*time.Millisecond))
+				return true
+			})
+			reply := r.send(t, c.call())
+			must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+			must.Positive(t, reply.RetryAfter)
+			must.Zero(t, u.Requests())
+		})
+	}
+}
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -14,6 +14,8 @@
 	badKey fleet.Bar = "key"
 	// otherBuild is that of a request whose service has been moved to another build.
 	otherBuild fleet.Bar = "build"
+	// stopping is that of a request for which this instance has no time, because it is to stop.
+	stopping fleet.Bar = "stopping"
 )
 
 // barredError is returned when a request that was placed may no longer be sent to its upstream. Nothing was sent.
@@ -56,6 +58,9 @@
 	if !x.allowsBuild(c.choice.Build) {
 		return nil, &barredError{otherBuild, nil}
 	}
+	if x.stopsTooSoon(now) {
+		return nil, &barredError{stopping, nil}
+	}
 	x.connected(c)
 	// The time that is left is the time from now on.
 	forward := x.forwardInfo(now, c.choice)
