route: send no attempt of a booking whose caller has left

What callers saw: a non-idempotent request whose caller had disconnected was still placed and sent, while its connection was made and again after each upstream that declined it, up to five times until its deadline. Nobody waited for it, and it had not run.

Cause: these requests run to their end whatever their caller does, so that their context does not end with it; whether the caller is there was not checked before a send.

A booking that has been sent still runs to its end. Callers that close their side of a connection after the request count as gone, as they do for streams and idempotent requests.

Evidence: TestBookingWhoseCallerLeftBeforeAnAttemptIsNotSent, first and second attempt, failed with the check taken out and passes.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -401,3 +402,49 @@
 		})
 	}
 }
+
+// Guards against bookings that reach an upstream after their caller has left: those that have not run yet.
+func TestBookingWhoseCallerLeftBeforeAnAttemptIsNotSent(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		t.Run(fmt.Sprintf("second attempt %t", second), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 2)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			requests := func() int { return s.Jobs[0].Requests() + s.Jobs[1].Requests() }
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			want := 0
+			if second {
+				want = 1
+				for _, u := range s.Jobs {
+					u.SetFaults(fake.Faults{Shed: true, Work: time.Second})
+				}
+			} else {
+				d.set(func(address string) bool {
+					if atAddress(s, s.Jobs, address) == nil {
+						return false
+					}
+					leave()
+					time.Sleep(200 * time.Millisecond)
+					return true
+				})
+			}
+			ended := make(chan error, 1)
+			call := newBookCall()
+			call.Deadline = 5000
+			go func() {
+				_, err := fake.Send(ctx, r.settings.Listen, call)
+				ended <- err
+			}()
+			if second {
+				eventually(t, "sent", func() bool { return requests() == 1 })
+				leave()
+			}
+			must.Error(t, <-ended)
+			eventually(t, "ended", func() bool { return r.handler.OpenRequests.Load() == 0 })
+			must.Eq(t, want, requests())
+		})
+	}
+}
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -12,6 +12,8 @@
 const (
 	// badKey is the reason of a request that may not be sent to any upstream, because of its key.
 	badKey fleet.Bar = "key"
+	// callerLeft is that of a request whose caller has disconnected.
+	callerLeft fleet.Bar = "caller left"
 	// otherBuild is that of a request whose service has been moved to another build.
 	otherBuild fleet.Bar = "build"
 	// stopping is that of a request for which this instance has no time, because it is to stop.
@@ -49,6 +51,9 @@
 // prepare returns the header to send, or an error if a call may no longer be sent. It is called when there is a connection, which may take longer than it takes
 // to learn that the upstream must not get the request. First and later attempts are checked alike.
 func (x *exchange) prepare(now time.Time, c *call) (http.Header, error) {
+	if err := x.r.Context().Err(); err != nil {
+		return nil, &barredError{callerLeft, err}
+	}
 	if err := x.checkKeyAgain(x.Boot()); err != nil {
 		return nil, &barredError{badKey, err}
 	}
