route: check the age of superseded weights again when the connection is made

What callers saw: nothing yet. A request was sent to superseded weights although this instance had learned, while the connection was made, that a later version was announced longer ago than the limit (after a start, or a time without the others). It could begin before the next check of attempts that have not begun, up to 250 ms later.

Cause: the limit is checked when a request is placed, and then at intervals.

Change: link.Request.Prepare checks it too. The attempt was not sent and goes to other weights.

Evidence: TestWeightsFoundToBeSupersededWhileAConnectionIsMade failed for resumable and other streams with the check taken out, and passes.

--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
@@ -448,3 +449,27 @@
 		})
 	}
 }
+
+// Guards against requests to weights of which this instance learns, while the connection is made, that they were superseded long ago.
+func TestWeightsFoundToBeSupersededWhileAConnectionIsMade(t *testing.T) {
+	for _, path := range []string{fake.QuotePath, fake.BriefPath} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 1)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			u := s.Engines[0]
+			d.set(func(address string) bool {
+				if address != s.Address(u) {
+					return false
+				}
+				boot := clock.SinceBoot()
+				r.replica.AddAnnouncement(boot, policy.Weights{Model: fake.Model, Version: 2, FirstSeen: boot - 10*time.Second, Observed: true})
+				return true
+			})
+			must.Eq(t, http.StatusServiceUnavailable, r.send(t, newPromptCall(path+"1")).Status)
+			must.Zero(t, u.Requests())
+		})
+	}
+}
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -16,6 +16,8 @@
 	callerLeft fleet.Bar = "caller left"
 	// otherBuild is that of a request whose service has been moved to another build.
 	otherBuild fleet.Bar = "build"
+	// oldWeights is that of a request whose upstream's weights may not start it any more.
+	oldWeights fleet.Bar = "weights"
 	// stopping is that of a request for which this instance has no time, because it is to stop.
 	stopping fleet.Bar = "stopping"
 )
@@ -63,6 +65,9 @@
 	if !x.allowsBuild(c.choice.Build) {
 		return nil, &barredError{otherBuild, nil}
 	}
+	if left, superseded := x.startTime(c.choice); superseded && left <= 0 {
+		return nil, &barredError{oldWeights, nil}
+	}
 	if x.stopsTooSoon(now) {
 		return nil, &barredError{stopping, nil}
 	}
