--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
@@ -11,8 +12,14 @@
 const (
 	// badKey is the reason of a request that may not be sent to any upstream, because of its key.
 	badKey fleet.Bar = "key"
+	// callerLeft is that of a request whose caller has disconnected.
+	callerLeft fleet.Bar = "caller left"
 	// otherBuild is that of a request whose service has been moved to another build.
 	otherBuild fleet.Bar = "build"
+	// oldWeights is that of a request whose upstream's weights may not start it any more.
+	oldWeights fleet.Bar = "weights"
+	// stopping is that of a request for which this instance has no time, because it is to stop.
+	stopping fleet.Bar = "stopping"
 )
 
 // barredError is returned when a request that was placed may no longer be sent to its upstream. Nothing was sent.
@@ -43,19 +50,40 @@
 	return nil
 }
 
-// prepare returns an error if a call may no longer be sent. It is called when there is a connection, which may take longer than it takes
+// prepare returns the header to send, or an error if a call may no longer be sent. It is called when there is a connection, which may take longer than it takes
 // to learn that the upstream must not get the request. First and later attempts are checked alike.
-func (x *exchange) prepare(now time.Time, c *call) error {
+func (x *exchange) prepare(now time.Time, c *call) (http.Header, error) {
+	if err := x.r.Context().Err(); err != nil {
+		return nil, &barredError{callerLeft, err}
+	}
 	if err := x.checkKeyAgain(x.Boot()); err != nil {
-		return &barredError{badKey, err}
+		return nil, &barredError{badKey, err}
 	}
-	if bar := x.Fleet.Check(now, c.choice.Entry); bar != fleet.NotBarred {
-		return &barredError{bar, nil}
+	if bar := x.Fleet.Check(now, c.sentAt, c.choice.Entry); bar != fleet.NotBarred {
+		return nil, &barredError{bar, nil}
 	}
 	if !x.allowsBuild(c.choice.Build) {
-		return &barredError{otherBuild, nil}
+		return nil, &barredError{otherBuild, nil}
+	}
+	if left, superseded := x.startTime(c.choice); superseded && left <= 0 {
+		return nil, &barredError{oldWeights, nil}
+	}
+	if x.stopsTooSoon(now) {
+		return nil, &barredError{stopping, nil}
+	}
+	x.connected(c)
+	// The time that is left is the time from now on.
+	forward := x.forwardInfo(now, c.choice)
+	c.saving = forward.SaveTo != ""
+	return x.Dialect.ForwardHeader(x.r.Header, x.info, forward), nil
+}
+
+// connected records that a call has a connection, or ends without one.
+func (x *exchange) connected(c *call) {
+	if !c.connected {
+		c.connected = true
+		x.Fleet.Connected(c.choice.ID)
 	}
-	return nil
 }
 
 // allowsBuild reports whether a build may still run the attempt that is being made.
