plan: order engines in time for orders that are carried out seconds late

What callers saw: nothing at once.

Cause: an engine that has no place waits until its weights are urgent, which was 0.85 of the time for which these may start requests (5.95 s). Half of the engines may be stuck with orders that brought no answer, and the others got their first order only then. Orders without an answer are carried out 2 to 12 s later, the earliest of those sent every 0.56 s after 4.4 s at the median and 7 s in one of twenty cases (calculated), so that the last loads end 13 s after the announcement. Class, as with late starts: a deadline is guarded by the time at which something is begun, without the time that it takes from there.

Change: while most orders bring no answer, an engine is urgent from a quarter of that time on. Two engines at least must be without an answer and be half of those that load, so that engines that are down do not change a rollout.

Tests: TestOrdersCarriedOutLateAreGivenInTime (57 of its 60 cases fail without the change) and TestUnansweredOrdersMakeOthersUrgent, which fails for each part of the rule that is taken out. TestHalfOfEnginesServeBesideStuckLoads stands as it is: below a quarter half of the engines serve.

Ruled out: the lease (one holder from 16.1 s on); stuck loads that time out (9 s; each order was sent again until then).

--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -125,6 +125,9 @@
 	drainedLimit = 2
 	// urgentShare is the part of Target.StartLimit after which an engine loads without draining.
 	urgentShare = 0.85
+	// unansweredUrgentShare is the same while most orders bring no answer. They may be carried out seconds later, so that those given at
+	// urgentShare would be carried out after the time by which engines should run the new weights.
+	unansweredUrgentShare = 0.25
 	// finishReserve is how many mean durations beyond the logarithm of their number requests may take to finish: the last of them, with
 	// exponential durations, ends earlier in seven of eight cases.
 	finishReserve = 2
@@ -179,13 +182,22 @@
 	return supersededFor >= t.urgentAge()
 }
 
-func (t *Target) urgentAge() time.Duration {
-	return time.Duration(float64(t.StartLimit) * urgentShare)
+func (t *Target) urgentAge() time.Duration { return t.share(urgentShare) }
+
+func (t *Target) share(share float64) time.Duration {
+	return time.Duration(float64(t.StartLimit) * share)
 }
 
 // places counts the engines of one kind, sound or failing.
 type places struct {
 	ready, draining, loading, stuck int
+	// unanswered are those of the stuck ones whose orders brought no answer.
+	unanswered int
+}
+
+// ordersUnanswered reports whether most orders bring no answer.
+func (p *places) ordersUnanswered() bool {
+	return p.unanswered >= minPlaces && 2*p.unanswered >= p.loading+p.stuck
 }
 
 // free reports whether another engine may drain or load. Stuck loads do not make urgent engines wait.
@@ -203,6 +215,9 @@
 	switch {
 	case progress.Stuck(now):
 		p.stuck++
+		if progress.AcceptedAt.IsZero() && progress.Unanswered > 0 {
+			p.unanswered++
+		}
 	case !progress.LoadingSince.IsZero():
 		p.loading++
 	case progress.Draining(now):
@@ -265,6 +280,11 @@
 	return &s.sound
 }
 
+// urgent reports whether a candidate loads without draining.
+func (s *site) urgent(t *Target, c *candidate) bool {
+	return t.urgent(c.supersededFor) || s.places(c).ordersUnanswered() && c.supersededFor >= t.share(unansweredUrgentShare)
+}
+
 // mayStart reports whether a candidate may drain or load. One that drains has its place.
 func (s *site) mayStart(c *candidate, urgent, drains bool) bool {
 	switch {
@@ -279,7 +299,7 @@
 
 // advance adds a candidate to the plan.
 func (s *site) advance(now time.Time, t *Target, c *candidate, plan *Plan) {
-	urgent, drains := t.urgent(c.supersededFor), c.progress.Draining(now)
+	urgent, drains := s.urgent(t, c), c.progress.Draining(now)
 	timedOut := drains && now.Sub(c.progress.DrainingSince) >= drainTimeout
 	p := s.places(c)
 	switch {
--- a/internal/roll/plan/rollout_test.go
+++ b/internal/roll/plan/rollout_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,6 +47,9 @@
 	fleet.View
 	// ignoresUntil is the time until which it leaves orders without an answer.
 	ignoresUntil time.Time
+	// late draws after how long an order without an answer is carried out; nil if none is. arrivals are when such orders are.
+	late     func() time.Duration
+	arrivals []time.Time
 	// runTime is the time in which the running requests end once no new ones are placed.
 	runTime time.Duration
 	// loading is the version that it loads; zero if none. loadsAt is when its requests have finished, remaining the time left to load.
@@ -146,9 +150,17 @@
 	return next
 }
 
+// arrive carries out the first order without an answer that is due. Later ones have no effect, as they follow on fewer orders.
+func (r *rollout) arrive(m *machine, version int64) {
+	if i := slices.IndexFunc(m.arrivals, func(at time.Time) bool { return !r.now.Before(at) }); i >= 0 && m.loading == 0 {
+		m.loading, m.loadsAt, m.remaining, m.arrivals = version, r.now, storeLoadTime, nil
+	}
+}
+
 // order sends the orders that are due.
 func (r *rollout) order(version int64) {
 	for _, m := range r.machines {
+		r.arrive(m, version)
 		p := r.progress[m.ID]
 		switch {
 		case m.loading > 0 && !p.LoadingSince.IsZero() && p.AcceptedAt.IsZero():
@@ -157,6 +169,9 @@
 		case r.now.Before(m.ignoresUntil):
 			p.Unanswered++
 			m.ordered = r.now.Add(orderTime)
+			if m.late != nil {
+				m.arrivals = append(m.arrivals, r.now.Add(m.late()))
+			}
 		default:
 			p.AcceptedAt = r.now
 			m.loading, m.loadsAt, m.remaining = version, r.now, storeLoadTime
@@ -271,6 +286,26 @@
 	r.playUntilDone(t, 0)
 }
 
+// Guards against engines that wait for their place while orders bring no answer and are carried out seconds later.
+func TestOrdersCarriedOutLateAreGivenInTime(t *testing.T) {
+	for _, n := range []int{12, 18, 60} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d engines, seed %d", n, seed), func(t *testing.T) {
+				r := newRollout(n, announcement{2, start})
+				random := rand.New(rand.NewPCG(1, seed))
+				for _, m := range r.machines {
+					m.ignoresUntil = after(1000)
+					m.late = func() time.Duration { return 2*time.Second + time.Duration(random.Int64N(int64(10*time.Second))) }
+				}
+				for r.now.Before(start.Add(completeLimit)) {
+					r.step()
+				}
+				must.LessEq(t, max(1, n/10), Pending("m", 2, r.views()))
+			})
+		}
+	}
+}
+
 func TestEnginesThatWereSupersededFirstGoFirst(t *testing.T) {
 	views := enginesOn(3, 3, 2, 2, 3, 2, 2, 2)
 	for i := range views {
@@ -429,6 +464,33 @@
 	}
 }
 
+// Other engines load without draining once most orders bring no answer, and not for one engine that is down.
+func TestUnansweredOrdersMakeOthersUrgent(t *testing.T) {
+	now := start.Add(stuckAfter)
+	unanswered := Progress{LoadingSince: now, Unanswered: 1}
+	for _, c := range []struct {
+		name     string
+		progress []Progress
+		age      time.Duration
+		loads    bool
+	}{
+		{"two without an answer", []Progress{unanswered, unanswered}, startLimit / 4, true},
+		{"two without an answer, too early", []Progress{unanswered, unanswered}, startLimit/4 - 1, false},
+		{"one without an answer", []Progress{unanswered}, startLimit / 4, false},
+		{"most carried out", []Progress{unanswered, unanswered, {LoadingSince: now}, {LoadingSince: now}, {LoadingSince: now}}, startLimit / 4, false},
+		{"carried out for long", slices.Repeat([]Progress{{LoadingSince: start, AcceptedAt: start, Unanswered: 1}}, 2), startLimit / 4, false},
+		{"no order for long", slices.Repeat([]Progress{{LoadingSince: start}}, 2), startLimit / 4, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			views, progress := enginesOn(versions(12, 1)...), map[string]Progress{}
+			for i, p := range c.progress {
+				progress[views[i].ID] = p
+			}
+			must.Eq(t, c.loads, len(Next(now, target(2, c.age), views, progress).Load) > 0)
+		})
+	}
+}
+
 // Guards against two orders to one engine for two of its models.
 func TestEngineThatLoadsOneModelWaitsForTheOther(t *testing.T) {
 	views := enginesOn(1, 1)
