plan: let requests finish before a load at a tenth of the engines at a time

What callers saw: nothing at once.

Cause: an order that lets the running requests finish cannot be taken back, and the engine takes no other until they have. The time that this takes is estimated from how fast they ended before the order. Engines that become slow after it (25 times here) keep such requests until their deadlines. Up to 35% of the engines can be given such orders at once. Trace: five engines drain at 19.99 s with 9 to 20 requests and are ordered at 21.22 s with 4 to 6 left, all accepted with mode `finish`; they are 25 times as slow from 21.25 s on. One loads at 25.2 s, the others fail after 9 s and load at 33.7, 34.5, 35.0 and 35.2 s. Traffic ended at 34.0 s.

Change: at most a tenth of the engines, and one at least, have such an order at a time, which is what the users allow to be late. The requests of the others go on on the new weights. It does not cover a new holder of the lease, which does not know the modes of earlier orders, nor such engines beside others that are late for another reason.

Tests: TestEnginesThatBecomeSlowAfterOrdersLoadInTime, six of six cases red before; TestLoadsThatLetRequestsFinishTakeTurns, red when earlier loads are not counted.

--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -373,7 +373,7 @@
 		r.edge.fleet.SetSwitching(e.ID, now.Add(plan.DrainTTL))
 	}
 	for _, l := range next.Load {
-		r.progress[l.Engine.ID] = plan.Progress{LoadingSince: now, Version: target.Version}
+		r.progress[l.Engine.ID] = plan.Progress{LoadingSince: now, Version: target.Version, Finishes: l.Mode(now) == plan.Finish}
 		r.edge.fleet.SetSwitching(l.Engine.ID, now.Add(loadTimeout))
 	}
 	stuckBefore := r.stuck[target.Model]
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -81,6 +81,8 @@
 	AcceptedAt time.Time
 	// Unanswered is the number of orders that brought no answer.
 	Unanswered int
+	// Finishes reports whether the load may let the running requests finish.
+	Finishes bool
 	// Version is the version that the engine drains for or loads.
 	Version int64
 	// RetryAt is the earliest time of the next attempt after a failure.
@@ -128,6 +130,9 @@
 	// unansweredUrgentShare is the same while most orders bring no answer. They may be carried out seconds later, so that those given at
 	// urgentShare would be carried out after the time by which engines should run the new weights.
 	unansweredUrgentShare = 0.25
+	// maxFinishing is the fraction of the engines whose loads may let requests finish at a time, and one engine always may. Such orders
+	// cannot be taken back, and requests take far longer if engines become slow.
+	maxFinishing = 0.1
 	// finishReserve is how many mean durations beyond the logarithm of their number requests may take to finish: the last of them, with
 	// exponential durations, ends earlier in seven of eight cases.
 	finishReserve = 2
@@ -228,7 +233,14 @@
 // site is the state of the engines of a model.
 type site struct {
 	sound, failing places
-	candidates     []candidate
+	// finishing is the number of engines whose loads may let requests finish.
+	finishing  int
+	candidates []candidate
+}
+
+// mayFinish reports whether another load may let requests finish.
+func (s *site) mayFinish() bool {
+	return s.finishing < max(1, int(float64(s.sound.ready+s.failing.ready)*maxFinishing))
 }
 
 // Next returns the engines that should drain and those that should start loading. Those whose weights were superseded first go first,
@@ -256,6 +268,9 @@
 		}
 		c := candidate{View: *e, progress: progress[e.ID], failing: e.Ejected || !e.Healthy()}
 		s.places(&c).add(now, &c.progress)
+		if c.progress.Finishes {
+			s.finishing++
+		}
 		if version >= t.Version || !c.progress.LoadingSince.IsZero() || now.Before(c.progress.RetryAt) {
 			continue
 		}
@@ -308,9 +323,12 @@
 		return
 	case urgent || c.Running <= drainedLimit || timedOut:
 		load := Load{Engine: c.View}
-		if !urgent && c.Running > drainedLimit {
+		if !urgent && c.Running > drainedLimit && s.mayFinish() {
 			load.FinishUntil = t.finishUntil(now, c)
 		}
+		if now.Before(load.FinishUntil) {
+			s.finishing++
+		}
 		plan.Load = append(plan.Load, load)
 		p.loading++
 	default:
--- a/internal/roll/plan/rollout_test.go
+++ b/internal/roll/plan/rollout_test.go
@@ -52,6 +52,8 @@
 	arrivals []time.Time
 	// runTime is the time in which the running requests end once no new ones are placed.
 	runTime time.Duration
+	// finishTime is the time in which they end once an order to load came that lets them finish.
+	finishTime time.Duration
 	// loading is the version that it loads; zero if none. loadsAt is when its requests have finished, remaining the time left to load.
 	loading   int64
 	loadsAt   time.Time
@@ -139,7 +141,7 @@
 		r.machine(e.ID).running = e.Running
 	}
 	for _, l := range next.Load {
-		r.progress[l.Engine.ID] = Progress{LoadingSince: r.now, Version: target.Version}
+		r.progress[l.Engine.ID] = Progress{LoadingSince: r.now, Version: target.Version, Finishes: l.Mode(r.now) == Finish}
 		m := r.machine(l.Engine.ID)
 		m.load, m.ordered = l, r.now
 	}
@@ -176,7 +178,7 @@
 			p.AcceptedAt = r.now
 			m.loading, m.loadsAt, m.remaining = version, r.now, storeLoadTime
 			if m.load.Mode(r.now) == Finish {
-				m.loadsAt = r.now.Add(m.runTime)
+				m.loadsAt = r.now.Add(max(m.runTime, m.finishTime))
 			}
 		}
 		if !p.LoadingSince.IsZero() {
@@ -306,6 +308,34 @@
 	}
 }
 
+// Guards against engines that become slow after orders that let requests finish.
+func TestEnginesThatBecomeSlowAfterOrdersLoadInTime(t *testing.T) {
+	for _, n := range []int{2, 3, 12, 18, 60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r := newRollout(n, announcement{2, start})
+			for _, m := range r.machines {
+				m.runTime, m.finishTime = drainTimeout*5/4, time.Minute
+			}
+			for r.now.Before(start.Add(completeLimit)) {
+				r.step()
+			}
+			must.LessEq(t, max(1, n/10), Pending("m", 2, r.views()))
+		})
+	}
+}
+
+func TestLoadsThatLetRequestsFinishTakeTurns(t *testing.T) {
+	for mode, finishes := range map[Mode]bool{Finish: false, Continue: true} {
+		views := enginesOn(1, 1, 1, 1)
+		now := start.Add(drainTimeout)
+		next := Next(now, target(2, 2*time.Second), views, map[string]Progress{
+			"0": {LoadingSince: start, AcceptedAt: start, Finishes: finishes}, "1": {DrainingSince: start, Running: 20},
+		})
+		must.Eq(t, []string{"1"}, ids(next.Load))
+		must.Eq(t, mode, next.Load[0].Mode(now))
+	}
+}
+
 func TestEnginesThatWereSupersededFirstGoFirst(t *testing.T) {
 	views := enginesOn(3, 3, 2, 2, 3, 2, 2, 2)
 	for i := range views {
