relay: the events of all streams share a memory budget

Callers saw: with engines that send an event or a line without end, or stop within it, the router held up to 2 MB for each stream and ran out of memory.

Cause: limits for each line and each event, none for all streams together; the class is that of the buffered responses.

Change: the reader takes the memory of long lines and events from the pool's budget.

--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -131,7 +131,8 @@
 		}
 		return a.deliver(ctx, e)
 	}
-	events := relay.NewEventReader(a.res.Body)
+	events := relay.NewEventReader(a.res.Body, memory)
+	defer events.Close()
 	for {
 		e, err := events.Next()
 		if err != nil {
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -36,7 +36,7 @@
 
 func TestEventReader(t *testing.T) {
 	text := ": comment\n\nid: 1\ndata: one\n\nid: 2\ndata: two\ndata: lines\n\ndata: [DONE]\n\n"
-	events := NewEventReader(strings.NewReader(text))
+	events := NewEventReader(strings.NewReader(text), NewPool(DialTCP).Memory)
 	first, err := events.Next()
 	must.NoError(t, err)
 	must.Eq(t, Event{ID: 1, Data: []byte("one")}, first)
@@ -51,7 +51,7 @@
 }
 
 func TestEventWithoutBlankLineIsTruncated(t *testing.T) {
-	_, err := NewEventReader(strings.NewReader("data: half")).Next()
+	_, err := NewEventReader(strings.NewReader("data: half"), NewPool(DialTCP).Memory).Next()
 	must.ErrorIs(t, err, ErrTruncated)
 }
 
@@ -64,7 +64,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\ndata: [DONE]\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		events := NewEventReader(strings.NewReader(text))
+		events := NewEventReader(strings.NewReader(text), NewPool(DialTCP).Memory)
 		for {
 			if _, err := events.Next(); err != nil {
 				must.ErrorIs(t, err, ErrTruncated)
@@ -76,7 +76,7 @@
 
 // An event whose data lines do not end is cut off at the limit.
 func TestEventWithoutEndIsTruncated(t *testing.T) {
-	_, err := NewEventReader(strings.NewReader(strings.Repeat("data: xxxxxxxxxxxxxxxx\n", maxLineBytes/8))).Next()
+	_, err := NewEventReader(strings.NewReader(strings.Repeat("data: xxxxxxxxxxxxxxxx\n", maxEventBytes/8)), NewPool(DialTCP).Memory).Next()
 	must.ErrorIs(t, err, ErrTruncated)
 	must.ErrorIs(t, err, bound.ErrTooLong)
 }
