relay: lines without data are cut off

Callers saw: an engine that sends empty lines or comments without end occupies the router until the idle timeouts have passed.

Cause: only lines and data had limits; what has no data was read for as long as it came. Class: a limit of bytes that does not bound the work.

Evidence: TestLinesWithoutDataAreCutOff failed before: the event after 2 MB of empty lines was read.

Change: from the end of one event to the end of the next one a stream may have 1 MB.

--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxEventBytes bounds one line of a stream, and the data of one event.
+	// maxEventBytes bounds what a stream may have from the end of one event to the end of the next one.
 	maxEventBytes = 1 << 20
 	// maxCopiedBytes is the longest data of an event that is copied from the reader's buffer.
 	maxCopiedBytes = 4 << 10
@@ -67,6 +67,8 @@
 	data *bound.Buffer
 	// hasData reports whether the event has a data field, which may be empty.
 	hasData bool
+	// size is the number of bytes since the last event.
+	size int
 	// lastID is the ID of the event that was read last.
 	lastID int64
 }
@@ -87,7 +89,7 @@
 // Next returns the next event with data, or ErrTruncated at the end of input. An event without its closing blank line is truncated.
 func (e *EventReader) Next() (Event, error) {
 	e.data.Reset()
-	e.hasData = false
+	e.hasData, e.size = false, 0
 	var id int64
 	for {
 		line, err := e.nextLine()
@@ -125,6 +127,9 @@
 		if !whole && !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
+		if e.size += len(piece); e.size > maxEventBytes {
+			return nil, bound.ErrTooLong
+		}
 		if whole && len(e.line.Bytes()) == 0 {
 			return trimEnd(piece), nil
 		}
--- a/internal/front/relay/event_test.go
+++ b/internal/front/relay/event_test.go
@@ -67,3 +67,16 @@
 	second.Release()
 	must.Eq(t, 0, memory.Used())
 }
+
+// The reader went on for as long as the engine sent lines without data.
+func TestLinesWithoutDataAreCutOff(t *testing.T) {
+	for _, line := range []string{"\n", ": x\n", "id: 1\n", "x"} {
+		text := "data: one\n\n" + strings.Repeat(line, 2*maxEventBytes/len(line)) + "\ndata: two\n\n"
+		e := NewEventReader(strings.NewReader(text), bound.NewBudget(4<<20))
+		_, err := e.Next()
+		must.NoError(t, err)
+		_, err = e.Next()
+		must.ErrorIs(t, err, ErrTruncated, must.Sprint(line))
+		must.ErrorIs(t, err, bound.ErrTooLong, must.Sprint(line))
+	}
+}
