relay: all heads of a response are checked, on each connection

Callers saw: an upstream that sends informational responses without end occupies the router until the route's timeout, at full speed. A response of HTTP/1.0 with chunks, after an informational one or on a connection that was used before, reached the caller with the sizes of its chunks in the body.

Cause: net/http starts its limit of a head anew after each informational response that a client looks at, which is how Early Hints are forwarded; and only the first head on a connection was checked for its framing.

Change: the connection follows all heads of a response, from each request on.

--- a/internal/front/relay/head.go
+++ b/internal/front/relay/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"sync"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
@@ -12,31 +13,107 @@
 // chunks for a part of the body.
 var errFraming = errors.New("the response is of HTTP/1.0 and names a transfer encoding")
 
-// headConn is a connection to an upstream that fails with errFraming if the first response names an encoding that its version does
-// not have.
+const (
+	// freeHeadBytes is the longest head that does not count once it has been read.
+	freeHeadBytes = 4 << 10
+)
+
+// headConn is a connection to an upstream that limits the heads of each response. The limit of net/http starts anew after an
+// informational response. It fails with errFraming if a response names an encoding that its version does not have.
 type headConn struct {
 	net.Conn
-	head []byte
-	// done is set when the whole head has been read.
+	mu sync.Mutex
+	// head is the beginning of the response, without earlier heads. It is kept.
+	head *bound.Buffer
+	// size is that of the earlier heads of the response, which are informational.
+	size int
+	// done is set when the last head has been read, or the connection is closed.
 	done bool
 }
 
+func newHeadConn(c net.Conn, memory *bound.Budget) *headConn {
+	return &headConn{Conn: c, head: bound.NewBudget(bound.MaxHeaderBytes).Buffer(bound.MaxHeaderBytes)}
+}
+
+// begin is called before each request.
+func (c *headConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Release()
+	c.size, c.done = 0, false
+}
+
+// Close implements net.Conn.
+func (c *headConn) Close() error {
+	c.mu.Lock()
+	c.head.Release()
+	c.done = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // Read implements io.Reader.
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if limitErr := c.inspect(p[:n]); limitErr != nil {
+		return 0, limitErr
+	}
+	return n, err
+}
+
+// inspect takes the next bytes of the response.
+func (c *headConn) inspect(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.done {
-		return n, err
+		return nil
 	}
-	c.head = append(c.head, p[:min(n, bound.MaxHeaderBytes-len(c.head))]...)
-	head, whole := cutHead(c.head)
-	if !whole && len(c.head) < bound.MaxHeaderBytes {
-		return n, err
+	if err := c.head.Append(p[:min(len(p), bound.MaxHeaderBytes-c.size-len(c.head.Bytes()))]); err != nil {
+		return err
+	}
+	if bytes.IndexByte(p, '\n') >= 0 {
+		for next := true; next; {
+			var err error
+			if next, err = c.inspectHead(); err != nil {
+				return err
+			}
+		}
+	}
+	if !c.done && c.size+len(c.head.Bytes()) >= bound.MaxHeaderBytes {
+		return bound.ErrTooLong
+	}
+	return nil
+}
+
+// inspectHead checks the head that the buffer begins with. It reports whether another one follows.
+func (c *headConn) inspectHead() (bool, error) {
+	data := c.head.Bytes()
+	head, whole := cutHead(data)
+	if !whole {
+		return false, nil
 	}
-	c.head, c.done = nil, true
 	if isWronglyFramed(head) {
-		return 0, errFraming
+		return false, errFraming
 	}
-	return n, err
+	if !isInformational(head) {
+		c.done = true
+		if len(head) <= freeHeadBytes {
+			c.head.Release()
+		}
+		return false, nil
+	}
+	end := len(head) + bytes.IndexByte(data[len(head):], '\n') + 1
+	c.size += end
+	rest := bytes.Clone(data[end:])
+	c.head.Reset()
+	return len(rest) > 0, c.head.Append(rest)
+}
+
+// isInformational reports whether another head of the same response follows.
+func isInformational(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	status = bytes.TrimLeft(status, " ")
+	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 }
 
 // cutHead returns the head at the beginning of b without the empty line that ends it. It reports whether that line is there.
--- a/internal/front/relay/head_test.go
+++ b/internal/front/relay/head_test.go
@@ -1,12 +1,18 @@
 package relay
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
@@ -45,3 +51,85 @@
 	must.False(t, isWronglyFramed([]byte(strings.Replace(head, "A", "Transfer-Encoding", 1)[len("HTTP/1.0"):])))
 	must.True(t, isWronglyFramed([]byte(strings.Replace(head, "A", "Transfer-Encoding", 1))))
 }
+
+// send sends requests over one pool and returns the first error.
+func send(t *testing.T, pool *Pool, address string, requests int) error {
+	t.Helper()
+	for range requests {
+		trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil }}
+		req, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, "http://"+address, nil)
+		must.NoError(t, err)
+		res, err := pool.Do(req)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		must.NoError(t, err)
+		must.NoError(t, res.Body.Close())
+	}
+	return nil
+}
+
+func scripted(t *testing.T, text string, end fake.End) string {
+	t.Helper()
+	u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer { return fake.Answer{Bytes: text, End: end} })
+	must.NoError(t, err)
+	t.Cleanup(u.Close)
+	return u.Address()
+}
+
+const emptyResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// net/http limits each informational response, but not their number.
+func TestInformationalResponsesWithoutEndAreCutOff(t *testing.T) {
+	const hint = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	must.NoError(t, send(t, NewPool(DialTCP), scripted(t, strings.Repeat(hint, 10)+emptyResponse, fake.KeepOpen), 3))
+	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, strings.Repeat(hint, 100_000)+emptyResponse, fake.KeepOpen), 1), bound.ErrTooLong)
+	long := "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 10_000) + "\r\n\r\n"
+	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, strings.Repeat(long, 10)+emptyResponse, fake.KeepOpen), 1), bound.ErrTooLong)
+}
+
+func TestFramingIsCheckedAfterAnInformationalResponse(t *testing.T) {
+	text := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, text, fake.CloseConn), 1), errFraming)
+}
+
+// Only the first response on a connection was looked at.
+func TestLaterResponsesOnAConnectionAreChecked(t *testing.T) {
+	answers := 0
+	u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+		if answers++; answers == 1 {
+			return fake.Answer{Bytes: emptyResponse, End: fake.KeepOpen}
+		}
+		return fake.Answer{Bytes: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", End: fake.CloseConn}
+	})
+	must.NoError(t, err)
+	t.Cleanup(u.Close)
+	pool := NewPool(DialTCP)
+	must.NoError(t, send(t, pool, u.Address(), 1))
+	must.ErrorIs(t, send(t, pool, u.Address(), 1), errFraming)
+}
+
+// textConn reads a text and then stalls.
+type textConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c textConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+func (c textConn) Close() error               { return nil }
+
+// Heads that come a byte at a time are found, whole.
+func TestHeadsInPieces(t *testing.T) {
+	text := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 30<<10) + "\r\n\r\nbody" + strings.Repeat("\n", 1000)
+	memory := bound.NewBudget(1 << 20)
+	c := newHeadConn(textConn{Reader: iotest.OneByteReader(strings.NewReader(text + text))}, memory)
+	data, err := io.ReadAll(io.LimitReader(c, int64(len(text))))
+	must.NoError(t, err)
+	must.Eq(t, text, string(data))
+	c.begin()
+	data, err = io.ReadAll(c)
+	must.NoError(t, err)
+	must.Eq(t, text, string(data))
+	must.NoError(t, c.Close())
+}
