relay: heads of responses count in the memory budget

Callers saw: with upstreams that stop within a header, the router held up to 64 KB twice for each connection and ran out of memory.

Cause: a limit for each head, none for all.

Evidence: TestUnfinishedHeadsShareABudget failed before: all 200 heads were held with a budget of 1 MB.

--- a/internal/front/relay/head.go
+++ b/internal/front/relay/head.go
@@ -23,7 +23,7 @@
 type headConn struct {
 	net.Conn
 	mu sync.Mutex
-	// head is the beginning of the response, without earlier heads. It is kept.
+	// head is the beginning of the response, without earlier heads. A long one counts until the next response.
 	head *bound.Buffer
 	// size is that of the earlier heads of the response, which are informational.
 	size int
@@ -32,7 +32,7 @@
 }
 
 func newHeadConn(c net.Conn, memory *bound.Budget) *headConn {
-	return &headConn{Conn: c, head: bound.NewBudget(bound.MaxHeaderBytes).Buffer(bound.MaxHeaderBytes)}
+	return &headConn{Conn: c, head: memory.Buffer(bound.MaxHeaderBytes)}
 }
 
 // begin is called before each request.
--- a/internal/front/relay/head_test.go
+++ b/internal/front/relay/head_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -119,7 +120,34 @@
 func (c textConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
 func (c textConn) Close() error               { return nil }
 
-// Heads that come a byte at a time are found, whole.
+// Each connection held up to 64 KB of a head without end.
+func TestUnfinishedHeadsShareABudget(t *testing.T) {
+	const size = bound.MaxHeaderBytes - 1000
+	pool := NewPool(DialTCP)
+	pool.Memory = bound.NewBudget(1 << 20)
+	held := 0
+	var conns []*headConn
+	for range 200 {
+		text := "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", size)
+		c := newHeadConn(textConn{Reader: io.MultiReader(strings.NewReader(text), iotest.ErrReader(errStalled))}, pool.Memory)
+		conns = append(conns, c)
+		if _, err := io.Copy(io.Discard, readerOnly{c}); errors.Is(err, errStalled) {
+			held++
+		} else {
+			must.ErrorIs(t, err, bound.ErrTooLong)
+		}
+	}
+	must.Positive(t, held)
+	must.LessEq(t, 2*(1<<20)/size, held)
+	for _, c := range conns {
+		must.NoError(t, c.Close())
+	}
+	must.Eq(t, 0, pool.Memory.Used())
+}
+
+type readerOnly struct{ io.Reader }
+
+// Heads that come a byte at a time are found, and their memory is released.
 func TestHeadsInPieces(t *testing.T) {
 	text := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 30<<10) + "\r\n\r\nbody" + strings.Repeat("\n", 1000)
 	memory := bound.NewBudget(1 << 20)
@@ -127,9 +155,12 @@
 	data, err := io.ReadAll(io.LimitReader(c, int64(len(text))))
 	must.NoError(t, err)
 	must.Eq(t, text, string(data))
+	must.Positive(t, memory.Used())
 	c.begin()
+	must.Eq(t, 0, memory.Used())
 	data, err = io.ReadAll(c)
 	must.NoError(t, err)
 	must.Eq(t, text, string(data))
 	must.NoError(t, c.Close())
+	must.Eq(t, 0, memory.Used())
 }
