relay: the lines of a response's head are limited

Callers saw: with upstreams that send header lines of a few bytes, the router ran out of memory.

Cause: the limit of 64 KB counts bytes; a short line takes far more than its bytes in the header of net/http, and again in its copy.

Evidence: TestLinesOfAHeadAreLimited failed before.

Change: the heads of a response may have 256 lines together.

--- a/internal/front/relay/head.go
+++ b/internal/front/relay/head.go
@@ -14,6 +14,8 @@
 var errFraming = errors.New("the response is of HTTP/1.0 and names a transfer encoding")
 
 const (
+	// maxHeadLines bounds the lines of all heads of a response: a short one takes far more memory than its bytes.
+	maxHeadLines = 256
 	// freeHeadBytes is the longest head that does not count once it has been read.
 	freeHeadBytes = 4 << 10
 )
@@ -25,8 +27,8 @@
 	mu sync.Mutex
 	// head is the beginning of the response, without earlier heads. A long one counts until the next response.
 	head *bound.Buffer
-	// size is that of the earlier heads of the response, which are informational.
-	size int
+	// size and lines are those of the earlier heads of the response, which are informational.
+	size, lines int
 	// done is set when the last head has been read, or the connection is closed.
 	done bool
 }
@@ -40,7 +42,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Release()
-	c.size, c.done = 0, false
+	c.size, c.lines, c.done = 0, 0, false
 }
 
 // Close implements net.Conn.
@@ -89,6 +91,10 @@
 func (c *headConn) inspectHead() (bool, error) {
 	data := c.head.Bytes()
 	head, whole := cutHead(data)
+	lines := bytes.Count(head, []byte("\n"))
+	if c.lines+lines > maxHeadLines {
+		return false, bound.ErrTooLong
+	}
 	if !whole {
 		return false, nil
 	}
@@ -104,6 +110,7 @@
 	}
 	end := len(head) + bytes.IndexByte(data[len(head):], '\n') + 1
 	c.size += end
+	c.lines += lines
 	rest := bytes.Clone(data[end:])
 	c.head.Reset()
 	return len(rest) > 0, c.head.Append(rest)
--- a/internal/front/relay/head_test.go
+++ b/internal/front/relay/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -111,6 +112,19 @@
 	must.ErrorIs(t, send(t, pool, u.Address(), 1), errFraming)
 }
 
+// A head of many short lines takes far more memory than its bytes.
+func TestLinesOfAHeadAreLimited(t *testing.T) {
+	lines := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "x-%d: y\r\n", i)
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + b.String() + "\r\n"
+	}
+	must.NoError(t, send(t, NewPool(DialTCP), scripted(t, lines(200), fake.KeepOpen), 2))
+	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, lines(5000), fake.KeepOpen), 1), bound.ErrTooLong)
+}
+
 // textConn reads a text and then stalls.
 type textConn struct {
 	net.Conn
