relay: one response takes no more than a quarter of the budget

Callers saw: upstreams whose bodies have no end made the router reach its memory on a busy machine, though the budget was kept.

Cause: each response was read until it had used up what was left of the budget, with arrays of several megabytes that the next attempt allocated again; a length of 900 GB was only noticed by reading.

Evidence: TestBufferedResponseWithoutEndTakesAPartOfTheBudget failed before.

Change: a response that is held as a whole has at most 16 MB and at most a quarter of the budget; one whose length is larger is not read.

--- a/internal/app/daemon/paths.go
+++ b/internal/app/daemon/paths.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/base/memory"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
@@ -31,7 +30,7 @@
 	r.pool = relay.NewPool(func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 		return r.dialer.Dial(ctx, detour.Target{Address: address}, timeout)
 	})
-	r.pool.Memory = bound.NewBudget(memoryBytes(r.settings, memory.OfMachine()) / responsesDivisor)
+	r.pool.SetMemory(memoryBytes(r.settings, memory.OfMachine()) / responsesDivisor)
 }
 
 // acceptsRelay reports whether this instance may connect to an upstream for another one. One that is about to stop would cut it.
--- a/internal/front/chat/attempt.go
+++ b/internal/front/chat/attempt.go
@@ -97,7 +97,7 @@
 		return err
 	}
 	defer func() { _ = a.res.Body.Close() }()
-	return a.read(ctx, h.Pool.Memory, j.req.Stream)
+	return a.read(ctx, h.Pool, j.req.Stream)
 }
 
 // send sends the request to the engine and returns once a valid response header has arrived.
@@ -119,9 +119,9 @@
 }
 
 // read reads the events of a stream, or a whole response as one event.
-func (a *attempt) read(ctx context.Context, memory *bound.Budget, stream bool) error {
+func (a *attempt) read(ctx context.Context, pool *relay.Pool, stream bool) error {
 	if !stream {
-		e, err := relay.ReadWhole(a.res.Body, memory, maxResponseBytes)
+		e, err := pool.ReadWhole(a.res)
 		if err != nil {
 			return err
 		}
@@ -131,7 +131,7 @@
 		}
 		return a.deliver(ctx, e)
 	}
-	events := relay.NewEventReader(a.res.Body, memory)
+	events := relay.NewEventReader(a.res.Body, pool.Memory)
 	defer events.Close()
 	for {
 		e, err := events.Next()
--- a/internal/front/chat/endless_test.go
+++ b/internal/front/chat/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/route/status"
+	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
 // countingDial counts the bytes that are read from upstreams.
@@ -71,7 +72,7 @@
 	var read atomic.Int64
 	h := newHandler()
 	h.Pool = relay.NewPool(countingDial(&read))
-	h.Pool.Memory = bound.NewBudget(budget)
+	h.Pool.SetMemory(budget)
 	address := endlessServer(t, "{")
 	const attempts = 20
 	errs := make(chan error, attempts)
@@ -84,7 +85,7 @@
 			}
 			a := &attempt{events: make(chan relay.Event)}
 			if a.res, err = h.Pool.Do(req); err == nil {
-				err = a.read(t.Context(), h.Pool.Memory, false)
+				err = a.read(t.Context(), h.Pool, false)
 				_ = a.res.Body.Close()
 			}
 			errs <- err
@@ -96,3 +97,34 @@
 	must.Eq(t, 0, h.Pool.Memory.Used())
 	must.LessEq(t, attempts*(budget+bound.MaxHeaderBytes), read.Load())
 }
+
+// One response without end took the whole budget.
+func TestBufferedResponseWithoutEndTakesAPartOfTheBudget(t *testing.T) {
+	const budget = 4 << 20
+	for _, c := range []struct {
+		name, head string
+		limit      int64
+	}{
+		{"without length", "HTTP/1.1 200 OK\r\n\r\n{", budget / 4},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n{", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var read atomic.Int64
+			pool := relay.NewPool(countingDial(&read))
+			pool.SetMemory(budget)
+			u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+				return fake.Answer{Bytes: c.head + strings.Repeat("x", 8<<20), End: fake.KeepOpen}
+			})
+			must.NoError(t, err)
+			t.Cleanup(u.Close)
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+u.Address(), nil)
+			must.NoError(t, err)
+			a := &attempt{events: make(chan relay.Event)}
+			a.res, err = pool.Do(req)
+			must.NoError(t, err)
+			must.ErrorIs(t, a.read(t.Context(), pool, false), bound.ErrTooLong)
+			must.NoError(t, a.res.Body.Close())
+			must.LessEq(t, c.limit+bound.MaxHeaderBytes, read.Load())
+		})
+	}
+}
--- a/internal/front/chat/resume_test.go
+++ b/internal/front/chat/resume_test.go
@@ -55,7 +55,7 @@
 		started++
 		go func() {
 			defer close(a.events)
-			a.err = a.read(ctx, h.Pool.Memory, true)
+			a.err = a.read(ctx, h.Pool, true)
 		}()
 		return a, nil
 	}}
--- a/internal/front/chat/stream.go
+++ b/internal/front/chat/stream.go
@@ -13,9 +13,6 @@
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 )
 
-// maxResponseBytes bounds the response body of a request that is not streamed.
-const maxResponseBytes = 16 << 20
-
 // errMissingEvent is returned when an event ID is skipped.
 var errMissingEvent = errors.New("an event is missing from the engine's stream")
 
--- a/internal/front/plain/once.go
+++ b/internal/front/plain/once.go
@@ -20,8 +20,6 @@
 	// storeTimeout bounds the retries of one write to the claim store.
 	storeTimeout       = 10 * time.Minute
 	storeRetryInterval = 2 * time.Second
-	// maxResponseBytes bounds the response body of a call that is not idempotent.
-	maxResponseBytes = 16 << 20
 )
 
 // serveOnce runs a call at most once, or replays its stored response.
@@ -157,7 +155,7 @@
 
 func (h *Handler) readResponse(res *http.Response) (*heldResponse, error) {
 	defer func() { _ = res.Body.Close() }()
-	body, err := relay.ReadWhole(res.Body, h.Pool.Memory, maxResponseBytes)
+	body, err := h.Pool.ReadWhole(res)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -35,16 +35,6 @@
 	buffer *bound.Buffer
 }
 
-// ReadWhole reads a response of at most limit bytes as one event.
-func ReadWhole(r io.Reader, memory *bound.Budget, limit int64) (Event, error) {
-	buffer := memory.Buffer(limit)
-	if _, err := buffer.ReadFrom(r); err != nil {
-		buffer.Release()
-		return Event{}, err
-	}
-	return Event{Data: buffer.Bytes(), buffer: buffer}, nil
-}
-
 // Release returns the memory of the data to its budget.
 func (e Event) Release() {
 	if e.buffer != nil {
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -22,6 +22,9 @@
 	maxIdleConnsPerHost = 64
 	// defaultMemoryBytes is the budget of a pool that is given none.
 	defaultMemoryBytes = 64 << 20
+	// maxResponseBytes bounds a response that is held as a whole, responseDivisor its part of the budget.
+	maxResponseBytes = 16 << 20
+	responseDivisor  = 4
 )
 
 // DialError is a failure to connect: nothing has been sent to the upstream.
@@ -54,22 +57,44 @@
 
 // Pool holds one connection pool for each upstream address.
 type Pool struct {
-	// Memory is the budget of the responses that are held in memory, in whole or in part. It is set before the first request.
-	Memory     *bound.Budget
-	dial       Dial
-	mu         sync.Mutex
-	transports map[string]*http.Transport
-	unpooled   *http.Transport
+	// Memory is the budget of the responses that are held in memory, in whole or in part.
+	Memory *bound.Budget
+	// responseBytes is the largest response that is held as a whole.
+	responseBytes int64
+	dial          Dial
+	mu            sync.Mutex
+	transports    map[string]*http.Transport
+	unpooled      *http.Transport
 }
 
 // NewPool returns an empty pool that connects by the given function.
 func NewPool(dial Dial) *Pool {
-	p := &Pool{Memory: bound.NewBudget(defaultMemoryBytes), dial: dial, transports: make(map[string]*http.Transport)}
+	p := &Pool{dial: dial, transports: make(map[string]*http.Transport)}
+	p.SetMemory(defaultMemoryBytes)
 	p.unpooled = p.newTransport()
 	p.unpooled.DisableKeepAlives = true
 	return p
 }
 
+// SetMemory sets the memory of the responses that are held, in whole or in part. It is called before the first request.
+func (p *Pool) SetMemory(bytes int64) {
+	p.Memory = bound.NewBudget(bytes)
+	p.responseBytes = min(maxResponseBytes, bytes/responseDivisor)
+}
+
+// ReadWhole reads the body of a response as one event.
+func (p *Pool) ReadWhole(res *http.Response) (Event, error) {
+	if res.ContentLength > p.responseBytes {
+		return Event{}, bound.ErrTooLong
+	}
+	buffer := p.Memory.Buffer(p.responseBytes)
+	if _, err := buffer.ReadFrom(res.Body); err != nil {
+		buffer.Release()
+		return Event{}, err
+	}
+	return Event{Data: buffer.Bytes(), buffer: buffer}, nil
+}
+
 func (p *Pool) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
