--- a/internal/trial/crowd/quay_test.go
+++ b/internal/trial/crowd/quay_test.go
@@ -52,13 +52,25 @@
 	http   http.Client
 }
 
-func startQuay(t *testing.T) *quaySite {
+// buildQuay builds the router and its stand-ins, and returns their directory.
+func buildQuay(t *testing.T) string {
 	t.Helper()
 	bin := t.TempDir()
 	for _, name := range []string{"skylarkquay", "skylarkstand"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(bin, name), "github.com/skylarkquay/skylarkquay/cmd/"+name).CombinedOutput()
 		must.NoError(t, err, must.Sprint(string(out)))
 	}
+	return bin
+}
+
+// quayExtra is what a test adds to the settings and to sections of the routing document.
+type quayExtra struct {
+	settings                  []string
+	models, upstreams, routes string
+}
+
+func startQuay(t *testing.T, bin string, extra quayExtra) *quaySite {
+	t.Helper()
 	addrs := make([]string, 6)
 	for i := range addrs {
 		a, err := site.FreeAddress()
@@ -72,10 +84,12 @@
 	q := &quaySite{listen: listen, http: http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	q.waitOK(t, "http://"+store+"/instances")
 	url := "http://" + store
+	args := append([]string{filepath.Join(bin, "skylarkquay"), "run", "--listen", listen, "--peer", peer, "--admin", admin, "--zone", "a",
+		"--table-url", url, "--object-url", url, "--roster-url", url, "--body-bytes", strconv.Itoa(quayBodyBytes), "--log-level", "error"},
+		extra.settings...)
 	q.router, q.exited = startProgram(t, []string{
 		fmt.Sprintf("SKYLARKQUAY_MEMORY=%d", quayMemoryMB), fmt.Sprintf("SKYLARKQUAY_CONNECTIONS=%d", quayConnections),
-	}, filepath.Join(bin, "skylarkquay"), "run", "--listen", listen, "--peer", peer, "--admin", admin, "--zone", "a",
-		"--table-url", url, "--object-url", url, "--roster-url", url, "--body-bytes", strconv.Itoa(quayBodyBytes), "--log-level", "error")
+	}, args...)
 	list, err := json.Marshal(roster.Listing{Instances: []roster.Entry{{Address: peer, Zone: "a", State: roster.Live}}})
 	must.NoError(t, err)
 	req, err := http.NewRequest(http.MethodPut, url+"/instances", bytes.NewReader(list))
@@ -84,7 +98,7 @@
 	must.NoError(t, err)
 	must.NoError(t, res.Body.Close())
 	q.waitOK(t, "http://"+admin+"/readyz")
-	q.configure(t, admin, engine, service)
+	q.configure(t, admin, engine, service, extra)
 	return q
 }
 
@@ -112,16 +126,16 @@
 }
 
 // configure applies a document with an engine, a keyed route and an open one, and waits until it is in force.
-func (q *quaySite) configure(t *testing.T, admin, engine, service string) {
+func (q *quaySite) configure(t *testing.T, admin, engine, service string, extra quayExtra) {
 	t.Helper()
 	operator := wire.NewOperatorProtobufClient("http://"+admin, &q.http)
 	for _, section := range [][2]string{
 		{"workspaces", "ample: {title: ample, weight: 1}\n"},
 		{"keys", fmt.Sprintf("ample: {workspace: ample, hash: %s}\n", gate.HashKey(quayKey))},
 		{"rates", "ample: {tokens_per_second: 100000000, burst_tokens: 500000000}\n"},
-		{"models", "quotes: {weights: v1}\n"},
-		{"upstreams", fmt.Sprintf("engine: {address: '%s', zone: a, kind: engine, models: [quotes]}\nservice: {address: '%s', zone: a, kind: service, service: booking}\n", engine, service)},
-		{"routes", "look: {method: POST, path: /look, service: booking, open: true, idempotent: true, timeout_millis: 5000}\n"},
+		{"models", "quotes: {weights: v1}\n" + extra.models},
+		{"upstreams", fmt.Sprintf("engine: {address: '%s', zone: a, kind: engine, models: [quotes]}\nservice: {address: '%s', zone: a, kind: service, service: booking}\n", engine, service) + extra.upstreams},
+		{"routes", "look: {method: POST, path: /look, service: booking, open: true, idempotent: true, timeout_millis: 5000}\n" + extra.routes},
 	} {
 		_, err := operator.Apply(context.Background(), &wire.ApplyRequest{Section: section[0], Text: section[1], Edit: section[0], Operator: "crowd"})
 		must.NoError(t, err, must.Sprint(section[0]))
@@ -230,6 +244,7 @@
 
 // TestQuayCrowds sends the crowd in one way after another, each to a router of its own.
 func TestQuayCrowds(t *testing.T) {
+	bin := buildQuay(t)
 	most := strings.Repeat("x", quayBodyBytes-1)
 	tiny := strings.Repeat("1\r\nx\r\n", quayBodyBytes/16)
 	over := strings.Repeat("x", 4*quayBodyBytes)
@@ -262,7 +277,7 @@
 		{"heads without end", func(c net.Conn) error { return writeAll(c, quayChat, lines) }},
 	} {
 		t.Run(way.name, func(t *testing.T) {
-			q := startQuay(t)
+			q := startQuay(t, bin, quayExtra{})
 			before := q.peakMB(t)
 			q.gather(t, way.write)
 			time.Sleep(quaySettle)
