daemon: short responses of other instances have a short limit

Callers saw: nothing; found by reading. An instance that answers calls for tokens without end would have made each waiting request hold up to 16 MB for 150 ms.

Cause: one limit for all calls to instances, which has to hold a routing document.

Change: calls that take or return tokens, or withdraw support, accept 64 KB.

--- a/internal/app/daemon/peers.go
+++ b/internal/app/daemon/peers.go
@@ -32,28 +32,42 @@
 	peerMaxIdleConns = 4
 	// maxPeerResponseBytes bounds the response of another instance; the longest holds a routing document.
 	maxPeerResponseBytes = 16 << 20
+	// maxShortResponseBytes bounds responses of a few numbers, which many requests wait for at the same time.
+	maxShortResponseBytes = 64 << 10
 )
 
 // peers calls the other instances and serves their heartbeats and configuration pulls.
 type peers struct {
 	router *Router
 	client *http.Client
+	// short is the client for calls with short responses.
+	short *http.Client
 }
 
 func newPeers(r *Router) *peers {
 	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &peers{router: r, client: &http.Client{Transport: bound.Transport(&http.Transport{
+	transport := &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    peerMaxIdleConns,
 		IdleConnTimeout:        peerIdleTimeout,
 		MaxResponseHeaderBytes: bound.MaxHeaderBytes,
-	}, maxPeerResponseBytes)}}
+	}
+	return &peers{
+		router: r,
+		client: &http.Client{Transport: bound.Transport(transport, maxPeerResponseBytes)},
+		short:  &http.Client{Transport: bound.Transport(transport, maxShortResponseBytes)},
+	}
 }
 
 func (p *peers) clientFor(address string) wire.Peer {
 	return wire.NewPeerProtobufClient("http://"+address, p.client)
 }
 
+// shortClientFor returns a client for calls with short responses.
+func (p *peers) shortClientFor(address string) wire.Peer {
+	return wire.NewPeerProtobufClient("http://"+address, p.short)
+}
+
 // heartbeat builds this instance's heartbeat.
 func (p *peers) heartbeat(now time.Time, random *rand.Rand) *wire.BeatRequest {
 	r := p.router
@@ -210,7 +224,7 @@
 	replies := make(chan []uint32, len(others))
 	for _, m := range others {
 		go func() {
-			reply, err := p.clientFor(m.Address).Withdraw(ctx, &wire.WithdrawRequest{Incarnation: incarnation})
+			reply, err := p.shortClientFor(m.Address).Withdraw(ctx, &wire.WithdrawRequest{Incarnation: incarnation})
 			if err != nil {
 				replies <- nil
 				return
@@ -250,7 +264,7 @@
 func (p *peers) Take(ctx context.Context, address string, k share.Key, w share.TakeRequest) (given, left int64, held bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	reply, err := p.clientFor(address).Take(ctx, &wire.TakeRequest{
+	reply, err := p.shortClientFor(address).Take(ctx, &wire.TakeRequest{
 		Workspace: k.Workspace, Tokens: w.Tokens, Partition: uint32(k.Partition), Request: w.ID, Firm: w.Firm,
 	})
 	if err != nil {
@@ -263,7 +277,7 @@
 func (p *peers) Return(ctx context.Context, address string, k share.Key, id string, tokens int64) {
 	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
 	defer cancel()
-	_, err := p.clientFor(address).Give(ctx, &wire.GiveRequest{
+	_, err := p.shortClientFor(address).Give(ctx, &wire.GiveRequest{
 		Workspace: k.Workspace, Tokens: tokens, Partition: uint32(k.Partition), Request: id,
 	})
 	if err != nil {
