--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -50,8 +50,8 @@
 	return nil
 }
 
-// prepare returns the header to send, or an error if a call may no longer be sent. It is called when there is a connection, which may take longer than it takes
-// to learn that the upstream must not get the request. First and later attempts are checked alike.
+// prepare returns the header to send, or an error if a call may no longer be sent. It is called when there is a connection, which may
+// take longer than it takes to learn that the upstream must not get the request. First and later attempts are checked alike.
 func (x *exchange) prepare(now time.Time, c *call) (http.Header, error) {
 	if err := x.r.Context().Err(); err != nil {
 		return nil, &barredError{callerLeft, err}
