link: the memory of response heads is bounded

Cause: a head was bounded at 64 KiB each, but a parsed line takes some 160 bytes whatever its length, and several hundred heads are read together. Nothing counted that memory. Informational responses got 64 KiB each.

Change: bound.HeadConn counts the lines and bytes of a head as they arrive and takes their memory from the budget of the buffered responses, beyond 8 KB a head. Informational responses share the 64 KiB of the response that they precede. HTTP/1.0 has none; one is malformed.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -147,9 +147,11 @@
 	e.fleet.SetSelf(s.Peer)
 	e.dialer, e.relay = e.newDialer()
 	e.engines = platform.NewEngines(e.dialEngine, func(call string) { e.countCall("engine_calls", call) })
+	limits := hold.LimitsFor(s.MemoryMB<<20, s.descriptors())
+	memory := bound.NewBudget(min(s.MemoryMB<<20/bufferMemoryDivisor, limits.Bytes/2))
 	e.pool = link.NewPool(e.dialer, e.maxConnections, func() { scope.Counter("connections").Inc(1) })
+	e.pool.Memory = memory
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
-	limits := hold.LimitsFor(s.MemoryMB<<20, s.descriptors())
 	e.account = hold.NewAccount(limits, e.log, func(r hold.Reason) {
 		scope.Tagged(map[string]string{"reason": string(r)}).Counter("connections_cut").Inc(1)
 	})
@@ -160,7 +162,7 @@
 		},
 		Dialect: platform.Dialect{}, Feed: e.replica, Fleet: e.fleet, Pool: e.pool, Quota: e.quota, Budget: e.budget,
 		Holders: e.holders, CrashCounter: e.crashes, Parts: e.parts, Costs: place.DefaultCosts(), Learner: e.learner, Log: e.log, Metrics: scope, Boot: clock.SinceBoot,
-		Memory: bound.NewBudget(min(s.MemoryMB<<20/bufferMemoryDivisor, limits.Bytes/2)), Stop: serve.NewStop(),
+		Memory: memory, Stop: serve.NewStop(),
 	}
 	e.replica.AssumedAge = e.handler.Settings.SupersededLimit
 	if platform.SharesRoom(s.Terms) {
--- a/internal/front/link/field_test.go
+++ b/internal/front/link/field_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 func TestFieldLine(t *testing.T) {
@@ -36,7 +38,7 @@
 				return false
 			})
 			got, err := roundTrip(t, newTestPool(0), request(u, "1"))
-			if version == oldProtocol && !strings.Contains(rest, "chunked") {
+			if version == bound.OldProtocol && !strings.Contains(rest, "chunked") {
 				must.NoError(t, err)
 				must.Eq(t, "whole", got)
 				continue
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -106,7 +106,7 @@
 type conn struct {
 	net.Conn
 	watch   *idleWatch
-	head    *headLimiter
+	head    *bound.HeadConn
 	address string
 	reader  *bufio.Reader
 	// relayed reports whether the connection passes through another instance. It carries one request.
@@ -126,6 +126,8 @@
 	onOpen     func()
 	idleLimits idleLimits
 	dialer     Dialer
+	// Memory is the budget of the heads of responses; nil bounds their length only. It is set before the first request.
+	Memory *bound.Budget
 }
 
 // Dialer connects to upstreams.
@@ -221,14 +223,15 @@
 
 // read returns the first response that belongs to the request and skips late responses to earlier ones.
 func (p *Pool) read(c *conn, r Request) (*Response, error) {
+	if err := c.expectHead(); err != nil {
+		return nil, err
+	}
 	for range maxResponses {
-		c.head.expectHead()
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		c.head.remaining = unlimited
 		if err != nil {
 			return nil, withoutQuotes(err)
 		}
-		if err := c.head.checkFraming(raw); err != nil {
+		if err := checkFraming(raw, c.head.Old()); err != nil {
 			return nil, err
 		}
 		if raw.StatusCode < http.StatusContinue {
@@ -237,6 +240,7 @@
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
+		c.head.End()
 		if r.Matches(raw.Header) {
 			return &Response{Status: raw.StatusCode, Header: raw.Header, Body: quietBody{raw.Body}, pool: p, conn: c, raw: raw}, nil
 		}
@@ -246,10 +250,20 @@
 		if _, err := io.Copy(io.Discard, bound.Reader(raw.Body, maxStrayBytes)); err != nil {
 			return nil, err
 		}
+		if err := c.expectHead(); err != nil {
+			return nil, err
+		}
 	}
 	return nil, ErrStray
 }
 
+// expectHead prepares for the head of the next response, whose beginning may be in the read buffer.
+func (c *conn) expectHead() error {
+	// Peek does not read what is buffered.
+	read, _ := c.reader.Peek(c.reader.Buffered())
+	return c.head.Expect(read)
+}
+
 // Relayed reports whether the connection passes through another instance.
 func (r *Response) Relayed() bool { return r.conn.relayed }
 
@@ -283,6 +297,7 @@
 // Done returns the connection to the pool after the body has been read to EOF.
 func (r *Response) Done(now time.Time) {
 	r.conn.watch.onIdle = nil
+	r.conn.head.Release()
 	if !r.stop() || r.raw.Close || r.conn.relayed || r.conn.reader.Buffered() > 0 || !written(r.sent) {
 		r.pool.discard(r.conn)
 		return
@@ -362,13 +377,13 @@
 		return nil, false, err
 	}
 	p.onOpen()
-	return newConn(raw, r.Address), false, nil
+	return newConn(raw, r.Address, p.Memory), false, nil
 }
 
 // newConn returns a connection that has not carried a request.
-func newConn(raw net.Conn, address string) *conn {
+func newConn(raw net.Conn, address string, memory *bound.Budget) *conn {
 	watch := &idleWatch{Conn: raw}
-	head := &headLimiter{Conn: watch, remaining: unlimited}
+	head := bound.NewHeadConn(watch, memory)
 	_, relayed := raw.(*detour.Conn)
 	return &conn{Conn: raw, relayed: relayed, watch: watch, head: head, address: address, reader: bufio.NewReaderSize(head, readBufferBytes)}
 }
@@ -447,6 +462,7 @@
 func (p *Pool) discard(c *conn) {
 	// The connection is discarded whether or not closing it succeeds.
 	_ = c.Close()
+	c.head.Release()
 	p.release(c.address)
 }
 
--- a/internal/front/link/running.go
+++ b/internal/front/link/running.go
@@ -26,7 +26,7 @@
 		return nil
 	}
 	p.onOpen()
-	c := newConn(raw, t.Address)
+	c := newConn(raw, t.Address, p.Memory)
 	c.idleTimeout, c.lastUsed = defaultIdleTimeout, time.Now()
 	p.putIdle(c)
 	return nil
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -72,8 +73,15 @@
 		t.Cleanup(scripted.Close)
 		s.RegisterAt(u, scripted.Address())
 	}
+	return startProcess(t, program, s)
+}
+
+// startProcess starts a process at a site and waits until it is ready.
+func startProcess(t *testing.T, program string, s *fake.Site) edgeProcess {
+	t.Helper()
 	addresses := make([]any, 4)
 	for i := range addresses {
+		var err error
 		addresses[i], err = site.FreeAddress()
 		must.NoError(t, err)
 	}
@@ -95,6 +103,23 @@
 	return e
 }
 
+// checkOrdinary waits until an ordinary request is answered, and returns the last answer.
+func (e edgeProcess) checkOrdinary(t *testing.T) string {
+	t.Helper()
+	last := "no answer"
+	Eventually(t, "an ordinary request is answered", func() bool {
+		e.CheckAlive(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		r, err := fake.Send(ctx, e.listen, fake.Call{
+			Method: http.MethodPost, Path: fake.LookPath + "1", ID: fmt.Sprintf("%08x", ids.Add(1)), Key: fake.Key, Deadline: 5000, Body: "ordinary",
+		})
+		last = fmt.Sprint(r.Status, r.Body, err)
+		return err == nil && r.Status == http.StatusOK
+	})
+	return last
+}
+
 var ids atomic.Int64
 
 // head is the head of a request up to its last header lines.
@@ -123,6 +148,11 @@
 	return text.String()
 }
 
+// promptFor is a whole request with a prompt for a path.
+func promptFor(path string) string {
+	return prompt(fake.Call{Method: http.MethodPost, Path: path + "1", ID: fmt.Sprintf("%08x", 1<<24+ids.Add(1)), Key: fake.Key, Prompt: 100, Body: "a prompt"})
+}
+
 // ways are what callers send that the operators don't control.
 func ways() []Way {
 	length := fmt.Sprintf("Content-Length: %d", bodyLimit)
@@ -155,7 +185,7 @@
 		{Name: "pipelined", Head: func(int) string { return "" }, Body: pipelined},
 		{Name: "unread large answers", Head: func(int) string { return head(http.MethodGet, fake.LookPath+"large", fake.Key, "\r\n") }, SlowReader: true},
 		{Name: "unread streams", Head: func(int) string {
-			return prompt(fake.Call{Method: http.MethodPost, Path: fake.QuotePath + "1", ID: fmt.Sprintf("%08x", 1<<24+ids.Add(1)), Key: fake.Key, Prompt: 100, Body: "a prompt"})
+			return promptFor(fake.QuotePath)
 		}, SlowReader: true},
 	}
 }
@@ -172,17 +202,7 @@
 			time.Sleep(settleTime)
 			e.CheckAlive(t)
 			open := e.Descriptors(t)
-			last := "no answer"
-			Eventually(t, "an ordinary request is answered", func() bool {
-				e.CheckAlive(t)
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				defer cancel()
-				r, err := fake.Send(ctx, e.listen, fake.Call{
-					Method: http.MethodPost, Path: fake.LookPath + "1", ID: fmt.Sprintf("%08x", ids.Add(1)), Key: fake.Key, Deadline: 5000, Body: "ordinary",
-				})
-				last = fmt.Sprint(r.Status, r.Body, err)
-				return err == nil && r.Status == http.StatusOK
-			})
+			last := e.checkOrdinary(t)
 			now, peak := e.Resident(t)
 			t.Logf("resident %d KB before, %d KB at the peak, %d KB now; %d descriptors; ordinary: %s", before>>10, peak>>10, now>>10, open, last)
 			must.LessEq(t, memoryMB<<20, peak)
@@ -194,3 +214,68 @@
 		})
 	}
 }
+
+// upstreamsEach is the number of upstreams of each service in a site of upstreams without an end.
+const upstreamsEach = 8
+
+// startEndlessEdge starts a process whose upstreams all send bytes without end, and returns the upstreams' site.
+func startEndlessEdge(t *testing.T, program string, f fake.Flood) (edgeProcess, *fake.Site) {
+	t.Helper()
+	s, err := fake.NewSite(upstreamsEach, upstreamsEach)
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.Rate, s.Burst = 1e9, 1e9
+	s.PublishDocument()
+	for _, u := range s.Upstreams() {
+		contentType := "text/plain"
+		if u.Model != "" {
+			contentType = "text/event-stream"
+		}
+		endless, err := fake.NewFloodUpstream(f, contentType)
+		must.NoError(t, err)
+		t.Cleanup(endless.Close)
+		s.RegisterAt(u, endless.Address())
+	}
+	return startProcess(t, program, s), s
+}
+
+// endlessFloods are the floods that are played: those that took the most memory, or all of them.
+func endlessFloods() []fake.Flood {
+	if os.Getenv("CROWD_ALL") != "" {
+		return append(slices.Clone(fake.SlowFloods), fake.Floods...)
+	}
+	return []fake.Flood{fake.FloodShortLines, fake.FloodOldHead}
+}
+
+// Heads of many short lines took many times their length and made the process hold more than its machine has.
+func TestEdgeOutlivesEndlessAnswers(t *testing.T) {
+	RaiseDescriptors(t)
+	program := Build(t, "skylarkedge")
+	for _, f := range endlessFloods() {
+		t.Run(string(f), func(t *testing.T) {
+			e, s := startEndlessEdge(t, program, f)
+			before, _ := e.Resident(t)
+			Send(t, e.listen, callers, Way{Head: func(i int) string {
+				if i%2 == 0 {
+					return post(fake.Key, "Content-Length: 0")(i)
+				}
+				return promptFor(fake.QuotePath)
+			}})
+			time.Sleep(settleTime)
+			e.CheckAlive(t)
+			job, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+				return fake.Answer{Bytes: fake.SignedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole"}
+			})
+			must.NoError(t, err)
+			t.Cleanup(job.Close)
+			for _, u := range s.Jobs {
+				s.RegisterAt(u, job.Address())
+			}
+			last := e.checkOrdinary(t)
+			now, peak := e.Resident(t)
+			t.Logf("resident %d KB before, %d KB at the peak, %d KB now; ordinary: %s", before>>10, peak>>10, now>>10, last)
+			must.LessEq(t, memoryMB<<20, peak)
+			e.CheckAlive(t)
+		})
+	}
+}
