serve: requests are not blamed for bytes without end

A caller whose request met an upstream that sends informational responses, chunk sizes, trailers or a response to another request without end was refused for more than a minute, also once sound upstreams served: "4 upstreams died of this request".

Cause: such a call counted as one that ended its upstream, though a connection made afterwards showed that the upstream runs. That exception covered link.ErrMalformed only, and errors of net/http within a chunked body were not recognised as such; nor was link.ErrStray.

Change: errors within a body that are neither of the connection nor of a limit are link.ErrMalformed, as they were for heads, and ErrStray counts as bytes that are no answer. An upstream that refuses connections afterwards still counts as ended by the request.

--- a/internal/app/edge/flood_test.go
+++ b/internal/app/edge/flood_test.go
@@ -102,3 +102,30 @@
 		})
 	}
 }
+
+// A request whose upstreams send bytes without end does not count as one that ends upstreams: they run. It was refused everywhere.
+func TestRequestsAreNotBlamedForResponsesWithoutEnd(t *testing.T) {
+	for _, f := range fake.Floods {
+		t.Run(string(f), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 0, 1)
+			sound := s.Address(s.Jobs[0])
+			job, err := fake.NewFloodUpstream(f, "text/plain")
+			must.NoError(t, err)
+			t.Cleanup(job.Close)
+			s.RegisterAt(s.Jobs[0], job.Address())
+			r := startRouter(t, testSettings(t, s))
+			eventually(t, "ready", r.isReady)
+			send := func() int {
+				c := newLookCall()
+				c.Body = "the same"
+				return r.send(t, c).Status
+			}
+			for range 8 {
+				must.NotEq(t, http.StatusOK, send())
+			}
+			s.RegisterAt(s.Jobs[0], sound)
+			eventually(t, "served", func() bool { return send() == http.StatusOK })
+		})
+	}
+}
--- a/internal/front/link/field.go
+++ b/internal/front/link/field.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/textproto"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
@@ -28,9 +27,8 @@
 // Read implements io.Reader.
 func (b quietBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	var protocol textproto.ProtocolError
-	if errors.As(err, &protocol) {
-		err = ErrMalformed
+	if err != nil {
+		err = withoutQuotes(err)
 	}
 	return n, err
 }
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -51,7 +51,8 @@
 	finding := x.Pool.Examine(ctx, detour.Target{ID: c.choice.ID, Address: c.choice.Address})
 	// An upstream that runs and writes bytes that are no answer, or no event, has not crashed.
 	noEvent := errors.Is(err, errNoEvent) && c.resp.Framing() != link.ByConnection
-	if finding != detour.Ended && (errors.Is(err, link.ErrMalformed) || noEvent) {
+	noAnswer := errors.Is(err, link.ErrMalformed) || errors.Is(err, link.ErrStray)
+	if finding != detour.Ended && (noAnswer || noEvent) {
 		return
 	}
 	// A relayed connection to an upstream that runs may have broken off at the other instance.
