detour: the head of an instance's answer is bounded

An instance that asks another one for a connection to an upstream read whatever came back until its timeout of 0.3 s: 108.6 MB for one connection, kept as one line of a head, with up to four instances asked for each.

Cause: that answer was read by net/http from the bare connection; the bound for heads was a type of package link.

Change: it is read through bound.HeadConn, with the budget of the other heads.

TestAnswersOfInstancesWithoutEndAreCutOff failed before: 108,632,064 bytes written until the connection was closed, 16 MiB allowed.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -152,7 +152,7 @@
 	limits := hold.LimitsFor(s.MemoryMB<<20, s.descriptors())
 	memory := bound.NewBudget(min(s.MemoryMB<<20/bufferMemoryDivisor, limits.Bytes/heldMemoryDivisor))
 	e.pool = link.NewPool(e.dialer, e.maxConnections, func() { scope.Counter("connections").Inc(1) })
-	e.pool.Memory = memory
+	e.pool.Memory, e.dialer.Memory = memory, memory
 	e.budget = budget.New(budget.Bounds{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: seconds(s.RetryWindow)}, 1)
 	e.account = hold.NewAccount(limits, e.log, func(r hold.Reason) {
 		scope.Tagged(map[string]string{"reason": string(r)}).Counter("connections_cut").Inc(1)
--- a/internal/front/detour/detour_test.go
+++ b/internal/front/detour/detour_test.go
@@ -225,3 +225,31 @@
 	attached.Paths.Connected(time.Now(), "another")
 	must.Eq(t, Ended, newDialer(refuse, startRelay(t, &Relay{Dialer: attached, Max: 1})).Examine(context.Background(), upstream, time.Second))
 }
+
+// writtenBeforeClose is more than the kernel holds of what a reader has not read.
+const writtenBeforeClose = 16 << 20
+
+// An instance that answers with a head without end was read until the timeout.
+func TestAnswersOfInstancesWithoutEndAreCutOff(t *testing.T) {
+	written := make(chan int64, 1)
+	peer := startUpstream(t, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		n, _ := io.Copy(c, endless{})
+		written <- n
+	})
+	d := newDialer(noPath, peer.Address)
+	_, err := d.Dial(context.Background(), Target{ID: "a", Address: "a"}, time.Second)
+	must.Error(t, err)
+	must.Less(t, int64(writtenBeforeClose), <-written)
+}
+
+// endless is a head without an end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
--- a/internal/front/detour/dialer.go
+++ b/internal/front/detour/dialer.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
 const (
@@ -57,8 +59,10 @@
 	// Candidates returns the instances that may have a path to the upstreams, in the order in which they are asked.
 	Candidates func() []string
 	Paths      *Paths
-	Log        logr.Logger
-	mu         sync.Mutex
+	// Memory is the budget of heads; nil bounds their length only.
+	Memory *bound.Budget
+	Log    logr.Logger
+	mu     sync.Mutex
 	// silent holds the instances that could not be reached, and when.
 	silent map[string]time.Time
 }
@@ -159,7 +163,7 @@
 	c.peers = c.peers[1:]
 	c.pending++
 	go func() {
-		conn, err := askPeer(c.askUntil, peer, c.target, c.left)
+		conn, err := askPeer(c.askUntil, peer, c.target, c.left, c.Memory)
 		c.outcomes <- outcome{conn: conn, err: err, via: peer}
 	}()
 }
