detour: the heads that pass by take their memory from the budget

A process told 40,960 KB took 40,092, 40,776 and 45,896 KB in three runs while it connected to upstreams for other instances and these sent heads of 60 KB with short lines.

Cause: a relaying instance keeps each head and parses it, for what it says of the upstream; 40 at a time at that size. Nothing counted it.

Change: it reads upstreams through bound.HeadConn until the head has been parsed. A head beyond the budget ends the connection.

TestEdgeOutlivesEndlessAnswersForOthers asks a real process as another instance would. TestManyResponsesWithoutEndFitInMemory plays heads of short lines and long heads as well.

--- a/internal/app/edge/flood_test.go
+++ b/internal/app/edge/flood_test.go
@@ -66,7 +66,7 @@
 // Hundreds of requests at a time meet upstreams that send bytes without end; the heap stays below the memory of a small
 // machine.
 func TestManyResponsesWithoutEndFitInMemory(t *testing.T) {
-	for _, f := range []fake.Flood{fake.FloodHead, fake.FloodBody, fake.FloodChunks} {
+	for _, f := range []fake.Flood{fake.FloodHead, fake.FloodBody, fake.FloodChunks, fake.FloodShortLines, fake.FloodLongHead} {
 		t.Run(string(f), func(t *testing.T) {
 			r, _, _ := startFlood(t, f)
 			done, peak := make(chan struct{}), make(chan uint64)
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -114,7 +114,11 @@
 		// The caller has left, or has sent bytes that could not be delivered.
 		_ = upstream.Close()
 	}()
-	fromUpstream := io.TeeReader(upstream, &headObserver{relay: r, target: t, connected: time.Now()})
+	head := bound.NewHeadConn(upstream, r.Dialer.Memory)
+	defer head.Release()
+	fromUpstream := io.TeeReader(head, &headObserver{relay: r, target: t, connected: time.Now(), conn: head})
+	// There is no memory to take yet.
+	_ = head.Expect(nil)
 	if err := copyResponse(caller, fromUpstream, framed); err == nil {
 		// If it fails, the close resets the connection.
 		_ = socket.ResetOnClose(caller, false)
@@ -147,8 +151,10 @@
 	target Target
 	// connected is when the connection was made.
 	connected time.Time
-	head      []byte
-	done      bool
+	// conn counts the memory of the head.
+	conn *bound.HeadConn
+	head []byte
+	done bool
 }
 
 // headEnd is what separates the head of a response from its body.
@@ -172,5 +178,6 @@
 		}
 	}
 	o.head = nil
+	o.conn.Release()
 	return len(p), nil
 }
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -5,18 +5,21 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/trial/site"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -40,7 +43,8 @@
 // edgeProcess is a skylarkedge process with its site.
 type edgeProcess struct {
 	*Process
-	listen string
+	// listen is the address for callers, peer that for other instances.
+	listen, peer string
 }
 
 func startEdge(t *testing.T, program string) edgeProcess {
@@ -90,7 +94,7 @@
 		"cores: 1\nlink: 100\ngrace: 2\nrevocation: 5000\nweights: 8000\nturn: 300\nratio: 0.2\nslack: 100\nwindow: 10\nlevel: info\n",
 		append(addresses, s.StoreAddr, memoryMB, descriptors)...)
 	must.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	e := edgeProcess{Start(t, program, "run", "--config", path), addresses[0].(string)}
+	e := edgeProcess{Start(t, program, "run", "--config", path), addresses[0].(string), addresses[2].(string)}
 	Eventually(t, "ready", func() bool {
 		e.CheckAlive(t)
 		resp, err := http.Get(fmt.Sprintf("http://%s/readiness", addresses[1]))
@@ -239,19 +243,19 @@
 	return startProcess(t, program, s), s
 }
 
-// endlessFloods are the floods that are played: those that took the most memory, or all of them.
-func endlessFloods() []fake.Flood {
+// endlessFloods returns some floods, or all of them if CROWD_ALL is set.
+func endlessFloods(some ...fake.Flood) []fake.Flood {
 	if os.Getenv("CROWD_ALL") != "" {
 		return append(slices.Clone(fake.SlowFloods), fake.Floods...)
 	}
-	return []fake.Flood{fake.FloodShortLines, fake.FloodOldHead, fake.FloodBody, fake.FloodChunks}
+	return some
 }
 
 // Heads of many short lines took many times their length and made the process hold more than its machine has.
 func TestEdgeOutlivesEndlessAnswers(t *testing.T) {
 	RaiseDescriptors(t)
 	program := Build(t, "skylarkedge")
-	for _, f := range endlessFloods() {
+	for _, f := range endlessFloods(fake.FloodShortLines, fake.FloodOldHead, fake.FloodLongHead, fake.FloodBody, fake.FloodChunks) {
 		t.Run(string(f), func(t *testing.T) {
 			e, s := startEndlessEdge(t, program, f)
 			before, _ := e.Resident(t)
@@ -279,3 +283,53 @@
 		})
 	}
 }
+
+const (
+	// askers is how many connections to upstreams other instances ask for at the same time.
+	askers = 100
+	// askTime is how long they go on.
+	askTime = 2 * time.Second
+)
+
+// askFor asks an instance for a connection to an upstream, sends a request through it and reads what comes back.
+func askFor(ctx context.Context, peer, id, address string) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp4", peer)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	ask := fmt.Sprintf("POST %s?id=%s&address=%s&left=5000&Framed=1 HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", detour.Path, id, address, peer)
+	// The instance may close the connection at any time.
+	_, _ = io.WriteString(c, ask+post(fake.Key, "Content-Length: 0")(0))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// An instance that connects to upstreams for others keeps a part of what passes by.
+func TestEdgeOutlivesEndlessAnswersForOthers(t *testing.T) {
+	RaiseDescriptors(t)
+	program := Build(t, "skylarkedge")
+	for _, f := range endlessFloods(fake.FloodLongHead) {
+		t.Run(string(f), func(t *testing.T) {
+			e, s := startEndlessEdge(t, program, f)
+			before, _ := e.Resident(t)
+			ctx, cancel := context.WithTimeout(context.Background(), askTime)
+			defer cancel()
+			var group sync.WaitGroup
+			for i := range askers {
+				u := s.Jobs[i%upstreamsEach]
+				group.Go(func() {
+					for ctx.Err() == nil {
+						askFor(ctx, e.peer, u.ID, s.Address(u))
+					}
+				})
+			}
+			group.Wait()
+			now, peak := e.Resident(t)
+			t.Logf("resident %d KB before, %d KB at the peak, %d KB now", before>>10, peak>>10, now>>10)
+			must.LessEq(t, memoryMB<<20, peak)
+			e.CheckAlive(t)
+		})
+	}
+}
