serve: error responses of upstreams stay in the budget

24 callers that did not read error responses of 8 MB took 218 MB of heap of a process told 240 MB; any number of them more.

Cause: the body of an error response was copied and its buffer given back to the budget, because another attempt may follow. The copy counted neither there nor as an answer that a caller does not read.

Change: the response keeps its buffer until the next one replaces it or the request ends, and counts as an answer while it is written. Such a response beyond the budget is 502, as a success of that size is.

TestUnreadFailuresFitInMemory failed before (229,144,472 bytes of heap, 73,400,320 allowed; 42 MB after). The crowd tests get the way "unread large failures": 36,308 KB of 40,960; not run on the code before.

--- a/internal/app/edge/flood_test.go
+++ b/internal/app/edge/flood_test.go
@@ -1,9 +1,13 @@
 package edge
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,3 +133,45 @@
 		})
 	}
 }
+
+// Callers that do not read the error responses of an upstream hold no more memory than is there for responses.
+func TestUnreadFailuresFitInMemory(t *testing.T) {
+	const (
+		callers = 24
+		size    = 8 << 20
+		// otherBytes is the heap of everything else in this process.
+		otherBytes = 40 << 20
+	)
+	text := fake.SignedHead("HTTP/1.1 500 Failed") + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size)
+	job, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer { return fake.Answer{Bytes: text} })
+	must.NoError(t, err)
+	t.Cleanup(job.Close)
+	s := newSite(t, 0, 1)
+	s.RegisterAt(s.Jobs[0], job.Address())
+	settings := testSettings(t, s)
+	settings.MemoryMB = 2 * floodMemoryMB
+	r := startRouter(t, settings)
+	eventually(t, "ready", r.isReady)
+	failures := 0
+	for range callers {
+		request, err := newCall(http.MethodPost, fake.BookPath+"1").NewRequest(context.Background(), fake.Host)
+		must.NoError(t, err)
+		conn, err := net.Dial("tcp4", r.settings.Listen)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+		must.NoError(t, request.Write(conn))
+		status := make([]byte, len("HTTP/1.1 500"))
+		_, err = io.ReadFull(conn, status)
+		must.NoError(t, err)
+		if string(status) == "HTTP/1.1 500" {
+			failures++
+		}
+	}
+	must.Positive(t, failures)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	t.Logf("%d failures, %d MB of heap", failures, m.HeapAlloc>>20)
+	must.Less(t, uint64(settings.MemoryMB<<20/bufferMemoryDivisor+otherBytes), m.HeapAlloc)
+}
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +33,7 @@
 func (x *exchange) run() {
 	ctx, cancel := x.context()
 	defer cancel()
+	defer x.keepFailure(failure{})
 	if err := x.bindBuild(ctx); err != nil {
 		x.respondError(err)
 		return
@@ -291,7 +291,11 @@
 		x.recordStart(c.headAt, c)
 	}
 	buffer := x.Memory.Buffer(maxBufferedBytes)
-	defer buffer.Release()
+	defer func() {
+		if x.failure.buffer != buffer {
+			buffer.Release()
+		}
+	}()
 	_, err := buffer.ReadFrom(resp.Body)
 	if err == nil {
 		err = x.checkEnd(ctx, c)
@@ -311,7 +315,7 @@
 	if r == failed {
 		x.Fleet.ReturnedError(time.Now(), choice.ID)
 		x.countFailure(c)
-		x.failure = failure{status: resp.Status, header: resp.Header, body: bytes.Clone(body)}
+		x.keepFailure(failure{status: resp.Status, header: resp.Header, buffer: buffer})
 		return failed, fmt.Errorf("upstream %s failed with status %d", choice.ID, resp.Status)
 	}
 	x.Fleet.AnswerStarted(time.Now(), choice.ID)
@@ -321,13 +325,18 @@
 	if resp.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.recordSurvival(time.Now())
 	}
-	held := hold.NewGrant(x.conn, hold.Answers)
-	held.Note(int64(cap(body)))
-	defer held.Release()
 	x.respond(resp.Status, resp.Header, body, answered, c.logFields()...)
 	return answered, nil
 }
 
+// keepFailure keeps an error response, whose buffer is released when another one replaces it or the request ends.
+func (x *exchange) keepFailure(f failure) {
+	if x.failure.buffer != nil {
+		x.failure.buffer.Release()
+	}
+	x.failure = f
+}
+
 // deliverFailure forwards an upstream's error response, unless its status implies that the request has not run or a part of a
 // stream has been sent.
 func (x *exchange) deliverFailure(ctx context.Context, err error) {
@@ -335,11 +344,14 @@
 		x.failUnknown(ctx, err)
 		return
 	}
-	x.respond(x.failure.status, x.failure.header, x.failure.body, failed)
+	x.respond(x.failure.status, x.failure.header, x.failure.buffer.Bytes(), failed)
 }
 
 // respond sends a buffered response to the caller.
 func (x *exchange) respond(status int, header http.Header, body []byte, r result, more ...any) {
+	held := hold.NewGrant(x.conn, hold.Answers)
+	held.Note(int64(cap(body)))
+	defer held.Release()
 	x.copyHeader(header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(status)
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -186,7 +186,8 @@
 type failure struct {
 	status int
 	header http.Header
-	body   []byte
+	// buffer holds the body.
+	buffer *bound.Buffer
 }
 
 // ServeHTTP serves one request of a caller.
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -66,6 +66,8 @@
 			switch {
 			case u.Model != "":
 				return fake.Answer{Bytes: stream}
+			case strings.HasSuffix(r.URL.Path, "failing"):
+				return fake.Answer{Bytes: strings.Replace(large, "200 OK", "500 Failed", 1)}
 			case strings.HasSuffix(r.URL.Path, "large"):
 				return fake.Answer{Bytes: large}
 			default:
@@ -188,6 +190,9 @@
 		}},
 		{Name: "pipelined", Head: func(int) string { return "" }, Body: pipelined},
 		{Name: "unread large answers", Head: func(int) string { return head(http.MethodGet, fake.LookPath+"large", fake.Key, "\r\n") }, SlowReader: true},
+		{Name: "unread large failures", Head: func(int) string {
+			return head(http.MethodPost, fake.BookPath+"failing", fake.Key, "Content-Length: 0\r\n\r\n")
+		}, SlowReader: true},
 		{Name: "unread streams", Head: func(int) string {
 			return promptFor(fake.QuotePath)
 		}, SlowReader: true},
