--- a/internal/base/bound/head.go
+++ b/internal/base/bound/head.go
@@ -28,6 +28,8 @@
 	// reading reports whether a head is being read, of which remaining bytes may follow.
 	reading   bool
 	remaining int
+	// failed is set for good when a read has failed: readers of heads ignore some errors and read on, without the bytes before.
+	failed bool
 	// cost is the memory of the head, taken what comes from the budget.
 	cost, taken int64
 	// line is the beginning of the current line, lineBytes its length, and lines the number of lines before it in the response.
@@ -67,14 +69,19 @@
 
 // Read implements io.Reader.
 func (c *HeadConn) Read(p []byte) (int, error) {
+	if c.failed {
+		return 0, ErrTooLong
+	}
 	if !c.reading {
 		return c.Conn.Read(p)
 	}
 	if c.remaining <= 0 {
+		c.failed = true
 		return 0, ErrTooLong
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
 	if tooLong := c.count(p[:n]); tooLong != nil {
+		c.failed = true
 		return 0, tooLong
 	}
 	return n, err
--- a/internal/base/bound/head_test.go
+++ b/internal/base/bound/head_test.go
@@ -105,3 +105,20 @@
 		must.LessEq(t, int64(head.Len())*byteCost+int64(strings.Count(head.String(), "\n"))*lineCost, c.cost)
 	})
 }
+
+// Readers of heads ignore errors while they look ahead. What follows a head that failed was taken for a part of it, without a bound.
+func TestHeadThatFailsIsNotReadAnyFurther(t *testing.T) {
+	memory := NewBudget(1 << 20)
+	c := newTextConn(okLine+strings.Repeat("A:\r\n", 10_000)+"\r\n"+strings.Repeat("x", 1<<20), memory)
+	must.NoError(t, c.Expect(nil))
+	must.True(t, memory.take(1<<20))
+	buffer := make([]byte, 4<<10)
+	_, err := c.Read(buffer)
+	must.ErrorIs(t, err, ErrTooLong)
+	memory.used.Store(0)
+	for range 100 {
+		n, err := c.Read(buffer)
+		must.Zero(t, n)
+		must.ErrorIs(t, err, ErrTooLong)
+	}
+}
