--- a/internal/front/link/head.go
+++ b/internal/front/link/head.go
@@ -10,8 +10,8 @@
 const protocol = "HTTP/1.1"
 
 // checkFraming returns ErrMalformed if it is not certain where the body of a response begins and ends. HTTP/1.0 has no chunks: what
-// looks like them may be a part of the body or not. Nor has it informational responses. Old is what was read of a response of HTTP/1.0, because net/http drops its transfer
-// encoding.
+// looks like them may be a part of the body or not. Nor has it informational responses. Old is what was read of a response of HTTP/1.0,
+// because net/http drops its transfer encoding.
 func checkFraming(r *http.Response, old []byte) error {
 	switch {
 	case r.Proto == protocol:
--- a/internal/front/serve/prepare.go
+++ b/internal/front/serve/prepare.go
@@ -72,7 +72,7 @@
 		return nil, &barredError{stopping, nil}
 	}
 	x.connected(c)
-	// The time that is left is the time from now on.
+	// The header names the time that is left, without what the connection took.
 	forward := x.forwardInfo(now, c.choice)
 	c.saving = forward.SaveTo != ""
 	return x.Dialect.ForwardHeader(x.r.Header, x.info, forward), nil
