edge: wait for all engines before their last orders are compared

An engine whose turn had not come was still on version 2, ordered by the first holder before the cut (seen in five of five failures that print the orders).

--- a/internal/app/edge/cut_test.go
+++ b/internal/app/edge/cut_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -302,7 +303,10 @@
 func TestOrdersPassToAnInstanceWithAPath(t *testing.T) {
 	s, routers, paths := startCutSite(t, 4, 1, 3)
 	s.PublishWeights(2)
-	eventually(t, "loaded", func() bool { return s.Engines[0].Version() == 2 && s.Engines[3].Version() == 2 })
+	haveLoaded := func(version int64) bool {
+		return !slices.ContainsFunc(s.Engines, func(u *fake.Upstream) bool { return u.Version() != version })
+	}
+	eventually(t, "loaded", func() bool { return haveLoaded(2) })
 	leader := -1
 	for i, r := range routers {
 		if len(s.Engines[0].Orders()) > 0 && s.Engines[0].Orders()[0].Holder == r.settings.Peer {
@@ -313,7 +317,7 @@
 	paths[leader].set(cutHang)
 	callAll(t, routers[leader:leader+1], time.Second, newShortLookCall)
 	s.PublishWeights(3)
-	eventually(t, "loaded by another instance", func() bool { return s.Engines[0].Version() == 3 && s.Engines[3].Version() == 3 })
+	eventually(t, "loaded by another instance", func() bool { return haveLoaded(3) })
 	for _, u := range s.Engines {
 		orders := u.Orders()
 		must.NotEq(t, routers[leader].settings.Peer, orders[len(orders)-1].Holder)
