--- a/internal/app/edge/moment_test.go
+++ b/internal/app/edge/moment_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
+	"github.com/skylarkquay/skylarkquay/internal/conf/policy"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 	"github.com/skylarkquay/skylarkquay/internal/roll/shift"
@@ -316,3 +320,156 @@
 		}
 	}
 }
+
+// Guards against requests that a brittle upstream rejects although it has turned away another one while their connection was made.
+func TestBrittleUpstreamThatIsFullGetsNoRequestThatWasPlacedBefore(t *testing.T) {
+	s := newSite(t, 1, 1)
+	u := s.Jobs[0]
+	var event atomic.Pointer[func()]
+	r := startRouterOn(t, testSettings(t, s), func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		if f := event.Load(); f != nil && address == s.Address(u) && event.CompareAndSwap(f, nil) {
+			(*f)()
+		}
+		return link.DialTCP(ctx, address, timeout)
+	})
+	eventually(t, "ready", r.isReady)
+	u.SetFaults(fake.Faults{Brittle: 1, Room: 2, Work: 1500 * time.Millisecond})
+	var running sync.WaitGroup
+	must.Eq(t, http.StatusOK, r.send(t, newDistinctCall()).Status)
+	for range 2 {
+		running.Go(func() { must.Eq(t, http.StatusOK, r.send(t, newDistinctCall()).Status) })
+	}
+	eventually(t, "full", func() bool { return u.Requests() == 3 })
+	rejected := func() {
+		must.Eq(t, http.StatusServiceUnavailable, r.send(t, newDistinctCall()).Status)
+	}
+	event.Store(&rejected)
+	must.Eq(t, http.StatusServiceUnavailable, r.send(t, newDistinctCall()).Status)
+	must.Nil(t, event.Load())
+	must.Eq(t, 4, u.Requests())
+	must.SliceEmpty(t, u.Crashes())
+	running.Wait()
+}
+
+// Guards against upstreams that are told more time than is left, since a part of it went into the connection.
+func TestUpstreamIsToldTheTimeThatIsLeftWhenThereIsAConnection(t *testing.T) {
+	const slow = 200 * time.Millisecond
+	for _, c := range callsFor {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 1)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			u := c.of(s)[0]
+			d.set(func(address string) bool {
+				if address != s.Address(u) {
+					return false
+				}
+				time.Sleep(slow)
+				return true
+			})
+			call := c.call()
+			must.Eq(t, http.StatusOK, r.send(t, call).Status)
+			left, err := strconv.ParseInt(u.Runs()[0].Header.Get(fake.HeaderDeadline), 10, 64)
+			must.NoError(t, err)
+			must.LessEq(t, call.Deadline-slow.Milliseconds(), left)
+		})
+	}
+}
+
+// Guards against requests that are sent although this instance began, while their connection was made, a stop that they do not fit in.
+func TestStopThatBeginsWhileAConnectionIsMade(t *testing.T) {
+	for _, c := range callsFor {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 1)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			u := c.of(s)[0]
+			d.set(func(address string) bool {
+				if address != s.Address(u) {
+					return false
+				}
+				// The requests have 500 ms or more to go.
+				r.handler.Stop.Begin(time.Now(), time.Now().Add(600*time.Millisecond))
+				return true
+			})
+			reply := r.send(t, c.call())
+			must.Eq(t, http.StatusServiceUnavailable, reply.Status)
+			must.Positive(t, reply.RetryAfter)
+			must.Zero(t, u.Requests())
+		})
+	}
+}
+
+// Guards against bookings that reach an upstream after their caller has left: those that have not run yet.
+func TestBookingWhoseCallerLeftBeforeAnAttemptIsNotSent(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		t.Run(fmt.Sprintf("second attempt %t", second), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 2)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			requests := func() int { return s.Jobs[0].Requests() + s.Jobs[1].Requests() }
+			ctx, leave := context.WithCancel(t.Context())
+			defer leave()
+			want := 0
+			if second {
+				want = 1
+				for _, u := range s.Jobs {
+					u.SetFaults(fake.Faults{Shed: true, Work: time.Second})
+				}
+			} else {
+				d.set(func(address string) bool {
+					if atAddress(s, s.Jobs, address) == nil {
+						return false
+					}
+					leave()
+					time.Sleep(200 * time.Millisecond)
+					return true
+				})
+			}
+			ended := make(chan error, 1)
+			call := newBookCall()
+			call.Deadline = 5000
+			go func() {
+				_, err := fake.Send(ctx, r.settings.Listen, call)
+				ended <- err
+			}()
+			if second {
+				eventually(t, "sent", func() bool { return requests() == 1 })
+				leave()
+			}
+			must.Error(t, <-ended)
+			eventually(t, "ended", func() bool { return r.handler.OpenRequests.Load() == 0 })
+			must.Eq(t, want, requests())
+		})
+	}
+}
+
+// Guards against requests to weights of which this instance learns, while the connection is made, that they were superseded long ago.
+func TestWeightsFoundToBeSupersededWhileAConnectionIsMade(t *testing.T) {
+	for _, path := range []string{fake.QuotePath, fake.BriefPath} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 1, 1)
+			d := &slowDial{}
+			r := startRouterOn(t, testSettings(t, s), d.dial)
+			eventually(t, "ready", r.isReady)
+			u := s.Engines[0]
+			d.set(func(address string) bool {
+				if address != s.Address(u) {
+					return false
+				}
+				boot := clock.SinceBoot()
+				r.replica.AddAnnouncement(boot, policy.Weights{Model: fake.Model, Version: 2, FirstSeen: boot - 10*time.Second, Observed: true})
+				return true
+			})
+			must.Eq(t, http.StatusServiceUnavailable, r.send(t, newPromptCall(path+"1")).Status)
+			must.Zero(t, u.Requests())
+		})
+	}
+}
--- a/internal/front/serve/call.go
+++ b/internal/front/serve/call.go
@@ -27,6 +27,8 @@
 	held int64
 	// again reports whether the request was sent to the upstream before.
 	again bool
+	// connected reports whether it has, or had, a connection.
+	connected bool
 	// saving reports whether the upstream was asked to save the prefix to the KV store.
 	saving bool
 	// resp is nil until the head of the response has arrived, at headAt.
@@ -72,6 +74,7 @@
 	c.again = x.sent[choice.ID]
 	x.sent[choice.ID] = true
 	x.Fleet.RequestSent(c.sentAt, choice.ID, c.pendingTokens)
+	x.Fleet.Connecting(choice.ID)
 	x.Shifts.Sent(x.service, choice.Build)
 	x.holdCache(c)
 	c.ctx, c.start = x.watchStart(ctx, choice)
@@ -94,6 +97,7 @@
 
 // end records that the upstream no longer works on a call.
 func (x *exchange) end(c *call) {
+	x.connected(c)
 	x.Fleet.RequestEnded(c.choice.ID, c.pendingTokens)
 	x.Fleet.CacheFreed(c.choice.ID, c.held)
 	c.start.release()
@@ -105,8 +109,6 @@
 // sendCall sends a call and classifies the head of the response. The error is nil if the response belongs to the caller.
 func (x *exchange) sendCall(c *call) (result, error) {
 	ctx, choice := c.ctx, c.choice
-	forward := x.forwardInfo(c.sentAt, choice)
-	c.saving = forward.SaveTo != ""
 	resp, err := x.Pool.Send(ctx, c.sentAt, link.Request{
 		Upstream:  choice.ID,
 		Born:      choice.Born,
@@ -114,12 +116,11 @@
 		Method:    x.r.Method,
 		Target:    x.r.RequestURI,
 		Host:      x.r.Host,
-		Header:    x.Dialect.ForwardHeader(x.r.Header, x.info, forward),
 		Body:      x.body,
 		Matches:   func(h http.Header) bool { return x.Dialect.ParseResponse(h).ID == x.info.ID },
 		FreshConn: x.route.Kind == policy.NonIdempotent || x.route.Kind == policy.Streaming && !x.route.Resumable,
 		NewConn:   c.again,
-		Prepare:   func(now time.Time) error { return x.prepare(now, c) },
+		Prepare:   func(now time.Time) (http.Header, error) { return x.prepare(now, c) },
 	})
 	if reason := barredReason(err); reason != fleet.NotBarred {
 		x.logSend(unsent, choice, err)
