plain: a call that is claimed when the instance stops is refused as draining

What callers saw: at the end of a planned stop, a call that runs once was refused with claim_store_down although the store worked. The answer was true about the run ("not run") and wrong about the reason.

Cause: the first call ends with the stop, the one that waited behind it gets its place, and the write of its claim is canceled, which counts as a store that fails. Calls that wait, idempotent calls and prompts name the stop already.

TestCallThatIsClaimedWhenTheInstanceStops failed before (claim_store_down instead of draining) and passes.

--- a/internal/front/plain/once.go
+++ b/internal/front/plain/once.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/fault"
+	"github.com/skylarkquay/skylarkquay/internal/front/gate"
 	"github.com/skylarkquay/skylarkquay/internal/front/relay"
 	"github.com/skylarkquay/skylarkquay/internal/once/claim"
 )
@@ -31,7 +32,7 @@
 	id := claim.ID(c.caller.Workspace, c.routeName, key)
 	claimed, stored, err := h.Claims.Begin(ctx, time.Now(), id, c.id, bodyHash(c))
 	if err != nil {
-		h.refuse(w, c.caller.Workspace, err)
+		h.refuse(w, c.caller.Workspace, gate.StopFault(ctx, false, err))
 		return
 	}
 	if stored != nil {
@@ -93,7 +94,7 @@
 		return response, nil
 	}
 	h.retryInBackground(func(ctx context.Context) error { return h.Claims.Cancel(ctx, claimed) }, func() {})
-	return nil, fault.New(fault.NoUpstream, "no upstream of service %s takes the call", c.route.Service)
+	return nil, gate.StopFault(ctx, false, fault.New(fault.NoUpstream, "no upstream of service %s takes the call", c.route.Service))
 }
 
 // outcomeUnknown abandons the claim and returns a fault. The claim stays recorded, so that the call is never sent again.
