--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -46,7 +46,7 @@
 // ServeHTTP connects to the upstream that the request names and copies bytes in both directions.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
-	target := Target{ID: query.Get("id"), Address: query.Get("address")}
+	target := Target{ID: query.Get("id"), Address: query.Get("address"), Born: bornOf(query.Get(bornName))}
 	defer r.open.Add(-1)
 	if r.open.Add(1) > r.Max || r.Dialer.Paths.Detached() || !r.Accepts(time.Now(), target) {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -60,6 +60,11 @@
 	}
 	defer func() { _ = upstream.Close() }()
 	r.Dialer.Paths.Connected(time.Now(), target.Address)
+	if !r.Accepts(time.Now(), target) {
+		// That became known while the connection was made.
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	caller, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -77,6 +82,15 @@
 	}
 }
 
+// bornOf returns the process that a request names, or zero if it names none.
+func bornOf(text string) int64 {
+	born, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return born
+}
+
 // responseHead returns the head of the response that precedes the bytes of the upstream.
 func responseHead(framed bool) string {
 	if framed {
@@ -114,7 +128,11 @@
 		// The caller has left, or has sent bytes that could not be delivered.
 		_ = upstream.Close()
 	}()
-	fromUpstream := io.TeeReader(upstream, &headObserver{relay: r, target: t, connected: time.Now()})
+	head := bound.NewHeadConn(upstream, r.Dialer.Memory)
+	defer head.Release()
+	fromUpstream := io.TeeReader(head, &headObserver{relay: r, target: t, connected: time.Now(), conn: head})
+	// There is no memory to take yet.
+	_ = head.Expect(nil)
 	if err := copyResponse(caller, fromUpstream, framed); err == nil {
 		// If it fails, the close resets the connection.
 		_ = socket.ResetOnClose(caller, false)
@@ -147,8 +165,10 @@
 	target Target
 	// connected is when the connection was made.
 	connected time.Time
-	head      []byte
-	done      bool
+	// conn counts the memory of the head.
+	conn *bound.HeadConn
+	head []byte
+	done bool
 }
 
 // headEnd is what separates the head of a response from its body.
@@ -172,5 +192,6 @@
 		}
 	}
 	o.head = nil
+	o.conn.Release()
 	return len(p), nil
 }
--- a/internal/roll/plan/plan.go
+++ b/internal/roll/plan/plan.go
@@ -81,6 +81,8 @@
 	AcceptedAt time.Time
 	// Unanswered is the number of orders that brought no answer.
 	Unanswered int
+	// Finishes reports whether the load may let the running requests finish.
+	Finishes bool
 	// Version is the version that the engine drains for or loads.
 	Version int64
 	// RetryAt is the earliest time of the next attempt after a failure.
@@ -125,6 +127,12 @@
 	drainedLimit = 2
 	// urgentShare is the part of Target.StartLimit after which an engine loads without draining.
 	urgentShare = 0.85
+	// unansweredUrgentShare is the same while most orders bring no answer. They may be carried out seconds later, so that those given at
+	// urgentShare would be carried out after the time by which engines should run the new weights.
+	unansweredUrgentShare = 0.25
+	// maxFinishing is the fraction of the engines whose loads may let requests finish at a time, and one engine always may. Such orders
+	// cannot be taken back, and requests take far longer if engines become slow.
+	maxFinishing = 0.1
 	// finishReserve is how many mean durations beyond the logarithm of their number requests may take to finish: the last of them, with
 	// exponential durations, ends earlier in seven of eight cases.
 	finishReserve = 2
@@ -179,13 +187,22 @@
 	return supersededFor >= t.urgentAge()
 }
 
-func (t *Target) urgentAge() time.Duration {
-	return time.Duration(float64(t.StartLimit) * urgentShare)
+func (t *Target) urgentAge() time.Duration { return t.share(urgentShare) }
+
+func (t *Target) share(share float64) time.Duration {
+	return time.Duration(float64(t.StartLimit) * share)
 }
 
 // places counts the engines of one kind, sound or failing.
 type places struct {
 	ready, draining, loading, stuck int
+	// unanswered are those of the stuck ones whose orders brought no answer.
+	unanswered int
+}
+
+// ordersUnanswered reports whether most orders bring no answer.
+func (p *places) ordersUnanswered() bool {
+	return p.unanswered >= minPlaces && 2*p.unanswered >= p.loading+p.stuck
 }
 
 // free reports whether another engine may drain or load. Stuck loads do not make urgent engines wait.
@@ -203,6 +220,9 @@
 	switch {
 	case progress.Stuck(now):
 		p.stuck++
+		if progress.AcceptedAt.IsZero() && progress.Unanswered > 0 {
+			p.unanswered++
+		}
 	case !progress.LoadingSince.IsZero():
 		p.loading++
 	case progress.Draining(now):
@@ -213,7 +233,14 @@
 // site is the state of the engines of a model.
 type site struct {
 	sound, failing places
-	candidates     []candidate
+	// finishing is the number of engines whose loads may let requests finish.
+	finishing  int
+	candidates []candidate
+}
+
+// mayFinish reports whether another load may let requests finish.
+func (s *site) mayFinish() bool {
+	return s.finishing < max(1, int(float64(s.sound.ready+s.failing.ready)*maxFinishing))
 }
 
 // Next returns the engines that should drain and those that should start loading. Those whose weights were superseded first go first,
@@ -241,6 +268,9 @@
 		}
 		c := candidate{View: *e, progress: progress[e.ID], failing: e.Ejected || !e.Healthy()}
 		s.places(&c).add(now, &c.progress)
+		if c.progress.Finishes {
+			s.finishing++
+		}
 		if version >= t.Version || !c.progress.LoadingSince.IsZero() || now.Before(c.progress.RetryAt) {
 			continue
 		}
@@ -265,6 +295,11 @@
 	return &s.sound
 }
 
+// urgent reports whether a candidate loads without draining.
+func (s *site) urgent(t *Target, c *candidate) bool {
+	return t.urgent(c.supersededFor) || s.places(c).ordersUnanswered() && c.supersededFor >= t.share(unansweredUrgentShare)
+}
+
 // mayStart reports whether a candidate may drain or load. One that drains has its place.
 func (s *site) mayStart(c *candidate, urgent, drains bool) bool {
 	switch {
@@ -279,7 +314,7 @@
 
 // advance adds a candidate to the plan.
 func (s *site) advance(now time.Time, t *Target, c *candidate, plan *Plan) {
-	urgent, drains := t.urgent(c.supersededFor), c.progress.Draining(now)
+	urgent, drains := s.urgent(t, c), c.progress.Draining(now)
 	timedOut := drains && now.Sub(c.progress.DrainingSince) >= drainTimeout
 	p := s.places(c)
 	switch {
@@ -288,9 +323,12 @@
 		return
 	case urgent || c.Running <= drainedLimit || timedOut:
 		load := Load{Engine: c.View}
-		if !urgent && c.Running > drainedLimit {
+		if !urgent && c.Running > drainedLimit && s.mayFinish() {
 			load.FinishUntil = t.finishUntil(now, c)
 		}
+		if now.Before(load.FinishUntil) {
+			s.finishing++
+		}
 		plan.Load = append(plan.Load, load)
 		p.loading++
 	default:
--- a/internal/trial/crowd/edge_test.go
+++ b/internal/trial/crowd/edge_test.go
@@ -5,17 +5,21 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/trial/site"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
@@ -39,7 +43,8 @@
 // edgeProcess is a skylarkedge process with its site.
 type edgeProcess struct {
 	*Process
-	listen string
+	// listen is the address for callers, peer that for other instances.
+	listen, peer string
 }
 
 func startEdge(t *testing.T, program string) edgeProcess {
@@ -61,6 +66,8 @@
 			switch {
 			case u.Model != "":
 				return fake.Answer{Bytes: stream}
+			case strings.HasSuffix(r.URL.Path, "failing"):
+				return fake.Answer{Bytes: strings.Replace(large, "200 OK", "500 Failed", 1)}
 			case strings.HasSuffix(r.URL.Path, "large"):
 				return fake.Answer{Bytes: large}
 			default:
@@ -72,8 +79,15 @@
 		t.Cleanup(scripted.Close)
 		s.RegisterAt(u, scripted.Address())
 	}
+	return startProcess(t, program, s)
+}
+
+// startProcess starts a process at a site and waits until it is ready.
+func startProcess(t *testing.T, program string, s *fake.Site) edgeProcess {
+	t.Helper()
 	addresses := make([]any, 4)
 	for i := range addresses {
+		var err error
 		addresses[i], err = site.FreeAddress()
 		must.NoError(t, err)
 	}
@@ -82,7 +96,7 @@
 		"cores: 1\nlink: 100\ngrace: 2\nrevocation: 5000\nweights: 8000\nturn: 300\nratio: 0.2\nslack: 100\nwindow: 10\nlevel: info\n",
 		append(addresses, s.StoreAddr, memoryMB, descriptors)...)
 	must.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
-	e := edgeProcess{Start(t, program, "run", "--config", path), addresses[0].(string)}
+	e := edgeProcess{Start(t, program, "run", "--config", path), addresses[0].(string), addresses[2].(string)}
 	Eventually(t, "ready", func() bool {
 		e.CheckAlive(t)
 		resp, err := http.Get(fmt.Sprintf("http://%s/readiness", addresses[1]))
@@ -95,6 +109,23 @@
 	return e
 }
 
+// checkOrdinary waits until an ordinary request is answered, and returns the last answer.
+func (e edgeProcess) checkOrdinary(t *testing.T) string {
+	t.Helper()
+	last := "no answer"
+	Eventually(t, "an ordinary request is answered", func() bool {
+		e.CheckAlive(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		r, err := fake.Send(ctx, e.listen, fake.Call{
+			Method: http.MethodPost, Path: fake.LookPath + "1", ID: fmt.Sprintf("%08x", ids.Add(1)), Key: fake.Key, Deadline: 5000, Body: "ordinary",
+		})
+		last = fmt.Sprint(r.Status, r.Body, err)
+		return err == nil && r.Status == http.StatusOK
+	})
+	return last
+}
+
 var ids atomic.Int64
 
 // head is the head of a request up to its last header lines.
@@ -123,6 +154,11 @@
 	return text.String()
 }
 
+// promptFor is a whole request with a prompt for a path.
+func promptFor(path string) string {
+	return prompt(fake.Call{Method: http.MethodPost, Path: path + "1", ID: fmt.Sprintf("%08x", 1<<24+ids.Add(1)), Key: fake.Key, Prompt: 100, Body: "a prompt"})
+}
+
 // ways are what callers send that the operators don't control.
 func ways() []Way {
 	length := fmt.Sprintf("Content-Length: %d", bodyLimit)
@@ -154,8 +190,11 @@
 		}},
 		{Name: "pipelined", Head: func(int) string { return "" }, Body: pipelined},
 		{Name: "unread large answers", Head: func(int) string { return head(http.MethodGet, fake.LookPath+"large", fake.Key, "\r\n") }, SlowReader: true},
+		{Name: "unread large failures", Head: func(int) string {
+			return head(http.MethodPost, fake.BookPath+"failing", fake.Key, "Content-Length: 0\r\n\r\n")
+		}, SlowReader: true},
 		{Name: "unread streams", Head: func(int) string {
-			return prompt(fake.Call{Method: http.MethodPost, Path: fake.QuotePath + "1", ID: fmt.Sprintf("%08x", 1<<24+ids.Add(1)), Key: fake.Key, Prompt: 100, Body: "a prompt"})
+			return promptFor(fake.QuotePath)
 		}, SlowReader: true},
 	}
 }
@@ -172,17 +211,7 @@
 			time.Sleep(settleTime)
 			e.CheckAlive(t)
 			open := e.Descriptors(t)
-			last := "no answer"
-			Eventually(t, "an ordinary request is answered", func() bool {
-				e.CheckAlive(t)
-				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-				defer cancel()
-				r, err := fake.Send(ctx, e.listen, fake.Call{
-					Method: http.MethodPost, Path: fake.LookPath + "1", ID: fmt.Sprintf("%08x", ids.Add(1)), Key: fake.Key, Deadline: 5000, Body: "ordinary",
-				})
-				last = fmt.Sprint(r.Status, r.Body, err)
-				return err == nil && r.Status == http.StatusOK
-			})
+			last := e.checkOrdinary(t)
 			now, peak := e.Resident(t)
 			t.Logf("resident %d KB before, %d KB at the peak, %d KB now; %d descriptors; ordinary: %s", before>>10, peak>>10, now>>10, open, last)
 			must.LessEq(t, memoryMB<<20, peak)
@@ -194,3 +223,118 @@
 		})
 	}
 }
+
+// upstreamsEach is the number of upstreams of each service in a site of upstreams without an end.
+const upstreamsEach = 8
+
+// startEndlessEdge starts a process whose upstreams all send bytes without end, and returns the upstreams' site.
+func startEndlessEdge(t *testing.T, program string, f fake.Flood) (edgeProcess, *fake.Site) {
+	t.Helper()
+	s, err := fake.NewSite(upstreamsEach, upstreamsEach)
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.Rate, s.Burst = 1e9, 1e9
+	s.PublishDocument()
+	for _, u := range s.Upstreams() {
+		contentType := "text/plain"
+		if u.Model != "" {
+			contentType = "text/event-stream"
+		}
+		endless, err := fake.NewFloodUpstream(f, contentType)
+		must.NoError(t, err)
+		t.Cleanup(endless.Close)
+		s.RegisterAt(u, endless.Address())
+	}
+	return startProcess(t, program, s), s
+}
+
+// endlessFloods returns some floods, or all of them if CROWD_ALL is set.
+func endlessFloods(some ...fake.Flood) []fake.Flood {
+	if os.Getenv("CROWD_ALL") != "" {
+		return append(slices.Clone(fake.SlowFloods), fake.Floods...)
+	}
+	return some
+}
+
+// Heads of many short lines took many times their length and made the process hold more than its machine has.
+func TestEdgeOutlivesEndlessAnswers(t *testing.T) {
+	RaiseDescriptors(t)
+	program := Build(t, "skylarkedge")
+	for _, f := range endlessFloods(fake.FloodShortLines, fake.FloodOldHead, fake.FloodLongHead, fake.FloodBody, fake.FloodChunks) {
+		t.Run(string(f), func(t *testing.T) {
+			e, s := startEndlessEdge(t, program, f)
+			before, _ := e.Resident(t)
+			Send(t, e.listen, callers, Way{Head: func(i int) string {
+				if i%2 == 0 {
+					return post(fake.Key, "Content-Length: 0")(i)
+				}
+				return promptFor(fake.QuotePath)
+			}})
+			time.Sleep(settleTime)
+			e.CheckAlive(t)
+			job, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+				return fake.Answer{Bytes: fake.SignedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole"}
+			})
+			must.NoError(t, err)
+			t.Cleanup(job.Close)
+			for _, u := range s.Jobs {
+				s.RegisterAt(u, job.Address())
+			}
+			last := e.checkOrdinary(t)
+			now, peak := e.Resident(t)
+			t.Logf("resident %d KB before, %d KB at the peak, %d KB now; ordinary: %s", before>>10, peak>>10, now>>10, last)
+			must.LessEq(t, memoryMB<<20, peak)
+			e.CheckAlive(t)
+		})
+	}
+}
+
+const (
+	// askers is how many connections to upstreams other instances ask for at the same time.
+	askers = 100
+	// askTime is how long they go on.
+	askTime = 2 * time.Second
+)
+
+// askFor asks an instance for a connection to an upstream, sends a request through it and reads what comes back.
+func askFor(ctx context.Context, peer, id, address string) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp4", peer)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	ask := fmt.Sprintf("POST %s?id=%s&address=%s&left=5000&Framed=1 HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", detour.Path, id, address, peer)
+	// The instance may close the connection at any time.
+	_, _ = io.WriteString(c, ask+post(fake.Key, "Content-Length: 0")(0))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// An instance that connects to upstreams for others keeps a part of what passes by.
+func TestEdgeOutlivesEndlessAnswersForOthers(t *testing.T) {
+	RaiseDescriptors(t)
+	program := Build(t, "skylarkedge")
+	for _, f := range endlessFloods(fake.FloodLongHead) {
+		t.Run(string(f), func(t *testing.T) {
+			e, s := startEndlessEdge(t, program, f)
+			before, _ := e.Resident(t)
+			ctx, cancel := context.WithTimeout(context.Background(), askTime)
+			defer cancel()
+			var group sync.WaitGroup
+			for i := range askers {
+				u := s.Jobs[i%upstreamsEach]
+				group.Go(func() {
+					for ctx.Err() == nil {
+						askFor(ctx, e.peer, u.ID, s.Address(u))
+					}
+				})
+			}
+			group.Wait()
+			now, peak := e.Resident(t)
+			t.Logf("resident %d KB before, %d KB at the peak, %d KB now", before>>10, peak>>10, now>>10)
+			must.LessEq(t, memoryMB<<20, peak)
+			e.CheckAlive(t)
+		})
+	}
+}
