relay: a released response is not overwritten by another one

Nothing of the kind was seen; found by reading the change again.

Cause: the claim manager hands a response to other instances until the table has stored it, and the response's buffer is released then, so that one may still be written.

Change: an event or a whole response gives back its part of the budget without its array (Buffer.Discard). Buffers inside readers are reused as before.

Evidence: TestReleasedResponseIsNotOverwritten failed before and passes; relay, chat, plain and bound pass with -race.

--- a/internal/base/bound/buffer.go
+++ b/internal/base/bound/buffer.go
@@ -128,6 +128,12 @@
 	b.taken, b.data = 0, nil
 }
 
+// Discard returns the buffer's memory to the budget without reusing it, for content that others may still read.
+func (b *Buffer) Discard() {
+	b.budget.used.Add(-b.taken)
+	b.taken, b.data = 0, nil
+}
+
 // Append adds bytes, or returns ErrTooLong and releases the buffer if the limit or the budget does not allow them.
 func (b *Buffer) Append(p []byte) error {
 	if err := b.grow(len(p)); err != nil {
--- a/internal/front/relay/event.go
+++ b/internal/front/relay/event.go
@@ -35,10 +35,10 @@
 	buffer *bound.Buffer
 }
 
-// Release returns the memory of the data to its budget.
+// Release returns the memory of the data to its budget. The data is not overwritten: a response may still be read elsewhere.
 func (e Event) Release() {
 	if e.buffer != nil {
-		e.buffer.Release()
+		e.buffer.Discard()
 	}
 }
 
--- a/internal/front/relay/event_test.go
+++ b/internal/front/relay/event_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -80,3 +81,21 @@
 		must.ErrorIs(t, err, bound.ErrTooLong, must.Sprint(line))
 	}
 }
+
+// Guards against a response whose memory is reused for another one while it is still read: a claim may hand it to another instance.
+func TestReleasedResponseIsNotOverwritten(t *testing.T) {
+	p := NewPool(DialTCP)
+	p.SetMemory(4 << 20)
+	read := func(letter string) Event {
+		e, err := p.ReadWhole(&http.Response{Body: io.NopCloser(strings.NewReader(strings.Repeat(letter, 32<<10)))})
+		must.NoError(t, err)
+		return e
+	}
+	first := read("a")
+	data := first.Data
+	first.Release()
+	must.Eq(t, 0, p.Memory.Used())
+	second := read("b")
+	defer second.Release()
+	must.Eq(t, strings.Repeat("a", 32<<10), string(data))
+}
