--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -9,12 +9,11 @@
 )
 
 const (
-	// firstPart begins all prompts, badPart is the part that crashes engines, and soundPart stands in its place in sound prompts.
+	// firstPart begins all prompts, badPart is the part that crashes engines, and a part that begins with soundPart stands in its place in
+	// sound prompts.
 	firstPart = "aa01"
 	badPart   = "dead01"
-	soundPart = "bb02"
-	// eventTime is the time between two events of a stream.
-	eventTime = 150 * time.Millisecond
+	soundPart = "bb0"
 	// allowedRequests is the bound of the rule on requests with the part.
 	allowedRequests = 3
 	// minCompared is the least number of sound requests that the rule compares.
@@ -50,8 +49,9 @@
 	ran, whole bool
 }
 
-// newPrompts starts engines that crash when they begin to write an answer on the part, if there is trouble.
-func newPrompts(s *site, engines int, trouble bool) (*prompts, error) {
+// newPrompts starts engines, with that time between two events of a stream, that crash when they begin to write an answer on the part, if
+// there is trouble.
+func newPrompts(s *site, engines int, eventTime time.Duration, trouble bool) (*prompts, error) {
 	p := &prompts{site: s, sentTo: make(map[string]*router), late: make(map[string]bool)}
 	for i := range engines {
 		u, err := s.addServer("writers", fmt.Sprintf("engine%d", i), eventTime)
@@ -97,7 +97,7 @@
 	q := &soundRequest{sent: time.Now()}
 	p.mu.Lock()
 	p.sentTo[id] = r
-	if part == soundPart {
+	if part != badPart {
 		p.sound = append(p.sound, q)
 	}
 	p.mu.Unlock()
@@ -115,16 +115,17 @@
 	})
 }
 
-// come sends sound requests and ones with the part for a time. With bad zero, all are sound.
-func (p *prompts) come(d, sound, bad time.Duration, to func(n int) *router) {
+// come sends sound requests, with that many different second parts, and ones with the part that crashes engines to a router for a time.
+// With bad zero, all are sound.
+func (p *prompts) come(r *router, d, sound, bad time.Duration, parts int) {
 	lastBad := time.Time{}
 	n := 0
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(sound) {
-		part := soundPart
+		part := fmt.Sprintf("%s%d", soundPart, n%parts)
 		if bad > 0 && time.Since(lastBad) >= bad {
 			part, lastBad = badPart, time.Now()
 		}
-		p.send(to(n), part)
+		p.send(r, part)
 		n++
 	}
 	p.wg.Wait()
@@ -132,7 +133,7 @@
 
 // quiet: few requests come, all from one client and so to one machine. Now and then one has the part that crashes engines.
 func quiet(s *site, trouble bool) (bool, error) {
-	p, err := newPrompts(s, 6, trouble)
+	p, err := newPrompts(s, 3, 350*time.Millisecond, trouble)
 	if err != nil {
 		return false, err
 	}
@@ -140,7 +141,7 @@
 		return false, err
 	}
 	time.Sleep(contactTimeout + time.Second)
-	p.come(92*time.Second, time.Second, 6*time.Second, func(int) *router { return s.routers[0] })
+	p.come(s.routers[0], 92*time.Second, 500*time.Millisecond, 6*time.Second, 8)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	whole := 0
@@ -156,7 +157,7 @@
 
 // blame: the machines are stopped and started in turn; after that requests of one client come, some of them with the part.
 func blame(s *site, trouble bool) (bool, error) {
-	p, err := newPrompts(s, 6, trouble)
+	p, err := newPrompts(s, 6, 150*time.Millisecond, trouble)
 	if err != nil {
 		return false, err
 	}
@@ -164,8 +165,7 @@
 		return false, err
 	}
 	time.Sleep(contactTimeout + time.Second)
-	to := func(int) *router { return s.routers[0] }
-	p.come(15*time.Second, 250*time.Millisecond, 0, to)
+	p.come(s.routers[0], 15*time.Second, 250*time.Millisecond, 0, 1)
 	for _, r := range s.routers {
 		if err := r.restart(); err != nil {
 			return false, err
@@ -173,7 +173,7 @@
 	}
 	time.Sleep(contactTimeout + time.Second)
 	began := time.Now()
-	p.come(40*time.Second, 250*time.Millisecond, time.Second, to)
+	p.come(s.routers[0], 40*time.Second, 250*time.Millisecond, time.Second, 1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := min(5, len(p.crashes)); n > 0 {
--- a/review/rig2/relist.go
+++ b/review/rig2/relist.go
@@ -14,13 +14,16 @@
 	// lingerTime is how much longer than DrainTimeoutMs a leaving server serves.
 	lingerTime = 400 * time.Millisecond
 	rounds     = 4
+	// workTime is how long a booking takes, and bookInterval the time between two bookings at one machine.
+	workTime     = 60 * time.Millisecond
+	bookInterval = 15 * time.Millisecond
 )
 
 // relist: the store turns one machine away and serves the others; meanwhile a server leaves that never reports draining.
 // The rule is judged at the other machines, which are in touch all the time.
 func relist(s *site, trouble bool) (bool, error) {
 	for i := range 2 {
-		if _, err := s.newServer("bookings", fmt.Sprintf("stay%d", i), 30*time.Millisecond); err != nil {
+		if _, err := s.newServer("bookings", fmt.Sprintf("stay%d", i), workTime); err != nil {
 			return false, err
 		}
 	}
@@ -42,7 +45,7 @@
 }
 
 func (s *site) relistRound(round int, trouble bool) (late, lost int, err error) {
-	u, err := s.newServer("bookings", fmt.Sprintf("leaves%d", round), 30*time.Millisecond)
+	u, err := s.newServer("bookings", fmt.Sprintf("leaves%d", round), workTime)
 	if err != nil {
 		return 0, 0, err
 	}
@@ -57,7 +60,7 @@
 			continue
 		}
 		wg.Go(func() {
-			ticker := time.NewTicker(25 * time.Millisecond)
+			ticker := time.NewTicker(bookInterval)
 			defer ticker.Stop()
 			for {
 				select {
