edge: announcements are dated by when the store did not have them yet

The instance that follows the store dated an announcement by the time at which it read the store's response. Standing still in between, it told all others a date that was late by the standstill; a date that was observed goes before all bounds, so that nothing corrected it.

A row of a live response was written after the store last lacked it: after the request before, and 0.6 s later if the store held that one. The date is now no later than a further 0.75 s after that, whenever the response is read; undisturbed it is the time of the read, as before. Rows that did not fit into a response are no longer taken for newly written. Ruled out: dating by the store's clock, whose offset is as old as the last short call.

--- a/internal/app/edge/announce_test.go
+++ b/internal/app/edge/announce_test.go
@@ -71,6 +71,36 @@
 	must.SliceEmpty(t, s.Engines[0].Runs())
 }
 
+// Guards against an announcement that is dated by the read of the store's response, before which the process stood still.
+func TestAnnouncementIsNotDatedLateAfterADelay(t *testing.T) {
+	const lag = weightsMargin + 200*time.Millisecond
+	for name, c := range map[string]struct {
+		// before is written just before the version, to which the store responds as well.
+		before  bool
+		version int64
+	}{
+		"after requests without changes": {false, 2},
+		"after a change":                 {true, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, r := startSite(t, 1, 1)
+			eventually(t, "following", func() bool { return r.following.Load() && s.Store.Calls(fake.CallChanges) > 2 })
+			if c.before {
+				s.PublishWeights(c.version - 1)
+				eventually(t, "version before announced", func() bool { return r.replica.Weights(fake.Model).Version == c.version-1 })
+			}
+			calls := s.Store.Calls(fake.CallChanges)
+			eventually(t, "next request for changes", func() bool { return s.Store.Calls(fake.CallChanges) > calls })
+			s.Store.SetLag(fake.CallChanges, lag)
+			s.PublishWeights(c.version)
+			announced := clock.SinceBoot()
+			eventually(t, "announced", func() bool { return r.replica.Weights(fake.Model).Version == c.version })
+			must.LessEq(t, announced+weightsMargin, r.replica.Weights(fake.Model).FirstSeen)
+		})
+	}
+}
+
 // Guards against reports that confirm a state of the store that they do not hold: what was applied while the report was filled in.
 func TestReportConfirmsNoMoreThanItHolds(t *testing.T) {
 	_, r := startSite(t, 1, 1)
--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -82,7 +82,7 @@
 		}
 		row, err := e.fetchDocument(ctx, from)
 		if err == nil {
-			e.applyOperatorRow(row, false)
+			e.applyOperatorRow(row, clock.SinceBoot(), false)
 			continue
 		}
 		e.log.Info("config: copy of the newer document failed, reading the store", "from", from, "error", err.Error())
@@ -94,7 +94,7 @@
 			continue
 		}
 		for _, row := range rows.Rows {
-			e.applyOperatorRow(row, false)
+			e.applyOperatorRow(row, clock.SinceBoot(), false)
 		}
 	}
 }
--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -15,6 +15,8 @@
 const (
 	// changesWait is how long the store may hold a request for changes of the operators' rows.
 	changesWait = 600 * time.Millisecond
+	// changesDelay is the time between two such requests, and that of a response on its way.
+	changesDelay = 150 * time.Millisecond
 	// storeTimeout bounds a call that the store answers at once; a slow store takes a quarter of a second.
 	storeTimeout = 900 * time.Millisecond
 	// followCheckInterval is the pause between checks whether another instance follows the operators' rows.
@@ -67,8 +69,9 @@
 func (e *Edge) followOperators(ctx context.Context) {
 	outage := storeOutage{edge: e, purpose: "operators"}
 	epoch, version := int64(unknownEpoch), int64(-1)
-	// live reports whether the previous read has just returned, so that rows of the next one are newly written.
-	live := false
+	// live reports whether the previous read has just returned, so that rows of the next one are newly written, after unchanged at the
+	// earliest.
+	live, unchanged := false, time.Duration(0)
 	for ctx.Err() == nil {
 		if version >= 0 && !e.ranks.ShouldFollow(time.Now()) {
 			e.following.Store(false)
@@ -110,11 +113,22 @@
 			continue
 		}
 		outage.recordSuccess()
+		now := clock.SinceBoot()
+		seen := now
+		if live {
+			seen = writtenAt(now, unchanged)
+		}
+		if seen < now && len(rows.Rows) > 0 {
+			e.log.Info("store: changes read late", "for", outage.purpose, "rows", len(rows.Rows), "late_ms", (now - seen).Milliseconds(),
+				"unchanged_ms", (now - unchanged).Milliseconds())
+		}
 		for _, row := range rows.Rows {
-			e.applyOperatorRow(row, live)
+			e.applyOperatorRow(row, seen, live)
 			e.applyRollout(row, rows.Epoch)
 		}
-		live = true
+		unchanged = unchangedAt(confirmed, version >= 0 && len(rows.Rows) == 0)
+		// What did not fit into the response was written before it.
+		live = !rows.More
 		epoch, version = rows.Epoch, max(version, rows.Version)
 		e.following.Store(true)
 		e.confirm(confirmed)
@@ -126,6 +140,21 @@
 	}
 }
 
+// unchangedAt returns a time at which the store had no rows but those of a response. The store holds a request without changes for
+// changesWait.
+func unchangedAt(requestedAt time.Duration, held bool) time.Duration {
+	if held {
+		return requestedAt + changesWait
+	}
+	return requestedAt
+}
+
+// writtenAt returns when the rows of a response that is read now were written; the store did not have them at a time before. The process
+// may have been suspended since the store responded.
+func writtenAt(now, unchanged time.Duration) time.Duration {
+	return min(now, unchanged+changesWait+changesDelay)
+}
+
 // confirm records that the store had no newer document at a time.
 func (e *Edge) confirm(at time.Duration) {
 	if e.replica.Document() != nil {
@@ -152,8 +181,8 @@
 	return e.store.Get(ctx, table, "", storeTimeout)
 }
 
-// applyOperatorRow applies one of the operators' rows. Live reports whether the row is newly written.
-func (e *Edge) applyOperatorRow(row platform.Row, live bool) {
+// applyOperatorRow applies one of the operators' rows. Seen is when it was written, if live reports that it is newly written.
+func (e *Edge) applyOperatorRow(row platform.Row, seen time.Duration, live bool) {
 	if row.Deleted {
 		return
 	}
@@ -177,7 +206,7 @@
 	if !ok {
 		return
 	}
-	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: clock.SinceBoot(), Observed: live}, fromStore)
+	e.addAnnouncement(policy.Weights{Model: model, Version: version, FirstSeen: seen, Observed: live}, fromStore)
 }
 
 const (
