edge: a report that was under way for long dates no announcement

Callers saw nothing of this yet. An instance that stands still finds reports in its queue afterwards, each with the age that an announcement had when it was sent, and dated the announcement by the read: late by the time for which the report waited. The next report set the date right, if one came: not where the other instances are gone by then.

Reports are known to have been sent after the latest stamp of the receiver that they echo. One that is older than 0.5 s on that account brings the version, which is dated by the last confirmation, but no observed date; the next one does. Same class as the announcement that was dated by the read of the store's response, found by reading the other places that date one.

TestReportThatWasUnderWayForLongDatesNoAnnouncement fails without the check of the age.

--- a/internal/app/edge/announce_test.go
+++ b/internal/app/edge/announce_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// Guards against an announcement that is dated by the read of a report, before which the process stood still. The next report may not come.
+func TestReportThatWasUnderWayForLongDatesNoAnnouncement(t *testing.T) {
+	boot := clock.SinceBoot()
+	for name, c := range map[string]struct {
+		age      time.Duration
+		known    bool
+		observed bool
+	}{
+		"recent":      {100 * time.Millisecond, true, true},
+		"old":         {weightsMargin, true, false},
+		"age unknown": {weightsMargin, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := weights(boot, gossip.Announcement{Model: fake.Model, Version: 2, Age: 1}, boot-c.age, c.known)
+			must.Eq(t, c.observed, w.Observed)
+		})
+	}
+}
+
 // Guards against reports that confirm a state of the store that they do not hold: what was applied while the report was filled in.
 func TestReportConfirmsNoMoreThanItHolds(t *testing.T) {
 	_, r := startSite(t, 1, 1)
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -120,10 +120,17 @@
 	return a
 }
 
+// maxDatingAge is how old a report may be for its dates to count as observed. Messages come several times a second; a report is older if
+// this process was suspended before it read it.
+const maxDatingAge = 500 * time.Millisecond
+
 // weights returns a version that another instance reported. A bound is dated by a time before the report was sent, because the report
-// may have been under way for long. Observed dates that are too late for that reason are corrected by the next report.
+// may have been under way for long. Observed dates of such a report would be too late; the next one has them.
 func weights(boot time.Duration, a gossip.Announcement, sentAfter time.Duration, known bool) policy.Weights {
-	w := policy.Weights{Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: !a.Assumed && a.Age != a.Unannounced}
+	fresh := !known || boot-sentAfter <= maxDatingAge
+	w := policy.Weights{
+		Model: a.Model, Version: a.Version, FirstSeen: boot - time.Duration(a.Age), Observed: fresh && !a.Assumed && a.Age != a.Unannounced,
+	}
 	if known && a.Unannounced > 0 {
 		w.Bounded, w.Unannounced = true, sentAfter-time.Duration(a.Unannounced)
 	}
