--- a/internal/app/edge/operators.go
+++ b/internal/app/edge/operators.go
@@ -15,7 +15,7 @@
 const (
 	// changesWait is how long the store may hold a request for changes of the operators' rows.
 	changesWait = 600 * time.Millisecond
-	// changesDelay is the time between two such requests, and that of a response on its way.
+	// changesDelay covers the pause between two such requests and the way of a response.
 	changesDelay = 150 * time.Millisecond
 	// storeTimeout bounds a call that the store answers at once; a slow store takes a quarter of a second.
 	storeTimeout = 900 * time.Millisecond
--- a/internal/app/edge/rollout.go
+++ b/internal/app/edge/rollout.go
@@ -58,8 +58,8 @@
 	lease  leader.Lease
 	// lastRenewal is when this instance last sent a renewal that succeeded; zero if none did.
 	lastRenewal time.Duration
-	// acquisition is the token of the last acquisition, whether or not it succeeded, and ordersKnownSince is the time since boot after
-	// which no other process had sent orders then.
+	// acquisition is the token of the last attempt to acquire the lease. No other process sent orders between ordersKnownSince, which is
+	// since boot, and that attempt.
 	acquisition      int64
 	ordersKnownSince time.Duration
 	// progress maps the ID of an engine that drains, loads or waits for a retry to its progress.
@@ -300,8 +300,8 @@
 	return 0, nil
 }
 
-// noteAcquisition records that the lease is acquired in the state in which it was read. The store's clock was zero at storeStart since
-// boot, or later by the time of a call.
+// noteAcquisition records an attempt to acquire the lease in the state in which it was read. The store's clock was zero at storeStart, or
+// later by the time of a call.
 func (r *rollout) noteAcquisition(state leaseRow, token int64, storeStart time.Duration) {
 	_, restoredAt := r.edge.epochs.get()
 	r.mu.Lock()
