edge: a failed read of one instance is no outage of the store

Cause: one failed read, reported to all, counted as "the store was away", so that removed entries were kept for 1.7 s more. By the logs the removal was read 0.55 s after it, and the upstream dropped 2.41 s after it at instances that the store served all the while. The grace period also began with the removal and not with the store's return.

Change: peer/outage joins the reads of all instances. The store was away only if none read it for 1.5 heartbeat intervals of the upstreams and a read failed meanwhile; a span that another instance has seen disproves it. Entries that may have lapsed are kept until 2 s after the return. An instance that the store refuses lets others poll before it, also for the rows that the first one keeps for all. Messages of earlier builds are read as failed reads, and earlier builds read ours as before.

--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -33,6 +33,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/limit/quota"
 	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
+	"github.com/skylarkquay/skylarkquay/internal/peer/outage"
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/internal/route/holder"
@@ -117,6 +118,9 @@
 	// ranks order the instances for tasks that one does on behalf of all.
 	ranks *rank.Tracker
 	list  *listState
+	// outages knows whether the store was away for all instances. servedMu keeps what the fleet knows of it in step.
+	outages  *outage.Tracker
+	servedMu sync.Mutex
 	// epochs holds the store's epoch. registerAgain makes the instance write its row again after a restore.
 	epochs        epochTracker
 	registerAgain chan struct{}
@@ -141,7 +145,8 @@
 		replica: policy.NewReplica(), fleet: fleet.New(), quota: quota.NewLimiter(), crashes: fatal.NewTracker(), parts: fatal.NewPartTracker(),
 		holders: holder.NewTracker(), learner: newLearner(), origins: origin.NewTracker(), startedAt: time.Now(), counters: meter.NewReporter(), newerDocument: make(chan string, 1),
 		ranks: rank.NewTracker(rank.SortKey(s.size(), s.Peer)), list: newListState(), callers: newCallerConns(),
-		epochs: epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
+		outages: outage.NewTracker(time.Duration(outageHeartbeats * float64(s.heartbeat()))),
+		epochs:  epochTracker{current: unknownEpoch}, registerAgain: make(chan struct{}, 1),
 	}
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{Prefix: "skylarkquay", Reporter: e.counters}, time.Second)
 	e.metrics, e.closeMetrics = scope, closer.Close
--- a/internal/app/edge/epoch.go
+++ b/internal/app/edge/epoch.go
@@ -75,7 +75,7 @@
 		"list_row", listVersion)
 	e.metrics.Counter("store_restored").Inc(1)
 	// Upstreams that the copy lacks write their entries again.
-	e.fleet.MarkStoreUnreachable(time.Now())
+	e.recordRestored(boot)
 	e.list.restore()
 	e.rollout.dropLease()
 	select {
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -34,7 +34,8 @@
 	m.Uses = e.holders.Report(now, e.exchange.Interval())
 	m.Leaving = e.handler.Draining.Load() && e.handler.OpenRequests.Load() == 0
 	m.Following = e.following.Load() || !e.ranks.ShouldFollow(now)
-	m.List = e.list.report(boot)
+	m.Unserved = e.ranks.IsUnserved(now)
+	m.List = e.listUpdate(boot)
 	if e.kvStorePoller.Load() {
 		m.KVStores = e.handler.KVStores.All()
 	}
@@ -59,7 +60,8 @@
 	now := time.Now()
 	// An instance that the store rejects joins when it first receives a message.
 	e.joined.CompareAndSwap(0, int64(boot))
-	e.ranks.Observe(now, rank.SortKey(m.Size, m.Address), m.Following)
+	// The members of a large site's zone know only their head, and must not all take over from it at once.
+	e.ranks.Observe(now, rank.SortKey(m.Size, m.Address), rank.Report{Following: m.Following, Unserved: m.Unserved && !e.exchange.UsesHead()})
 	m.Rates.Aggregated = m.Kind != gossip.KindOwn
 	e.quota.Merge(boot, m.Address+string(m.Kind), m.Incarnation, m.Rates)
 	if m.Leaving {
@@ -89,7 +91,7 @@
 	e.observeEpoch(m.Epoch, m.Address)
 	epoch, _ := e.epochs.get()
 	if m.List != nil {
-		e.mergeList(boot, now, m.List)
+		e.mergeList(boot, now, m.List, m.Address)
 		if known {
 			e.list.prove(sentAfter, m.List)
 		}
@@ -145,9 +147,9 @@
 }
 
 // mergeList applies what another instance read of the list of upstreams.
-func (e *Edge) mergeList(boot time.Duration, now time.Time, u *gossip.ListUpdate) {
-	if u.UnreachableAge >= 0 {
-		e.fleet.MarkStoreUnreachable(now.Add(-time.Duration(u.UnreachableAge)))
+func (e *Edge) mergeList(boot time.Duration, now time.Time, u *gossip.ListUpdate, from string) {
+	if epoch, _ := e.epochs.get(); u.Epoch == epoch {
+		e.mergeServed(boot, u, from)
 	}
 	for _, c := range e.list.merge(boot, u) {
 		if c.Entry != nil && !e.isValid(c.Entry, c.Version) {
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -47,8 +47,6 @@
 	provenAt time.Duration
 	// readAt is when this instance last read the store itself.
 	readAt time.Duration
-	// unreachableAt is when this instance last failed to read the store; zero if it never did.
-	unreachableAt time.Duration
 	// changes are the changes after version since that are still reported.
 	since   int64
 	changes []datedChange
@@ -98,13 +96,6 @@
 	return l.epoch
 }
 
-// recordOutage records that the store could not be read. Missed changes come with the next read or from other instances.
-func (l *listState) recordOutage(boot time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unreachableAt = boot
-}
-
 // recordRead records that the store was read up to a version of an epoch.
 func (l *listState) recordRead(requestedAt time.Duration, epoch, version int64, changes []gossip.ListChange) {
 	l.mu.Lock()
@@ -146,10 +137,7 @@
 		l.since = l.changes[0].Version
 		l.changes = l.changes[1:]
 	}
-	update := &gossip.ListUpdate{Epoch: l.epoch, Since: l.since, Version: l.version, Age: int64(boot - l.asOf), UnreachableAge: -1}
-	if l.unreachableAt != 0 {
-		update.UnreachableAge = int64(boot - l.unreachableAt)
-	}
+	update := &gossip.ListUpdate{Epoch: l.epoch, Since: l.since, Version: l.version, Age: int64(boot - l.asOf)}
 	for _, d := range l.changes {
 		update.Changes = append(update.Changes, d.ListChange)
 	}
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -9,6 +9,7 @@
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
 	"github.com/skylarkquay/skylarkquay/internal/peer/gossip"
+	"github.com/skylarkquay/skylarkquay/internal/peer/outage"
 	"github.com/skylarkquay/skylarkquay/internal/peer/rank"
 	"github.com/skylarkquay/skylarkquay/internal/route/fleet"
 	"github.com/skylarkquay/skylarkquay/platform"
@@ -16,7 +17,7 @@
 
 // followList keeps the list of upstreams up to date, from the store or through the updates of an instance that reads it.
 func (e *Edge) followList(ctx context.Context) {
-	outage := storeOutage{edge: e, purpose: "list"}
+	failing := storeOutage{edge: e, purpose: "list"}
 	if e.copyInitialList(ctx) != nil {
 		return
 	}
@@ -33,22 +34,26 @@
 			continue
 		}
 		if err := e.readList(ctx, version); errors.Is(err, platform.ErrHistoryLost) {
-			e.log.Info("store: change history lost, reading all rows", "for", outage.purpose, "after", version)
+			e.log.Info("store: change history lost, reading all rows", "for", failing.purpose, "after", version)
 			e.list.reset()
 		} else if err != nil {
-			outage.recordFailure(err)
-			e.fleet.MarkStoreUnreachable(time.Now())
-			e.list.recordOutage(clock.SinceBoot())
+			failing.recordFailure(err)
+			e.outages.Failed(clock.SinceBoot())
+			if e.ranks.MarkUnserved(time.Now()) {
+				// The next instance takes over at once.
+				e.exchange.TriggerSend()
+			}
 			if version < 0 {
 				if err := e.copyList(ctx); err != nil {
 					e.log.Info("list: copy from another instance failed", "error", err.Error())
 				}
 			}
-			if !waitRetry(ctx, outage.failures) {
+			if !waitRetry(ctx, failing.failures) {
 				return
 			}
 		} else {
-			outage.recordSuccess()
+			failing.recordSuccess()
+			e.ranks.MarkServed()
 		}
 	}
 }
@@ -92,6 +97,7 @@
 		if epoch, _ := e.epochs.get(); rows.Epoch < epoch {
 			return errOldEpoch
 		}
+		e.recordServed(requestedAt, outage.Span{Since: requestedAt, Until: requestedAt}, 0, "store")
 		e.applyListRows(ctx, rows.Rows, true)
 		e.list.recordRead(requestedAt, rows.Epoch, rows.Version, nil)
 		return nil
@@ -106,6 +112,7 @@
 		// The version belongs to another epoch. If that is over, the next round reads the complete list.
 		return errOldEpoch
 	}
+	e.recordServed(requestedAt, outage.Span{Since: requestedAt, Until: requestedAt}, 0, "store")
 	changes := e.applyListRows(ctx, rows.Rows, false)
 	e.list.recordRead(requestedAt, rows.Epoch, max(version, rows.Version), changes)
 	if len(changes) > 0 {
@@ -153,7 +160,8 @@
 		if !e.fleet.Drop(now, c.ID) {
 			return false
 		}
-		e.log.Info("list: upstream is gone", "upstream", c.ID, "row", c.Version)
+		_, kept := e.fleet.View(now, c.ID)
+		e.log.Info("list: upstream is gone", "upstream", c.ID, "row", c.Version, "kept", kept)
 		return true
 	}
 	if !e.fleet.Put(*c.Entry) {
--- a/internal/app/edge/settings.go
+++ b/internal/app/edge/settings.go
@@ -36,6 +36,9 @@
 	Link  float64 `yaml:"link" validate:"gt=0"`
 	// Grace is the time between the stop signal and the forced kill, in seconds.
 	Grace float64 `yaml:"grace" validate:"gt=0"`
+	// Heartbeat is the interval at which upstreams confirm their entries in the list; zero means defaultHeartbeat. An entry lapses after
+	// three of them.
+	Heartbeat int64 `yaml:"heartbeat" validate:"gte=0"`
 	// Revocation is the time after which a withdrawn key must be rejected.
 	Revocation int64 `yaml:"revocation" validate:"gt=0"`
 	// Weights is the time after which no request may start on superseded weights.
@@ -95,6 +98,17 @@
 	return int(min(limit.Cur, math.MaxInt32))
 }
 
+// defaultHeartbeat is the interval at which upstreams confirm their entries where the settings name none.
+const defaultHeartbeat = 1200 * time.Millisecond
+
+// heartbeat returns the interval at which upstreams confirm their entries.
+func (s *Settings) heartbeat() time.Duration {
+	if s.Heartbeat == 0 {
+		return defaultHeartbeat
+	}
+	return millis(s.Heartbeat)
+}
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -71,6 +71,8 @@
 	// Following reports whether the sender, or an instance that precedes it, has a request open at the store for changes of
 	// the operators' rows.
 	Following bool `json:"f,omitempty"`
+	// Unserved reports whether the store has just refused a read of the sender, so that others read it for all.
+	Unserved bool `json:"us,omitempty"`
 	// Announcements are the recently announced versions of weights, and the latest of each model.
 	Announcements []Announcement `json:"a,omitempty"`
 	// List is set by instances that have recently read the list of upstreams from the store.
@@ -119,9 +121,14 @@
 	Version int64 `json:"v"`
 	// Age is the time in nanoseconds since the store was read.
 	Age int64 `json:"g"`
-	// UnreachableAge is the time in nanoseconds since the store was last found unreachable; negative when it never was.
-	UnreachableAge int64        `json:"w"`
-	Changes        []ListChange `json:"c,omitempty"`
+	// ReturnedAge is the time in nanoseconds since the store was back from an outage; negative when there was none. In builds without
+	// ServedAge it is the time since a read of the sender failed.
+	ReturnedAge int64 `json:"w"`
+	// ServedAge is the time in nanoseconds since the start of the span, up to Age, in which instances read the store without an outage;
+	// zero from earlier builds.
+	ServedAge int64 `json:"a,omitempty"`
+	// Changes are in order of their versions.
+	Changes []ListChange `json:"c,omitempty"`
 }
 
 // ListChange is one changed entry.
--- a/internal/peer/gossip/hub.go
+++ b/internal/peer/gossip/hub.go
@@ -191,9 +191,7 @@
 		m.KVStores = p.last.KVStores
 	}
 	if n := p.last.List; n != nil && (m.List == nil || n.newerThan(m.List)) {
-		aged := *n
-		aged.Age += int64(now - p.sentAfter)
-		m.List = &aged
+		m.List = n.aged(now - p.sentAfter)
 	}
 	m.Switching = append(m.Switching, p.last.Switching...)
 	m.Detached = append(slices.Clip(m.Detached), p.last.Detached...)
@@ -230,6 +228,19 @@
 	return append(slices.Clip(limits), l)
 }
 
+// aged returns the update as of a time later.
+func (u *ListUpdate) aged(by time.Duration) *ListUpdate {
+	aged := *u
+	aged.Age += int64(by)
+	if u.ServedAge > 0 {
+		aged.ServedAge += int64(by)
+	}
+	if u.ReturnedAge >= 0 {
+		aged.ReturnedAge += int64(by)
+	}
+	return &aged
+}
+
 // newerThan reports whether an update is of a later epoch, or of a later version of the same one.
 func (u *ListUpdate) newerThan(o *ListUpdate) bool {
 	return u.Epoch > o.Epoch || u.Epoch == o.Epoch && u.Version > o.Version
--- a/internal/peer/gossip/hub_test.go
+++ b/internal/peer/gossip/hub_test.go
@@ -227,6 +227,15 @@
 	must.Eq(t, 1, len(e.sendNow))
 }
 
+// A head forwards a report of the list some time after it has received it.
+func TestForwardedListUpdateAges(t *testing.T) {
+	u := &ListUpdate{Version: 3, Age: 10, ReturnedAge: 20, ServedAge: 30}
+	must.Eq(t, &ListUpdate{Version: 3, Age: 15, ReturnedAge: 25, ServedAge: 35}, u.aged(5))
+	// Neither an outage nor a span is known.
+	u = &ListUpdate{Version: 3, Age: 10, ReturnedAge: -1}
+	must.Eq(t, &ListUpdate{Version: 3, Age: 15, ReturnedAge: -1}, u.aged(5))
+}
+
 // A head forwards the latest that any instance of its zone saw of a limit, with its age.
 func TestHeadForwardsTheLatestLimits(t *testing.T) {
 	rate := 2.0
--- a/internal/peer/rank/rank.go
+++ b/internal/peer/rank/rank.go
@@ -19,11 +19,22 @@
 	rankStep = 60 * time.Millisecond
 	// maxRank bounds that delay, so that a single live instance among unresponsive ones still polls in time.
 	maxRank = 8
+	// unservedTTL is how long an instance that the store refused leaves the polling to others before it tries again.
+	unservedTTL = 3 * time.Second
 )
 
+// Report is what an instance says of its reads of the store.
+type Report struct {
+	// Following reports whether the instance, or one that precedes it, follows the operators' rows.
+	Following bool
+	// Unserved reports whether the store has just refused the instance.
+	Unserved bool
+}
+
 type peer struct {
 	lastSeen    time.Time
 	followingAt time.Time
+	unserved    bool
 }
 
 // Tracker records when the other instances were last seen and which of them follow the operators' rows. It is safe for concurrent use.
@@ -32,6 +43,8 @@
 	self  string
 	mu    sync.Mutex
 	peers map[string]peer
+	// refusedAt is when the store last refused this instance; zero if it has served it since.
+	refusedAt time.Time
 }
 
 // NewTracker returns a tracker without other instances.
@@ -45,14 +58,13 @@
 	return fmt.Sprintf("%08d %s", max(0, 99999999-size), address)
 }
 
-// Observe records a message of another instance by its sort key. Following reports whether that instance, or one that precedes
-// it, follows the operators' rows.
-func (t *Tracker) Observe(now time.Time, key string, following bool) {
+// Observe records a message of another instance by its sort key.
+func (t *Tracker) Observe(now time.Time, key string, r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[key]
-	p.lastSeen = now
-	if following {
+	p.lastSeen, p.unserved = now, r.Unserved
+	if r.Following {
 		p.followingAt = now
 	} else {
 		p.followingAt = time.Time{}
@@ -60,6 +72,44 @@
 	t.peers[key] = p
 }
 
+// MarkUnserved records that the store refused this instance, and reports whether that is new.
+func (t *Tracker) MarkUnserved(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.isUnserved(now) {
+		return false
+	}
+	t.refusedAt = now
+	return true
+}
+
+// MarkServed records that the store served this instance.
+func (t *Tracker) MarkServed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusedAt = time.Time{}
+}
+
+// IsUnserved reports whether the store has just refused this instance.
+func (t *Tracker) IsUnserved(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isUnserved(now)
+}
+
+// isUnserved is IsUnserved for callers that hold the lock.
+func (t *Tracker) isUnserved(now time.Time) bool {
+	return !t.refusedAt.IsZero() && now.Sub(t.refusedAt) < unservedTTL
+}
+
+// precedes reports whether a peer polls before this instance: those that the store serves go first. The caller holds the lock.
+func (t *Tracker) precedes(now time.Time, key string, p peer) bool {
+	if unserved := t.isUnserved(now); p.unserved != unserved {
+		return unserved
+	}
+	return key < t.self
+}
+
 // Rank returns the number of live instances that precede this one.
 func (t *Tracker) Rank(now time.Time) int {
 	return t.RankAmong(now, func(string) bool { return true })
@@ -72,7 +122,7 @@
 	n := 0
 	for key, p := range t.peers {
 		_, address, _ := strings.Cut(key, " ")
-		if key < t.self && now.Sub(p.lastSeen) < peerTimeout && included(address) {
+		if now.Sub(p.lastSeen) < peerTimeout && t.precedes(now, key, p) && included(address) {
 			n++
 		}
 	}
--- a/internal/route/fleet/check_test.go
+++ b/internal/route/fleet/check_test.go
@@ -35,7 +35,7 @@
 		{"rejected a request, with room for others", func(f *Fleet) { crowdAt(f, start.Add(time.Millisecond), 1); f.RequestEnded("a", 0) }, NotBarred},
 		{"rejected a request", func(f *Fleet) { crowdAt(f, start.Add(time.Millisecond), 2) }, Full},
 		{"rejected a request before", func(f *Fleet) { crowdAt(f, start, 2) }, NotBarred},
-		{"lapsed while the store was away", func(f *Fleet) { f.MarkStoreUnreachable(start); f.Drop(start, "a") }, NotBarred},
+		{"lapsed while the store was away", func(f *Fleet) { f.SetStoreReturned(start); f.Drop(start, "a") }, NotBarred},
 	} {
 		f := New()
 		f.Put(placed)
--- a/internal/route/fleet/fleet.go
+++ b/internal/route/fleet/fleet.go
@@ -14,9 +14,9 @@
 	baseEjection = 300 * time.Millisecond
 	// maxEjection limits the doubling; crashed engines are back after some seconds.
 	maxEjection = 3 * time.Second
-	// relistGracePeriod is how long upstreams that left the list during a store outage are kept. Operators allow about two
-	// seconds after the outage for upstreams to be listed again; the drain limit starts then.
-	relistGracePeriod = 1700 * time.Millisecond
+	// relistGracePeriod is how long after the return of the store upstreams are kept that are no longer listed. Operators allow about
+	// two seconds for upstreams whose entries lapsed in an outage to be listed again.
+	relistGracePeriod = 2 * time.Second
 	// failureRateWeight is the weight of one outcome in the moving average of the failure rate.
 	failureRateWeight = 0.1
 	// peerLoadTTL is how long the loads that another instance reported are counted.
@@ -96,8 +96,8 @@
 	consecutiveFailures int
 	ejectedUntil        time.Time
 	failureRate         float64
-	// delistedAt is when the entry left the list during a store outage; zero while it is listed.
-	delistedAt     time.Time
+	// delisted reports whether the entry may have left the list because of an outage of the store.
+	delisted       bool
 	switchingUntil time.Time
 	// confirmed is the weights version by model, as seen in responses and orders. It overrides an older one in the list.
 	confirmed map[string]int64
@@ -158,8 +158,8 @@
 	notices map[string]*notice
 	peers   map[string]peerLoads
 	listed  bool
-	// storeUnreachableAt is when the store was last found unreachable.
-	storeUnreachableAt time.Time
+	// storeReturnedAt is when the store was back from its latest outage, or restored from a copy; zero if it never was.
+	storeReturnedAt time.Time
 	// builds maps services to builds and when upstreams of each were listed.
 	builds map[string]map[string]buildTimes
 	// detached reports whether this instance has no path to any upstream, so that its failures are not those of the upstreams.
@@ -204,7 +204,7 @@
 		f.upstreams[e.ID] = &upstream{entry: e, confirmed: make(map[string]int64)}
 		return true
 	}
-	changed := u.entry.State != e.State || u.entry.Build != e.Build || !u.delistedAt.IsZero() || (u.entry.Cold > 0) != (e.Cold > 0)
+	changed := u.entry.State != e.State || u.entry.Build != e.Build || u.delisted || (u.entry.Cold > 0) != (e.Cold > 0)
 	for model, version := range e.Weights {
 		changed = changed || u.entry.Weights[model] != version
 	}
@@ -213,12 +213,12 @@
 		e.State = Draining
 	}
 	u.entry = e
-	u.delistedAt = time.Time{}
+	u.delisted = false
 	return changed
 }
 
-// Drop removes an upstream that is no longer listed and reports whether it was known. After a store outage it is kept for
-// a grace period, in which live upstreams are listed again.
+// Drop removes an upstream that is no longer listed and reports whether it was known. After an outage of the store it is kept for a
+// grace period, in which live upstreams are listed again.
 func (f *Fleet) Drop(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -226,10 +226,8 @@
 	if !ok {
 		return false
 	}
-	if !f.storeUnreachableAt.IsZero() && now.Sub(f.storeUnreachableAt) < 2*relistGracePeriod && u.entry.State == Ready {
-		if u.delistedAt.IsZero() {
-			u.delistedAt = now
-		}
+	if f.mayHaveLapsed(now) && u.entry.State == Ready {
+		u.delisted = true
 		return true
 	}
 	f.remove(now, u)
@@ -293,7 +291,7 @@
 	defer f.mu.Unlock()
 	entries := make([]Entry, 0, len(f.upstreams))
 	for _, u := range f.upstreams {
-		if u.delistedAt.IsZero() {
+		if !u.delisted {
 			entries = append(entries, u.entry)
 		}
 	}
@@ -307,13 +305,17 @@
 	return f.listed
 }
 
-// MarkStoreUnreachable records that the store was unreachable at a time.
-func (f *Fleet) MarkStoreUnreachable(now time.Time) {
+// SetStoreReturned sets when the store was back from its latest outage, or restored from a copy. Zero means that there was no outage.
+func (f *Fleet) SetStoreReturned(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now.After(f.storeUnreachableAt) {
-		f.storeUnreachableAt = now
-	}
+	f.storeReturnedAt = at
+}
+
+// mayHaveLapsed reports whether a live upstream may be missing in the list because of an outage of the store. The caller holds the
+// lock.
+func (f *Fleet) mayHaveLapsed(now time.Time) bool {
+	return !f.storeReturnedAt.IsZero() && now.Sub(f.storeReturnedAt) <= relistGracePeriod
 }
 
 // Expire drops upstreams whose grace period is over and returns their ids.
@@ -322,7 +324,7 @@
 	defer f.mu.Unlock()
 	var expired []string
 	for id, u := range f.upstreams {
-		if !u.delistedAt.IsZero() && now.Sub(u.delistedAt) > relistGracePeriod {
+		if u.delisted && !f.mayHaveLapsed(now) {
 			f.remove(now, u)
 			expired = append(expired, id)
 		}
--- a/internal/route/fleet/fleet_test.go
+++ b/internal/route/fleet/fleet_test.go
@@ -49,7 +49,7 @@
 	must.False(t, ok)
 
 	f.Put(entry("u"))
-	f.MarkStoreUnreachable(start)
+	f.SetStoreReturned(start)
 	must.True(t, f.Drop(start.Add(time.Second), "u"))
 	must.Eq(t, Ready, mustView(t, f, start.Add(time.Second), "u").State)
 	must.SliceEmpty(t, f.Expire(start.Add(2*time.Second)))
@@ -66,7 +66,7 @@
 	e := entry("u")
 	e.State = Draining
 	f.Put(e)
-	f.MarkStoreUnreachable(start)
+	f.SetStoreReturned(start)
 	f.Drop(start, "u")
 	_, ok := f.View(start, "u")
 	must.False(t, ok)
