detour: an instance that is refused shows by a connection that its own path is sound

Cause: a refused connection counts as the end of an upstream only at an instance with a path to others, and the evidence for that path was a connection of the last three seconds. Where only one instance gets requests the others have none; their "could not connect either" went before the refusal that the asking instance had seen itself, so that no crash was counted. The same evidence could mislead the other way: a connection from before a cut took the refusals of the cut for the end of upstreams.

Change: whoever is refused connects to another upstream, unless it has done so since, and that settles it, at the relaying instance and at the asking one. Requests that break off at the same moment share one probe. Where no other upstream is there to show it, a request waits up to eight seconds for its upstream to be listed as another process. `crash: request broke off, its upstream is not known to have ended` says what was found instead.

Tests, before: TestExamineOnAQuietSite failed in five of seven cases; TestPromptPartIsRefusedOnAQuietSite 7 of 7 requests crashed engines, 4 allowed; TestPromptPartThatCrashesTheOnlyUpstreamIsRefused the same without the wait.

--- a/internal/app/daemon/paths.go
+++ b/internal/app/daemon/paths.go
@@ -23,7 +23,9 @@
 
 // buildDialer builds what connects to upstreams, through other instances where this one has no path.
 func (r *Router) buildDialer() {
-	r.dialer = &detour.Dialer{Direct: relay.DialTCP, Candidates: r.relayCandidates, Paths: detour.NewPaths(), Log: r.log}
+	r.dialer = &detour.Dialer{
+		Direct: relay.DialTCP, Candidates: r.relayCandidates, Upstreams: r.upstreamAddresses, Paths: detour.NewPaths(), Log: r.log,
+	}
 	r.relay = &detour.Relay{
 		Dialer: r.dialer, Max: maxRelayed, Accepts: r.acceptsRelay, OnHead: func(_, _ time.Time, _ detour.Target, _ *http.Response) {},
 	}
--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -21,6 +21,8 @@
 	// learnTime is the time after the fifth crash from which at most maxLateRuns requests with the part may reach engines.
 	learnTime   = 3 * time.Second
 	maxLateRuns = 3
+	// quietTime is longer than a connection of an instance shows that its path to the upstreams is sound.
+	quietTime = 3500 * time.Millisecond
 )
 
 // crashSite is a site with several routers and engines that a prompt part crashes.
@@ -31,7 +33,13 @@
 
 func startCrashSite(t *testing.T, engines, routers int) *crashSite {
 	t.Helper()
-	c := &crashSite{Site: newSite(t, engines, 1)}
+	return startCrashSiteOf(t, newSite(t, engines, 1), routers)
+}
+
+// startCrashSiteOf starts routers of a site whose engines the crashing part crashes.
+func startCrashSiteOf(t *testing.T, s *fake.Site, routers int) *crashSite {
+	t.Helper()
+	c := &crashSite{Site: s}
 	for _, u := range c.Engines {
 		u.SetFaults(fake.Faults{CrashingPart: crashingPart})
 	}
@@ -87,6 +95,41 @@
 	return late, len(ends)
 }
 
+// Guards against a part that is never refused where only one instance gets requests (ReviewCaseQuiet): the others had no recent
+// connection of their own that showed whose fault a refused connection is, so that no crash was counted.
+func TestPromptPartIsRefusedOnAQuietSite(t *testing.T) {
+	t.Parallel()
+	const requests, refused = 7, 3
+	c := startCrashSite(t, 4, 3)
+	c.crashInTurn(requests, quietTime)
+	_, crashes := c.lateRuns()
+	must.LessEq(t, requests-refused, crashes)
+	must.Positive(t, crashes)
+}
+
+// crashInTurn sends requests with the crashing part to one router, at an interval.
+func (c *crashSite) crashInTurn(requests int, interval time.Duration) {
+	for i := range requests {
+		time.Sleep(interval)
+		call := newPromptCall(fake.BriefPath + "1")
+		call.Parts = [2]string{fmt.Sprint("a", i), crashingPart}
+		// Most break off with their engine.
+		_, _ = fake.Send(context.Background(), c.routers[0].settings.Listen, call)
+	}
+}
+
+// Guards against the same where no other upstream could show that the path is sound: that the upstream is listed as another process
+// shows it later.
+func TestPromptPartThatCrashesTheOnlyUpstreamIsRefused(t *testing.T) {
+	t.Parallel()
+	const requests, refused = 7, 3
+	c := startCrashSiteOf(t, newSite(t, 1, 0), 2)
+	c.crashInTurn(requests, 2*time.Second)
+	_, crashes := c.lateRuns()
+	must.LessEq(t, requests-refused, crashes)
+	must.Positive(t, crashes)
+}
+
 // Requests that shared nothing but one prompt part crashed engine after engine, because crashes were counted by request only.
 func TestPromptPartThatCrashesEnginesIsRefused(t *testing.T) {
 	for _, position := range []int{0, 1} {
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -384,6 +384,7 @@
 			}
 			e.metrics.Gauge("caller_connections").Update(float64(e.account.Count()))
 		}
+		e.handler.ConfirmCrashes(now)
 		e.learnFromPeers(now)
 		e.checkDetached()
 		e.metrics.Gauge("relayed").Update(float64(e.relay.Open()))
--- a/internal/app/edge/paths.go
+++ b/internal/app/edge/paths.go
@@ -19,7 +19,7 @@
 func (e *Edge) newDialer() (*detour.Dialer, *detour.Relay) {
 	d := &detour.Dialer{
 		Direct: link.DialTCP, Paths: detour.NewPaths(), Log: e.log,
-		Candidates: func() []string { return e.exchange.Attached() },
+		Candidates: func() []string { return e.exchange.Attached() }, Upstreams: e.upstreamAddresses,
 	}
 	// A connection takes tens of kilobytes here, so that all together take a small part of the memory.
 	return d, &detour.Relay{Dialer: d, Max: e.settings.MemoryMB, Accepts: e.acceptsRelay, OnHead: e.recordRelayedHead}
--- a/internal/front/detour/check.go
+++ b/internal/front/detour/check.go
@@ -20,11 +20,11 @@
 
 // The findings.
 const (
-	// Ended means that the upstream refuses connections, so that its process has ended.
+	// Ended means that the upstream refuses connections of an instance that reaches others, so that its process has ended.
 	Ended Finding = "ended"
 	// Reachable means that this instance can connect to the upstream.
 	Reachable Finding = "reachable"
-	// Silent means that no instance that was asked can connect to the upstream.
+	// Silent means that no instance that was asked can connect to the upstream, and that none can tell whether it has ended.
 	Silent Finding = "silent"
 	// PathBroken means that this instance has no path of its own to the upstream.
 	PathBroken Finding = "path broken"
@@ -33,13 +33,14 @@
 // Examine connects to an upstream to find out why a connection to it has broken off. A refusal that only this instance sees shows a
 // broken path.
 func (d *Dialer) Examine(ctx context.Context, t Target, timeout time.Duration) Finding {
+	began := time.Now()
 	conn, err := d.Dial(ctx, t, timeout)
 	if err == nil {
 		_ = conn.Close()
 	}
 	_, relayed := conn.(*Conn)
 	switch {
-	case errors.Is(err, ErrRefused), errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, ErrRefused), errors.Is(err, syscall.ECONNREFUSED) && (d.isAlone(t.Address) || d.reachesOthers(ctx, began, t.Address)):
 		return Ended
 	case errors.Is(err, ErrNoPath):
 		return PathBroken
@@ -98,10 +99,10 @@
 			outcomes <- outcome{err: err}
 		}()
 	}
-	connected := false
 	for range addresses {
-		o := <-outcomes
-		connected = connected || o.err == nil
+		if o := <-outcomes; o.err == nil {
+			return true
+		}
 	}
-	return connected
+	return false
 }
--- a/internal/front/detour/detour_test.go
+++ b/internal/front/detour/detour_test.go
@@ -221,9 +221,64 @@
 	upstream := startUpstream(t, func(c *net.TCPConn) { _ = c.Close() })
 	must.Eq(t, PathBroken, newDialer(refuse, startRelay(t, &Relay{Dialer: newDialer(dialTCP), Max: 1})).Examine(context.Background(), upstream, time.Second))
 	must.Eq(t, Silent, newDialer(refuse, startRelay(t, &Relay{Dialer: newDialer(refuse), Max: 1})).Examine(context.Background(), upstream, time.Second))
-	attached := newDialer(refuse)
-	attached.Paths.Connected(time.Now(), "another")
+	another := startUpstream(t, func(c *net.TCPConn) { _ = c.Close() })
+	attached := newDialer(refuseOnly(upstream.Address))
+	attached.Upstreams = func() []string { return []string{upstream.Address, another.Address} }
 	must.Eq(t, Ended, newDialer(refuse, startRelay(t, &Relay{Dialer: attached, Max: 1})).Examine(context.Background(), upstream, time.Second))
+	// Connections that were made before the path broke show nothing.
+	cut := newDialer(refuse)
+	cut.Paths.Connected(time.Now(), another.Address)
+	cut.Upstreams = attached.Upstreams
+	must.Eq(t, Silent, newDialer(refuse, startRelay(t, &Relay{Dialer: cut, Max: 1})).Examine(context.Background(), upstream, time.Second))
+}
+
+// refuseOnly returns the Direct function of an instance with a path, while the upstream at an address has ended.
+func refuseOnly(ended string) func(context.Context, string, time.Duration) (net.Conn, error) {
+	return func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+		if address == ended {
+			return nil, syscall.ECONNREFUSED
+		}
+		return dialTCP(ctx, address, timeout)
+	}
+}
+
+// Guards against crashes that are not counted on a quiet site (ReviewCaseQuiet): no instance had connected to an upstream recently, so
+// that none could tell its own broken path from the end of the upstream.
+func TestExamineOnAQuietSite(t *testing.T) {
+	ended, another := "127.0.0.1:1", startUpstream(t, func(c *net.TCPConn) { _ = c.Close() })
+	target := Target{ID: "u", Address: ended}
+	upstreams := func() []string { return []string{ended, another.Address} }
+	refuse := func(context.Context, string, time.Duration) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	dialer := func(direct func(context.Context, string, time.Duration) (net.Conn, error), peers ...string) *Dialer {
+		d := newDialer(direct, peers...)
+		d.Upstreams = upstreams
+		return d
+	}
+	cut := startRelay(t, &Relay{Dialer: dialer(refuse), Max: 1})
+	attached := startRelay(t, &Relay{Dialer: dialer(refuseOnly(ended)), Max: 1})
+	for name, c := range map[string]struct {
+		d    *Dialer
+		want Finding
+	}{
+		"all attached":                      {dialer(refuseOnly(ended), attached), Ended},
+		"the other one is cut":              {dialer(refuseOnly(ended), cut), Ended},
+		"this one is cut":                   {dialer(refuse, attached), Ended},
+		"both are cut":                      {dialer(refuse, cut), Silent},
+		"alone":                             {dialer(refuseOnly(ended)), Ended},
+		"alone and cut":                     {dialer(refuse), Silent},
+		"an earlier build, which is silent": {dialer(refuseOnly(ended), startUpstream(t, unreachable).Address), Ended},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.want, c.d.Examine(context.Background(), target, time.Second))
+		})
+	}
+}
+
+// unreachable answers as an instance of an earlier build that could not connect to an upstream.
+func unreachable(c *net.TCPConn) {
+	_, _ = c.Read(make([]byte, 1<<10))
+	_, _ = io.WriteString(c, "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n")
+	_ = c.Close()
 }
 
 // writtenBeforeClose is more than the kernel holds of what a reader has not read.
--- a/internal/front/detour/dialer.go
+++ b/internal/front/detour/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -59,12 +60,15 @@
 	// Candidates returns the instances that may have a path to the upstreams, in the order in which they are asked.
 	Candidates func() []string
 	Paths      *Paths
+	// Upstreams returns the addresses of the upstreams that are listed; nil if none is known.
+	Upstreams func() []string
 	// Memory is the budget of heads; nil bounds their length only.
 	Memory *bound.Budget
 	Log    logr.Logger
 	mu     sync.Mutex
 	// silent holds the instances that could not be reached, and when.
 	silent map[string]time.Time
+	proof  proof
 }
 
 // outcome is the end of one attempt to connect.
@@ -223,6 +227,8 @@
 // finalError returns why no connection was made.
 func (c *dial) finalError(err error) error {
 	switch {
+	case errors.Is(c.verdict, ErrUnreachable) && c.directErr != nil:
+		return fmt.Errorf("%w: %w", c.verdict, c.directErr)
 	case c.verdict != nil:
 		return c.verdict
 	case c.Paths.Detached():
--- a/internal/front/detour/paths.go
+++ b/internal/front/detour/paths.go
@@ -15,8 +15,6 @@
 	failureTTL = 5 * time.Second
 	// maxProbes is how many paths are checked at a time.
 	maxProbes = 4
-	// provenTTL is how long a connection to one upstream proves that failures of others are not this instance's.
-	provenTTL = 3 * time.Second
 )
 
 // Target is an upstream.
@@ -113,11 +111,11 @@
 	return n >= suspectFailures
 }
 
-// Proven reports whether this instance has recently connected to an upstream itself.
-func (p *Paths) Proven(now time.Time) bool {
+// ConnectedSince reports whether this instance has connected to an upstream itself since a time.
+func (p *Paths) ConnectedSince(at time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.connectedAt.IsZero() && now.Sub(p.connectedAt) < provenTTL
+	return !p.connectedAt.Before(at)
 }
 
 // broken returns at most maxProbes upstreams that another instance could reach and this one could not. Upstreams that are not listed
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -52,10 +53,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	began := time.Now()
 	upstream, err := r.Dialer.Direct(req.Context(), target.Address, relayDialTimeout)
 	if err != nil {
 		r.Dialer.Paths.Failed(time.Now(), target.Address, false)
-		w.WriteHeader(r.statusOf(time.Now(), err))
+		w.WriteHeader(r.statusOf(req.Context(), began, target.Address, err))
 		return
 	}
 	defer func() { _ = upstream.Close() }()
@@ -99,10 +101,10 @@
 	return "HTTP/1.1 200 OK\r\n\r\n"
 }
 
-// statusOf returns the status for a failed connection. A refusal is only a fact about the upstream if this instance has a path to
-// others.
-func (r *Relay) statusOf(now time.Time, err error) int {
-	if errors.Is(err, syscall.ECONNREFUSED) && r.Dialer.Paths.Proven(now) {
+// statusOf returns the status for a connection that was begun at a time and failed. A refusal is only a fact about the upstream if this
+// instance has a path to others.
+func (r *Relay) statusOf(ctx context.Context, began time.Time, address string, err error) int {
+	if errors.Is(err, syscall.ECONNREFUSED) && r.Dialer.reachesOthers(ctx, began, address) {
 		return http.StatusBadGateway
 	}
 	return http.StatusGatewayTimeout
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -64,7 +64,17 @@
 	if !c.headAt.IsZero() {
 		sinceHead = now.Sub(c.headAt)
 	}
-	if len(x.parts) == 0 || sinceHead > crashSuspectTime || finding != detour.Ended {
+	if len(x.parts) == 0 || sinceHead > crashSuspectTime {
+		return
+	}
+	if finding != detour.Ended {
+		x.Log.Info("crash: request broke off, its upstream is not known to have ended", "id", x.info.ID, "upstream", c.choice.ID, "parts",
+			x.loggedParts(), "finding", string(finding))
+		if finding == detour.Silent {
+			x.suspects.add(suspect{
+				id: x.info.ID, upstream: c.choice.ID, born: c.choice.Born, parts: x.parts, names: x.loggedParts(), sent: c.sentAt, at: now,
+			})
+		}
 		return
 	}
 	x.Parts.Crashed(now, x.parts, upstreamHash(c.choice.ID, c.choice.Born), c.sentAt)
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -92,7 +92,9 @@
 	Holders      *holder.Tracker
 	CrashCounter CrashCounter
 	Parts        PartTracker
-	Origins      Origins
+	// suspects are the requests that broke off at upstreams that may have ended.
+	suspects suspects
+	Origins  Origins
 	// Shifts moves services to other builds of their upstreams.
 	Shifts Shifts
 	// SendReport makes the instance report its state to the others at once.
