edge: an instance that the store turns away copies the list if it has missed changes

Callers: at an instance that the store turned away, requests went on to an upstream whose entry was removed, for as long as the store did so.

Cause: it applies what others report of the list only if their reports begin at its own version. If rows were written between its last read and the first one of the instance that took over, they do not, and the list was copied only by instances without any. Found by TestRemovedUpstreamGetsNothingWhileInstancesAreTurnedAway: 4 of 20 runs beside each other with 76 to 666 requests late.

Change: it copies the list from the instance that reported it, once others have read it later. A copy is dated by the copied instance's age of the list, and an older one is not taken.

TestInstanceThatMissedChangesCopiesTheList failed before (the upstream is not dropped within 20 s).

--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -37,6 +37,8 @@
 	Epoch   int64         `json:"epoch"`
 	Version int64         `json:"version"`
 	Entries []fleet.Entry `json:"entries"`
+	// Age is the time in nanoseconds since the store is known to have had no newer version; zero from earlier builds.
+	Age int64 `json:"age,omitempty"`
 }
 
 // peerHandler serves the routing document and the list to instances that cannot reach the store or that avoid reading it, and what
@@ -62,13 +64,13 @@
 }
 
 func (e *Edge) serveList(w http.ResponseWriter, _ *http.Request) {
-	_, version := e.list.age(clock.SinceBoot())
+	age, version := e.list.age(clock.SinceBoot())
 	if version < 0 {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	// The requester may have disconnected.
-	_ = json.NewEncoder(w).Encode(listCopy{Epoch: e.list.currentEpoch(), Version: version, Entries: e.fleet.Entries()})
+	_ = json.NewEncoder(w).Encode(listCopy{Epoch: e.list.currentEpoch(), Version: version, Entries: e.fleet.Entries(), Age: int64(age)})
 }
 
 // copyDocuments fetches newer documents from the instances that have them, or else from the store.
@@ -105,9 +107,9 @@
 }
 
 // copyList copies the complete list of upstreams from another instance. It is used by an instance of a large site at its
-// start, and by one that has no complete list and cannot read the store.
+// start, and by one that cannot read the store and has no complete list or has missed changes.
 func (e *Edge) copyList(ctx context.Context) error {
-	from, ok := e.exchange.FirstLive()
+	from, ok := e.listSource()
 	if !ok {
 		return fmt.Errorf("no live instance to copy from")
 	}
@@ -124,13 +126,53 @@
 	if epoch, _ := e.epochs.get(); c.Epoch < epoch {
 		return errOldEpoch
 	}
+	asOf := requestedAt - time.Duration(max(0, c.Age))
+	if epoch, version := e.list.currentEpoch(), e.list.currentVersion(); c.Epoch == epoch && c.Version < version {
+		return fmt.Errorf("instance %s has version %d of the list, older than %d", from, c.Version, version)
+	}
 	c.Entries = slices.DeleteFunc(c.Entries, func(entry fleet.Entry) bool { return !e.isValid(&entry, c.Version) })
 	e.fleet.Replace(time.Now(), c.Entries)
-	e.list.recordCopy(requestedAt, c.Epoch, c.Version)
-	e.log.Info("list: copied", "from", from, "upstreams", len(c.Entries), "row", c.Version)
+	e.list.recordCopy(asOf, c.Epoch, c.Version)
+	e.log.Info("list: copied", "from", from, "upstreams", len(c.Entries), "row", c.Version, "age_ms", (clock.SinceBoot() - asOf).Milliseconds())
 	return nil
 }
 
+// listSourceTTL is how long an instance that reported the list counts as one that reads it.
+const listSourceTTL = 2 * time.Second
+
+// listSource returns the instance to copy the list from: the one that reported it last, if that was recently, or else the first live one.
+func (e *Edge) listSource() (string, bool) {
+	if r, ok := e.recentListReport(clock.SinceBoot()); ok {
+		return r.from, true
+	}
+	return e.exchange.FirstLive()
+}
+
+// listReport is a report of the list by another instance.
+type listReport struct {
+	from string
+	at   time.Duration
+	// asOf is when the store was read.
+	asOf time.Duration
+}
+
+// recentListReport returns the latest report of the list, or false if there was none recently.
+func (e *Edge) recentListReport(boot time.Duration) (listReport, bool) {
+	r := e.lastListReport.Load()
+	if r == nil || boot-r.at >= listSourceTTL {
+		return listReport{}, false
+	}
+	return *r, true
+}
+
+// missesChanges reports whether others have read the list later than it is known here: their reports are of no use to an instance that has
+// missed earlier changes.
+func (e *Edge) missesChanges(boot time.Duration) bool {
+	r, ok := e.recentListReport(boot)
+	age, _ := e.list.age(boot)
+	return ok && r.asOf > boot-age
+}
+
 // peerClient requests copies from other instances. Copies are rare, so no connection is kept.
 var peerClient = &http.Client{Transport: bound.Transport(&http.Transport{
 	DisableKeepAlives: true, MaxResponseHeaderBytes: bound.MaxHeaderBytes,
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -118,6 +118,8 @@
 	// ranks order the instances for tasks that one does on behalf of all.
 	ranks *rank.Tracker
 	list  *listState
+	// lastListReport is the latest report of the list by another instance.
+	lastListReport atomic.Pointer[listReport]
 	// outages knows whether the store was away for all instances. servedMu keeps what the fleet knows of it in step.
 	outages  *outage.Tracker
 	servedMu sync.Mutex
--- a/internal/app/edge/gossip.go
+++ b/internal/app/edge/gossip.go
@@ -91,6 +91,7 @@
 	e.observeEpoch(m.Epoch, m.Address)
 	epoch, _ := e.epochs.get()
 	if m.List != nil {
+		e.lastListReport.Store(&listReport{from: m.Address, at: boot, asOf: boot - time.Duration(m.List.Age)})
 		e.mergeList(boot, now, m.List, m.Address)
 		if known {
 			e.list.prove(sentAfter, m.List)
--- a/internal/app/edge/list.go
+++ b/internal/app/edge/list.go
@@ -39,7 +39,7 @@
 	version int64
 	// restored reports whether the next complete list is the first one after a restore of the store.
 	restored bool
-	// asOf is the latest time at which the store is known to have had no newer version. After a copy from another instance
+	// asOf is the latest time at which the store is known to have had no newer version. After a copy from an instance of an earlier build
 	// it is when the copy was requested.
 	asOf time.Duration
 	// provenAt is a time at which the store had no newer version, also if this instance or others were frozen since. AsOf may be later
@@ -114,11 +114,18 @@
 	l.asOf, l.readAt, l.provenAt = requestedAt, requestedAt, max(l.provenAt, requestedAt)
 }
 
-// recordCopy records that the complete list was copied from another instance.
-func (l *listState) recordCopy(requestedAt time.Duration, epoch, version int64) {
+// currentVersion returns the version of the list, negative until the complete list was read.
+func (l *listState) currentVersion() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, requestedAt
+	return l.version
+}
+
+// recordCopy records that the complete list was copied from another instance, which knows that the store had no newer version at a time.
+func (l *listState) recordCopy(asOf time.Duration, epoch, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch, l.version, l.restored, l.asOf = epoch, version, false, asOf
 }
 
 // report returns the update for other instances, or nil unless this instance read the store in the last maxReportAge.
--- a/internal/app/edge/reader.go
+++ b/internal/app/edge/reader.go
@@ -43,7 +43,7 @@
 				// The next instance takes over at once.
 				e.exchange.TriggerSend()
 			}
-			if version < 0 {
+			if version < 0 || e.missesChanges(clock.SinceBoot()) {
 				if err := e.copyList(ctx); err != nil {
 					e.log.Info("list: copy from another instance failed", "error", err.Error())
 				}
--- a/internal/app/edge/relist_test.go
+++ b/internal/app/edge/relist_test.go
@@ -145,3 +145,20 @@
 	_, ok := r.fleet.View(time.Now(), u.ID)
 	must.False(t, ok)
 }
+
+// Guards against an instance that goes on with an outdated list while the store turns it away: the changes that others report are of no
+// use to one that has missed earlier ones.
+func TestInstanceThatMissedChangesCopiesTheList(t *testing.T) {
+	s := newSite(t, 0, 2)
+	routers, doors := startBehindDoors(t, s, 2)
+	turnedAway, u := routers[0], s.Jobs[0]
+	doors[0].Store(true)
+	turnedAway.list.mu.Lock()
+	turnedAway.list.version = 1
+	turnedAway.list.mu.Unlock()
+	s.Deregister(u)
+	eventually(t, "the upstream is dropped", func() bool {
+		_, ok := turnedAway.fleet.View(time.Now(), u.ID)
+		return !ok
+	})
+}
