fatal: of the parts that share crashes, the one not known from sound requests is refused

Cause: by the logs the common first part, the crashing one and that of the sound requests are in the same three crashes; the first in the prompt was judged first, its block took the crashes away from the others, and with all its requests refused none could show that it is sound. What had told the parts apart, requests that survive for 2 s, was in memory that the restart emptied, and while upstreams crash each second no request lives so long.

Change: an answer that goes on after its begin counts as evidence for its parts; of those at their limit, the one with the oldest evidence or none is refused, then the more specific one. Crashes that a block explains are kept and count again if the block ends. While others might have caused all crashes of a block, a request without these is let through now and then; it clears the part or rules the others out, at the cost of one upstream. An instance that starts copies the parts of sound requests from another one. Rows and messages have new fields that earlier builds ignore; theirs are read as before.

Tests, before: TestRightPartIsRefusedAfterARestart 0 of 18 sound requests answered, in turn and all at once; after: 18 of 18. The others test new parts.

--- a/internal/app/edge/blocks.go
+++ b/internal/app/edge/blocks.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/clock"
 	"github.com/skylarkquay/skylarkquay/internal/base/sleep"
+	"github.com/skylarkquay/skylarkquay/internal/once/fatal"
 	"github.com/skylarkquay/skylarkquay/platform"
 )
 
@@ -25,27 +27,28 @@
 type blockRow struct {
 	// SinceMs is the store's clock, in milliseconds, when the part was blocked.
 	SinceMs int64 `json:"since"`
+	// Others are the hexadecimal identities of the parts that might have caused the crashes as well.
+	Others []string `json:"others,omitempty"`
 }
 
 // blockKeeper keeps the blocked parts in the store, on behalf of all instances while this one has rank 0.
 type blockKeeper struct {
 	edge *Edge
 	// logged are the parts that were blocked at the last check.
-	logged map[uint64]time.Time
-	// stored are the parts that the store has rows of, in an epoch, with the time since when. It is nil unless this instance has
-	// read them since it has rank 0.
-	stored map[uint64]time.Time
+	logged map[uint64]fatal.Block
+	// stored are the parts that the store has rows of, in an epoch. It is nil unless this instance has read them since it has rank 0.
+	stored map[uint64]fatal.Block
 	epoch  int64
 }
 
-// loadBlocks reads the blocked parts from the store. It returns the parts that the store has rows of, with the time since when.
-func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]time.Time, error) {
+// loadBlocks reads the blocked parts from the store. It returns the parts that the store has rows of.
+func (e *Edge) loadBlocks(ctx context.Context) (map[uint64]fatal.Block, error) {
 	requestedAt := clock.SinceBoot()
 	rows, err := e.readTable(ctx, blocksTable)
 	if err != nil {
 		return nil, err
 	}
-	stored := make(map[uint64]time.Time)
+	stored := make(map[uint64]fatal.Block)
 	e.observeStoreClock(requestedAt, rows.Clock)
 	now := time.Now()
 	for _, row := range rows.Rows {
@@ -58,7 +61,9 @@
 			e.log.Info("crash: cannot decode the row of a blocked prompt part", "key", row.Key, "error", err.Error())
 			continue
 		}
-		stored[id] = now.Add(-max(0, rows.Clock-time.Duration(r.SinceMs)*time.Millisecond))
+		stored[id] = fatal.Block{
+			Since: now.Add(-max(0, rows.Clock-time.Duration(r.SinceMs)*time.Millisecond)), Others: fatal.ParseParts(r.Others),
+		}
 		e.parts.Block(now, id, stored[id])
 	}
 	return stored, nil
@@ -87,10 +92,11 @@
 }
 
 // log logs the parts that have been blocked or cleared since the last check.
-func (k *blockKeeper) log(blocked map[uint64]time.Time) {
-	for id := range blocked {
+func (k *blockKeeper) log(blocked map[uint64]fatal.Block) {
+	for id, b := range blocked {
 		if _, ok := k.logged[id]; !ok {
-			k.edge.log.Info("crash: prompt part blocked", "part", strconv.FormatUint(id, 16), "blocked", len(blocked))
+			k.edge.log.Info("crash: prompt part blocked", "part", strconv.FormatUint(id, 16), "others", fatal.FormatParts(b.Others),
+				"blocked", len(blocked))
 			k.edge.exchange.TriggerSend()
 		}
 	}
@@ -113,14 +119,14 @@
 		k.epoch, k.stored = epoch, stored
 	}
 	blocked := k.edge.parts.AllBlocked(now)
-	for id, since := range blocked {
-		if at, ok := k.stored[id]; ok && since.Sub(at) < blockRowTolerance {
+	for id, b := range blocked {
+		if s, ok := k.stored[id]; ok && b.Since.Sub(s.Since) < blockRowTolerance && slices.Equal(b.Others, s.Others) {
 			continue
 		}
-		if err := k.put(ctx, id, now.Sub(since)); err != nil {
+		if err := k.put(ctx, id, now.Sub(b.Since), b.Others); err != nil {
 			return err
 		}
-		k.stored[id] = since
+		k.stored[id] = b
 	}
 	for id := range k.stored {
 		if _, ok := blocked[id]; ok {
@@ -138,9 +144,9 @@
 }
 
 // put writes the row of a part that was blocked for a time. Other instances write the same, so the write is unconditional.
-func (k *blockKeeper) put(ctx context.Context, id uint64, age time.Duration) error {
+func (k *blockKeeper) put(ctx context.Context, id uint64, age time.Duration, others []uint64) error {
 	storeClock, _ := k.edge.storeClock.at(clock.SinceBoot())
-	value, err := json.Marshal(blockRow{SinceMs: (storeClock - age).Milliseconds()})
+	value, err := json.Marshal(blockRow{SinceMs: (storeClock - age).Milliseconds(), Others: fatal.FormatParts(others)})
 	if err != nil {
 		return err
 	}
--- a/internal/app/edge/copy.go
+++ b/internal/app/edge/copy.go
@@ -42,12 +42,13 @@
 }
 
 // peerHandler serves the routing document and the list to instances that cannot reach the store or that avoid reading it, and what
-// this one knows of streams. It also connects to upstreams for instances that cannot.
+// this one knows of streams and crashes. It also connects to upstreams for instances that cannot.
 func (e *Edge) peerHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc("/document", e.serveDocument).Methods(http.MethodGet)
 	m.HandleFunc("/list", e.serveList).Methods(http.MethodGet)
 	m.HandleFunc("/origin", e.serveOrigin).Methods(http.MethodGet)
+	m.HandleFunc(crashesPath, e.serveCrashes).Methods(http.MethodGet)
 	m.Handle(detour.Path, e.relay).Methods(http.MethodPost)
 	return m
 }
--- a/internal/app/edge/edge.go
+++ b/internal/app/edge/edge.go
@@ -245,7 +245,7 @@
 	start := func(loop func(context.Context)) { loops.Go(func() { loop(loopCtx) }) }
 	for _, loop := range []func(context.Context){
 		e.followOperators, e.followList, e.join, e.exchange.Run, e.pollKVStores, e.maintain, e.watchSettings, e.copyDocuments, e.rollout.run,
-		e.keepBlocks, e.keepOrigins, e.checkPaths, e.decider.run,
+		e.keepBlocks, e.copyCrashes, e.keepOrigins, e.checkPaths, e.decider.run,
 	} {
 		start(loop)
 	}
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -23,8 +23,9 @@
 	Blocked(now time.Time, parts []uint64) bool
 	// Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
 	Crashed(now time.Time, parts []uint64, upstream uint64, sent time.Time)
-	// Survived records that an upstream outlived a request with the parts.
+	// Survived records that an upstream outlived a request with the parts, Began that it went on with its answer after it had begun it.
 	Survived(now time.Time, parts []uint64)
+	Began(now time.Time, parts []uint64)
 }
 
 // partHashes returns the identities of the prompt's shared parts.
@@ -105,6 +106,16 @@
 	}
 }
 
+// beganEvents is the number of events with which an answer has gone on after its begin.
+const beganEvents = 2
+
+// recordBegan records that an upstream has gone on with its answer, so that the begin of such an answer does not crash it.
+func (x *exchange) recordBegan(now time.Time, c *call) {
+	if len(x.parts) > 0 && c.eventCount == beganEvents {
+		x.Parts.Began(now, x.parts)
+	}
+}
+
 // maxLoggedParts limits the prompt parts in a log line.
 const maxLoggedParts = 8
 
--- a/internal/front/serve/stream.go
+++ b/internal/front/serve/stream.go
@@ -111,7 +111,9 @@
 		}
 		if ev.isEvent {
 			x.eventCount++
-			c.countEvent(time.Now())
+			now := time.Now()
+			c.countEvent(now)
+			x.recordBegan(now, c)
 			news, goingOn, x.begun, x.eventBegun = true, false, true, false
 			x.unnumbered = ev.id == ""
 		}
--- a/internal/once/fatal/parts.go
+++ b/internal/once/fatal/parts.go
@@ -30,18 +30,24 @@
 	partTTL = 2 * blockTTL
 	// clearedReportTTL is how long a part whose requests survive is reported after its last crash.
 	clearedReportTTL = 5 * time.Second
-	// survivalTTL is how long the survivals of parts that are not tracked are kept when there are many.
-	survivalTTL = 30 * time.Second
+	// soundTTL is how long sound requests with parts that are not tracked are remembered when there are many.
+	soundTTL = 30 * time.Second
+	// trialInterval is the least time between two requests that are let through to find out whether a part is refused in place of
+	// another one. Most answers have begun by then.
+	trialInterval = 2 * time.Second
 	// maxParts limits the parts that are tracked, maxPartReports those in one message.
 	maxParts       = 4096
 	maxPartReports = 32
+	// maxOthers limits the parts that are kept beside a block because they might have caused its crashes as well.
+	maxOthers = 8
 	// maxPartCrashes limits the crashes that are kept of one part.
 	maxPartCrashes = 16
 )
 
 // PartTracker finds the prompt parts that crash the upstreams that run them, whatever else a request holds. A part is suspected
-// when upstreams end soon after they have begun requests with it, and cleared when a request with it survives. It is safe for
-// concurrent use.
+// when upstreams end soon after they have begun requests with it, and cleared when a request with it survives. Other parts of the same
+// requests, and of those that ran beside them, are in the same crashes: the part that is known least from sound requests is refused, and
+// its crashes count against no other one. It is safe for concurrent use.
 type PartTracker struct {
 	mu    sync.Mutex
 	parts map[uint64]*part
@@ -49,8 +55,10 @@
 	ends      map[uint64]time.Time
 	endCounts map[time.Duration]int
 	base      time.Time
-	// survivals are the times at which requests with parts that are not tracked survived.
-	survivals map[uint64]time.Time
+	// blocked are the parts that are refused, by identity.
+	blocked map[uint64]*part
+	// sound is what is known of parts that are not tracked.
+	sound map[uint64]soundness
 	// settle is settleTime, or the time in which reports reach all instances if that is longer.
 	settle time.Duration
 }
@@ -59,7 +67,7 @@
 func NewPartTracker() *PartTracker {
 	return &PartTracker{
 		parts: make(map[uint64]*part), ends: make(map[uint64]time.Time), endCounts: make(map[time.Duration]int),
-		survivals: make(map[uint64]time.Time), settle: settleTime,
+		blocked: make(map[uint64]*part), sound: make(map[uint64]soundness), settle: settleTime,
 	}
 }
 
@@ -70,76 +78,116 @@
 	tr.settle = max(settleTime, delay)
 }
 
-// Blocked reports whether requests with one of the parts are refused.
+// Blocked reports whether requests with one of the parts are refused. A request may be let through to find out whether a part is
+// refused in place of another one.
 func (tr *PartTracker) Blocked(now time.Time, parts []uint64) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	var refused []*part
 	for _, id := range parts {
 		p, ok := tr.parts[id]
 		if !ok {
 			continue
 		}
 		if tr.update(now, p); !p.blockedAt.IsZero() {
-			return true
+			refused = append(refused, p)
 		}
 	}
-	return false
+	if len(refused) == 1 && tr.mayTry(now, refused[0], parts) {
+		refused[0].triedAt = now
+		return false
+	}
+	return len(refused) > 0
+}
+
+// Block is a part that is refused.
+type Block struct {
+	// Since is when it began to be refused.
+	Since time.Time
+	// Others are the parts that might have caused its crashes as well.
+	Others []uint64
 }
 
-// AllBlocked returns the parts that are refused, with the time since when.
-func (tr *PartTracker) AllBlocked(now time.Time) map[uint64]time.Time {
+// AllBlocked returns the parts that are refused.
+func (tr *PartTracker) AllBlocked(now time.Time) map[uint64]Block {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	all := make(map[uint64]time.Time)
-	for id, p := range tr.parts {
-		if tr.update(now, p); !p.blockedAt.IsZero() {
-			all[id] = p.blockedAt
+	for _, p := range tr.parts {
+		tr.update(now, p)
+	}
+	all := make(map[uint64]Block)
+	for id, p := range tr.blocked {
+		b := Block{Since: p.blockedAt}
+		if others := tr.alternatives(p); len(others) <= maxOthers {
+			b.Others = others
 		}
+		all[id] = b
 	}
 	return all
 }
 
-// Block records that a part is refused since a time, as kept from an earlier run.
-func (tr *PartTracker) Block(now time.Time, id uint64, since time.Time) {
+// Block records that a part is refused, as kept from an earlier run.
+func (tr *PartTracker) Block(now time.Time, id uint64, b Block) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.getOrCreate(now, id).keep(now, since)
+	p := tr.getOrCreate(now, id)
+	p.keep(now, b.Since, b.Others)
+	tr.note(p)
 }
 
-// Crashed records that an upstream's incarnation ended while it ran a request with the parts, which was sent at a time.
+// Crashed records that an upstream's incarnation ended while it ran a request with the parts, in the order of its prompt, which was sent
+// at a time.
 func (tr *PartTracker) Crashed(now time.Time, parts []uint64, upstream uint64, sent time.Time) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	for _, id := range parts {
-		tr.add(tr.getOrCreate(now, id), partCrash{upstream, sent, now})
+	for i, id := range parts {
+		p := tr.getOrCreate(now, id)
+		p.position = max(p.position, i)
+		tr.add(p, partCrash{upstream, sent, now})
 	}
 }
 
 // Survived records that an upstream outlived a request with the parts.
 func (tr *PartTracker) Survived(now time.Time, parts []uint64) {
+	tr.recordSound(now, parts, func(s *soundness) { s.survived = now })
+}
+
+// Began records that an upstream went on with its answer to a request with the parts after it had begun it.
+func (tr *PartTracker) Began(now time.Time, parts []uint64) {
+	tr.recordSound(now, parts, func(s *soundness) { s.began = now })
+}
+
+func (tr *PartTracker) recordSound(now time.Time, parts []uint64, record func(s *soundness)) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	for _, id := range parts {
 		if p, ok := tr.parts[id]; ok {
-			p.survived = now
+			record(&p.soundness)
 			continue
 		}
-		if _, ok := tr.survivals[id]; !ok && len(tr.survivals) >= maxParts {
-			tr.removeSurvivals(now)
-		}
-		tr.survivals[id] = now
+		s := tr.sound[id]
+		record(&s)
+		tr.setSound(now, id, s)
+	}
+}
+
+// setSound sets what is known of a part that is not tracked.
+func (tr *PartTracker) setSound(now time.Time, id uint64, s soundness) {
+	if _, ok := tr.sound[id]; !ok && len(tr.sound) >= maxParts {
+		tr.removeSound(now)
 	}
+	tr.sound[id] = s
 }
 
-// removeSurvivals makes room for survivals: it removes those that are older than survivalTTL, or else all.
-func (tr *PartTracker) removeSurvivals(now time.Time) {
-	for id, at := range tr.survivals {
-		if now.Sub(at) > survivalTTL {
-			delete(tr.survivals, id)
+// removeSound makes room for parts that are not tracked: it removes those whose last sound request is older than soundTTL, or else all.
+func (tr *PartTracker) removeSound(now time.Time) {
+	for id, s := range tr.sound {
+		if now.Sub(s.latest()) > soundTTL {
+			delete(tr.sound, id)
 		}
 	}
-	if len(tr.survivals) >= maxParts {
-		clear(tr.survivals)
+	if len(tr.sound) >= maxParts {
+		clear(tr.sound)
 	}
 }
 
@@ -153,8 +201,8 @@
 	if len(tr.parts) >= maxParts {
 		tr.evict()
 	}
-	p := &part{survived: tr.survivals[id]}
-	delete(tr.survivals, id)
+	p := &part{id: id, soundness: tr.sound[id]}
+	delete(tr.sound, id)
 	tr.parts[id] = p
 	return p
 }
@@ -188,8 +236,8 @@
 		}
 		if now.Sub(p.lastCrash()) > ttl {
 			delete(tr.parts, id)
-			if !p.survived.IsZero() {
-				tr.survivals[id] = p.survived
+			if !p.latest().IsZero() {
+				tr.setSound(now, id, p.soundness)
 			}
 		}
 	}
--- a/internal/once/fatal/report.go
+++ b/internal/once/fatal/report.go
@@ -14,10 +14,17 @@
 	Crashes []CrashReport `json:"c,omitempty"`
 	// Survived is the time since a request with the part last survived, plus one; zero if none did.
 	Survived int64 `json:"s,omitempty"`
+	// Began is the time since an upstream last went on with its answer to a request with the part, plus one; zero if none did, and from
+	// earlier builds.
+	Began int64 `json:"g,omitempty"`
+	// Position is the part's place in prompts; zero from earlier builds.
+	Position int `json:"n,omitempty"`
 	// Blocked is the time since requests with the part began to be refused, plus one; zero if they are not.
 	Blocked int64 `json:"b,omitempty"`
 	// Kept reports whether the block comes from an earlier run; otherwise the crashes show it.
 	Kept bool `json:"k,omitempty"`
+	// Others are the hexadecimal identities of the parts that might have caused the crashes of a kept block as well.
+	Others []string `json:"o,omitempty"`
 }
 
 // CrashReport is one crash in a PartReport.
@@ -62,6 +69,8 @@
 
 func (p *part) report(now time.Time, id uint64) PartReport {
 	r := PartReport{Part: strconv.FormatUint(id, 16), Survived: ageOf(now, p.survived), Blocked: ageOf(now, p.blockedAt), Kept: p.kept}
+	r.Began, r.Position = ageOf(now, p.began), p.position
+	r.Others = FormatParts(p.others)
 	for _, c := range p.crashes {
 		if !c.at.After(p.survived) {
 			continue
@@ -110,10 +119,42 @@
 		}
 		tr.add(p, partCrash{upstream, now.Add(-time.Duration(c.Sent) * time.Millisecond), now.Add(-time.Duration(c.Age) * time.Millisecond)})
 	}
-	if survived := timeOf(now, r.Survived); survived.Sub(p.survived) > reportTolerance {
-		p.survived = survived
-	}
+	p.learn(now, r)
+	p.position = max(p.position, min(r.Position, maxPosition))
 	if r.Blocked > 0 && r.Kept {
-		p.keep(now, timeOf(now, r.Blocked))
+		p.keep(now, timeOf(now, r.Blocked), ParseParts(r.Others))
+	}
+}
+
+// maxPosition limits the position in a report.
+const maxPosition = 1 << 10
+
+// learn records the sound requests of a report.
+func (s *soundness) learn(now time.Time, r PartReport) {
+	if survived := timeOf(now, r.Survived); survived.Sub(s.survived) > reportTolerance {
+		s.survived = survived
+	}
+	if began := timeOf(now, r.Began); began.Sub(s.began) > reportTolerance {
+		s.began = began
+	}
+}
+
+// ParseParts returns the parts with hexadecimal identities, without those that are none.
+func ParseParts(texts []string) []uint64 {
+	var parts []uint64
+	for _, text := range texts[:min(len(texts), maxOthers)] {
+		if id, err := strconv.ParseUint(text, 16, 64); err == nil {
+			parts = append(parts, id)
+		}
+	}
+	return parts
+}
+
+// FormatParts returns the hexadecimal identities of parts.
+func FormatParts(parts []uint64) []string {
+	var texts []string
+	for _, id := range parts {
+		texts = append(texts, strconv.FormatUint(id, 16))
 	}
+	return texts
 }
