socket: a reset that a write has taken is no end of an answer

Callers: an upstream answered a long upload at once, without a length, sent a part of its body and reset the connection while the upload was still being written; the caller got the part as a complete answer, streams too, also through another instance (MIXED).

Cause: the kernel hands out the error of a reset once. A long body is written while the answer is read; if the write takes the error, the read ends with EOF, which is the end of an answer without a length. That the upstream runs was checked, that the write had failed was not.

Change: ReportResets wraps a connection: its reads end with EOF only if no write has failed. A write that still waits is ended and its error looked at, so that an answer that ends soundly before its upload was read stays whole. It is used where connections to upstreams are made, in both programs, and for the upstream's side of relayed connections, whose end mark has to be true. A long request still goes out in one call of the kernel (WriteBuffers): in two, its answer came before the rest more often, and the connection was closed with it.

TestSocketOptionsOutlastSilence asks the TCP connection below the new one.

--- a/internal/base/socket/socket.go
+++ b/internal/base/socket/socket.go
@@ -24,7 +24,7 @@
 
 // SetUserTimeout sets TCP_USER_TIMEOUT on a connection. Connections that are not TCP are left as they are.
 func SetUserTimeout(c net.Conn, unacked time.Duration) error {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := TCP(c)
 	if !ok {
 		return nil
 	}
@@ -38,7 +38,7 @@
 // ResetOnClose sets whether the close of a connection resets it, which includes the close by the kernel when the process ends.
 // Connections that are not TCP are left as they are.
 func ResetOnClose(c net.Conn, reset bool) error {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := TCP(c)
 	switch {
 	case !ok:
 		return nil
--- a/internal/front/detour/relay.go
+++ b/internal/front/detour/relay.go
@@ -60,6 +60,7 @@
 		w.WriteHeader(r.statusOf(req.Context(), began, target.Address, err))
 		return
 	}
+	upstream = socket.ReportResets(upstream)
 	defer func() { _ = upstream.Close() }()
 	r.Dialer.Paths.Connected(time.Now(), target.Address)
 	if !r.Accepts(time.Now(), target) {
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -152,7 +152,11 @@
 // DialTCP connects to an upstream over TCP.
 func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, Control: socket.UserTimeout(unackedTimeout), KeepAlive: -1}
-	return dialer.DialContext(ctx, "tcp4", address)
+	c, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return socket.ReportResets(c), nil
 }
 
 // Response is an upstream's response.
@@ -224,8 +228,7 @@
 		return done
 	}
 	go func() {
-		buffers := net.Buffers{[]byte(b.String()), r.Body}
-		_, err := buffers.WriteTo(c.Conn)
+		_, err := socket.WriteBuffers(c.Conn, net.Buffers{[]byte(b.String()), r.Body})
 		done <- err
 	}()
 	return done
@@ -426,7 +429,7 @@
 
 // usable reports whether an idle connection is open and has no unread bytes.
 func usable(c *conn) bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := socket.TCP(c.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/front/link/link_test.go
+++ b/internal/front/link/link_test.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 )
 
@@ -394,7 +395,9 @@
 	c, err := DialTCP(context.Background(), u.address, time.Second)
 	must.NoError(t, err)
 	defer func() { _ = c.Close() }()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	tcp, ok := socket.TCP(c)
+	must.True(t, ok)
+	raw, err := tcp.SyscallConn()
 	must.NoError(t, err)
 	var userTimeout, keepAlive int
 	var errTimeout, errKeepAlive error
--- a/internal/front/relay/end_test.go
+++ b/internal/front/relay/end_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -48,3 +50,32 @@
 		}
 	}
 }
+
+// Guards against parts of answers that count as whole: an upstream answered a long upload at once, without a length, and reset the
+// connection, and the write of the upload took the error.
+func TestEarlyAnswersThatAreResetHaveNoKnownEnd(t *testing.T) {
+	for name, do := range map[string]func(*Pool, *http.Request) (*http.Response, error){"pooled": (*Pool).Do, "once": (*Pool).DoOnce} {
+		for _, pause := range []time.Duration{2 * time.Millisecond, 60 * time.Millisecond} {
+			t.Run(name+" "+pause.String(), func(t *testing.T) {
+				u, err := fake.NewScriptedUpstream(func(*http.Request) fake.Answer {
+					return fake.Answer{Bytes: "HTTP/1.1 200 OK\r\n\r\nbody", Pause: pause, End: fake.ResetConn}
+				})
+				must.NoError(t, err)
+				u.Early = true
+				t.Cleanup(u.Close)
+				pool := NewPool(DialTCP)
+				for range 8 {
+					req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+u.Address(), strings.NewReader(strings.Repeat("x", 4<<20)))
+					must.NoError(t, err)
+					res, err := do(pool, req)
+					if err != nil {
+						continue
+					}
+					_, err = io.ReadAll(res.Body)
+					_ = res.Body.Close()
+					must.Error(t, err)
+				}
+			})
+		}
+	}
+}
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/base/socket"
 )
 
 const (
@@ -52,7 +53,11 @@
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
 	}}
-	return dialer.DialContext(ctx, "tcp", address)
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return socket.ReportResets(c), nil
 }
 
 // Pool holds one connection pool for each upstream address.
