bound: what is no head of an answer is refused, by one rule for all clients

Callers: answers of upstreams in trouble were given to them as signed successes: with a blank within the name of a field or before its colon, also in HTTP/1.0, in a 103 before the answer and in a trailer, with two blanks before the status, and with a line that began with a blank. Where the spoilt line was the length or the encoding, the body was not the upstream's: 14 bytes in place of five, sizes of chunks as a body (MIXED).

Cause: net/http reads what RFC 9112 tells senders never to write, and everything after it took its word. What was checked besides (status 000, HTTP/1.0 with chunks) was checked in one of three readers of heads.

Change: package bound checks heads byte by byte where they are counted already: HeadConn (skylarkedge's connections, relayed ones, instances that relay) and AnswerConn, which was the connection of skylarkquay's upstreams and is now that of all clients with a transport of net/http: the stores, engines' orders and reports, other instances, the operators' client. Checked and CheckTrailer look at names once more after net/http, for encrypted connections and trailers. Statuses from 600 on stay failures that are passed on as they are (RFC 9110, section 15: to be processed as 5xx). Folded lines are refused, as section 5.2 of RFC 9112 lets a gateway do.

TestBodiesCostNothing drew folded lines; it draws tabs in their place, and TestHeadSyntax has the folded lines. TestHeadsWithoutEndFail has a status line without end that is one: other bytes fail sooner now. TestCutHead, TestUnfinishedHeadsShareABudget and TestHeadsInPieces moved with the code, unchanged but for names.

--- a/internal/app/edge/early_test.go
+++ b/internal/app/edge/early_test.go
@@ -83,3 +83,47 @@
 	must.Eq(t, http.StatusOK, reply.Status)
 	must.Eq(t, "done", reply.Body)
 }
+
+// Guards against answers whose heads are none (MIXED): what net/http makes of a blank in a name or before the status was passed on, a length
+// or chunks not understood as such among them.
+func TestSpoiltHeadsAreNoAnswers(t *testing.T) {
+	const ok, framing = "HTTP/1.1 200 OK", "Content-Length: 21\r\n\r\n"
+	for name, head := range map[string]string{
+		"status 000":                  fake.SignedHead("HTTP/1.1 000 OK") + framing,
+		"status 099":                  fake.SignedHead("HTTP/1.1 099 OK") + framing,
+		"status +20":                  fake.SignedHead("HTTP/1.1 +20 OK") + framing,
+		"status of four digits":       fake.SignedHead("HTTP/1.1 2000 OK") + framing,
+		"two blanks before status":    fake.SignedHead("HTTP/1.1  200 OK") + framing,
+		"control byte in the reason":  fake.SignedHead("HTTP/1.1 200 O\x01K") + framing,
+		"blank in a name":             fake.SignedHead(ok) + "X Foo: a\r\n" + framing,
+		"blank before the colon":      fake.SignedHead(ok) + "X-Foo : a\r\n" + framing,
+		"tab in a name":               fake.SignedHead(ok) + "X\tFoo: a\r\n" + framing,
+		"control byte in a name":      fake.SignedHead(ok) + "X\x01Foo: a\r\n" + framing,
+		"blank before a name":         fake.SignedHead(ok) + " X-Foo: a\r\n" + framing,
+		"no name":                     fake.SignedHead(ok) + ": a\r\n" + framing,
+		"blank after the length":      fake.SignedHead(ok) + "Content-Length : 5\r\n\r\n",
+		"blank before the length":     fake.SignedHead(ok) + " Content-Length: 5\r\n\r\n",
+		"blank after the encoding":    fake.SignedHead(ok) + "Transfer-Encoding : chunked\r\n\r\n15\r\n",
+		"blank in a name, HTTP/1.0":   fake.SignedHead("HTTP/1.0 200 OK") + "X Foo: a\r\n" + framing,
+		"blank in an interim answer":  "HTTP/1.1 103 Early Hints\r\nX Foo: a\r\n\r\n" + fake.SignedHead(ok) + framing,
+		"status 000 after an interim": "HTTP/1.1 103 Early Hints\r\n\r\n" + fake.SignedHead("HTTP/1.1 000 OK") + framing,
+	} {
+		checkSpoilt(t, name, head+events(1, 1))
+	}
+	chunks := fake.SignedHead(ok) + "Transfer-Encoding: chunked\r\n\r\n15\r\n" + events(1, 1) + "\r\n0\r\n"
+	checkSpoilt(t, "blank in a name of the trailer", chunks+"X Foo: a\r\n\r\n")
+	checkSpoilt(t, "blank after a name of the trailer", chunks+"X-Foo : a\r\n\r\n")
+}
+
+// checkSpoilt checks that an answer is not given to callers.
+func checkSpoilt(t *testing.T, name, bytes string) {
+	t.Helper()
+	for route, call := range map[string]fake.Call{"book": newCall(http.MethodPost, fake.BookPath+"1"), "stream": newPromptCall(fake.BriefPath + "1")} {
+		t.Run(name+", "+route, func(t *testing.T) {
+			t.Parallel()
+			s := &script{first: fake.Answer{Bytes: bytes, End: fake.CloseConn}}
+			reply := startScriptedSite(t, s).send(t, call)
+			must.False(t, reply.Status == http.StatusOK && reply.Complete, must.Sprint(reply.Body))
+		})
+	}
+}
--- a/internal/app/opctl/opctl.go
+++ b/internal/app/opctl/opctl.go
@@ -53,7 +53,7 @@
 		panic(err)
 	}
 	p.CommandHandler = func(command flags.Commander, rest []string) error {
-		c.api = wire.NewOperatorProtobufClient(c.Router, &http.Client{Timeout: callTimeout, Transport: bound.Transport(http.DefaultTransport, maxResponseBytes)})
+		c.api = wire.NewOperatorProtobufClient(c.Router, &http.Client{Timeout: callTimeout, Transport: bound.Transport(http.DefaultTransport.(*http.Transport).Clone(), maxResponseBytes)})
 		if c.Operator == "" {
 			c.Operator = loginName()
 		}
--- a/internal/front/relay/head.go
+++ b/internal/base/bound/answer.go
@@ -1,17 +1,15 @@
-package relay
+package bound
 
 import (
 	"bytes"
 	"errors"
 	"net"
 	"sync"
-
-	"github.com/skylarkquay/skylarkquay/internal/base/bound"
 )
 
-// errFraming is returned for a response of HTTP/1.0 with chunks, which that version does not have. net/http takes the sizes of the
+// ErrFraming is returned for a response of HTTP/1.0 with chunks, which that version does not have. net/http takes the sizes of the
 // chunks for a part of the body.
-var errFraming = errors.New("the response is of HTTP/1.0 and names a transfer encoding")
+var ErrFraming = errors.New("the response is of HTTP/1.0 and names a transfer encoding")
 
 const (
 	// maxHeadLines bounds the lines of all heads of a response: a short one takes far more memory than its bytes.
@@ -20,25 +18,27 @@
 	freeHeadBytes = 4 << 10
 )
 
-// headConn is a connection to an upstream that limits the heads of each response. The limit of net/http starts anew after an
-// informational response. It fails with errFraming if a response names an encoding that its version does not have.
-type headConn struct {
+// AnswerConn is a connection on which a transport of net/http reads answers. It limits the heads of each, whose limit in net/http starts
+// anew after an informational response, and fails with ErrMalformed if one is none, and with ErrFraming if it names an encoding that its
+// version does not have.
+type AnswerConn struct {
 	net.Conn
 	mu sync.Mutex
 	// head is the beginning of the response, without earlier heads. A long one counts until the next response.
-	head *bound.Buffer
+	head *Buffer
 	// size and lines are those of the earlier heads of the response, which are informational.
 	size, lines int
-	// done is set when the last head has been read, or the connection is closed.
+	// done is set before the first request, when the last head has been read, and when the connection is closed.
 	done bool
 }
 
-func newHeadConn(c net.Conn, memory *bound.Budget) *headConn {
-	return &headConn{Conn: c, head: memory.Buffer(bound.MaxHeaderBytes)}
+// NewAnswerConn returns a connection whose heads take their memory from a budget.
+func NewAnswerConn(c net.Conn, memory *Budget) *AnswerConn {
+	return &AnswerConn{Conn: c, head: memory.Buffer(MaxHeaderBytes), done: true}
 }
 
-// begin is called before each request.
-func (c *headConn) begin() {
+// Begin is called before each request.
+func (c *AnswerConn) Begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Release()
@@ -46,7 +46,7 @@
 }
 
 // Close implements net.Conn.
-func (c *headConn) Close() error {
+func (c *AnswerConn) Close() error {
 	c.mu.Lock()
 	c.head.Release()
 	c.done = true
@@ -55,7 +55,7 @@
 }
 
 // Read implements io.Reader.
-func (c *headConn) Read(p []byte) (int, error) {
+func (c *AnswerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if limitErr := c.inspect(p[:n]); limitErr != nil {
 		return 0, limitErr
@@ -64,13 +64,13 @@
 }
 
 // inspect takes the next bytes of the response.
-func (c *headConn) inspect(p []byte) error {
+func (c *AnswerConn) inspect(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.done {
 		return nil
 	}
-	if err := c.head.Append(p[:min(len(p), bound.MaxHeaderBytes-c.size-len(c.head.Bytes()))]); err != nil {
+	if err := c.head.Append(p[:min(len(p), MaxHeaderBytes-c.size-len(c.head.Bytes()))]); err != nil {
 		return err
 	}
 	if bytes.IndexByte(p, '\n') >= 0 {
@@ -81,25 +81,28 @@
 			}
 		}
 	}
-	if !c.done && c.size+len(c.head.Bytes()) >= bound.MaxHeaderBytes {
-		return bound.ErrTooLong
+	if !c.done && c.size+len(c.head.Bytes()) >= MaxHeaderBytes {
+		return ErrTooLong
 	}
 	return nil
 }
 
 // inspectHead checks the head that the buffer begins with. It reports whether another one follows.
-func (c *headConn) inspectHead() (bool, error) {
+func (c *AnswerConn) inspectHead() (bool, error) {
 	data := c.head.Bytes()
 	head, whole := cutHead(data)
 	lines := bytes.Count(head, []byte("\n"))
 	if c.lines+lines > maxHeadLines {
-		return false, bound.ErrTooLong
+		return false, ErrTooLong
 	}
 	if !whole {
 		return false, nil
 	}
+	if err := check(head); err != nil {
+		return false, err
+	}
 	if isWronglyFramed(head) {
-		return false, errFraming
+		return false, ErrFraming
 	}
 	if !isInformational(head) {
 		c.done = true
@@ -119,7 +122,6 @@
 // isInformational reports whether another head of the same response follows.
 func isInformational(head []byte) bool {
 	_, status, _ := bytes.Cut(head, []byte(" "))
-	status = bytes.TrimLeft(status, " ")
 	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 }
 
--- a/internal/base/bound/bound.go
+++ b/internal/base/bound/bound.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 )
 
 // MaxHeaderBytes limits the header of a response.
@@ -44,29 +43,3 @@
 	io.Reader
 	io.Closer
 }
-
-type transport struct {
-	next  http.RoundTripper
-	limit int64
-}
-
-// Transport returns a round tripper whose response bodies fail with ErrTooLong after limit bytes. It is for clients that read
-// bodies to their end.
-func Transport(next http.RoundTripper, limit int64) http.RoundTripper { return &transport{next, limit} }
-
-// RoundTrip implements http.RoundTripper.
-func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.next.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	resp.Body = body{Reader(resp.Body, t.limit), resp.Body}
-	return resp, nil
-}
-
-// CloseIdleConnections closes the idle connections of the underlying transport, if it keeps any.
-func (t *transport) CloseIdleConnections() {
-	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
-}
--- a/internal/base/bound/bound_test.go
+++ b/internal/base/bound/bound_test.go
@@ -118,7 +118,7 @@
 		_, _ = io.Copy(w, endless{})
 	}))
 	defer server.Close()
-	client := &http.Client{Transport: Transport(http.DefaultTransport, 1000)}
+	client := &http.Client{Transport: Transport(&http.Transport{}, 1000)}
 	resp, err := client.Get(server.URL)
 	must.NoError(t, err)
 	data, err := io.ReadAll(resp.Body)
--- a/internal/base/bound/head.go
+++ b/internal/base/bound/head.go
@@ -21,7 +21,8 @@
 const OldProtocol = "HTTP/1.0"
 
 // HeadConn is a connection that fails with ErrTooLong if the head of a response has more than MaxHeaderBytes, together with those of
-// the informational responses before it, or takes more memory than its budget has. net/http reads a head of any length.
+// the informational responses before it, or takes more memory than its budget has, and with ErrMalformed if it is none. net/http reads a
+// head of any length.
 type HeadConn struct {
 	net.Conn
 	memory *Budget
@@ -29,7 +30,7 @@
 	reading   bool
 	remaining int
 	// failed is set for good when a read has failed: readers of heads ignore some errors and read on, without the bytes before.
-	failed bool
+	failed error
 	// cost is the memory of the head, taken what comes from the budget.
 	cost, taken int64
 	// line is the beginning of the current line, lineBytes its length, and lines the number of lines before it in the response.
@@ -38,6 +39,7 @@
 	lines     int
 	// informational reports whether the head is that of an informational response.
 	informational bool
+	syntax        headSyntax
 	// old holds what was read if it begins as a head of HTTP/1.0, and maybe the beginning of its body.
 	old []byte
 }
@@ -49,7 +51,7 @@
 func (c *HeadConn) Expect(read []byte) error {
 	c.Release()
 	c.reading, c.remaining, c.cost, c.old = true, MaxHeaderBytes, 0, nil
-	c.line, c.lineBytes, c.lines, c.informational = c.line[:0], 0, 0, false
+	c.line, c.lineBytes, c.lines, c.informational, c.syntax = c.line[:0], 0, 0, false, headSyntax{}
 	return c.count(read)
 }
 
@@ -69,20 +71,19 @@
 
 // Read implements io.Reader.
 func (c *HeadConn) Read(p []byte) (int, error) {
-	if c.failed {
-		return 0, ErrTooLong
+	if c.failed != nil {
+		return 0, c.failed
 	}
 	if !c.reading {
 		return c.Conn.Read(p)
 	}
 	if c.remaining <= 0 {
-		c.failed = true
+		c.failed = ErrTooLong
 		return 0, ErrTooLong
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
-	if tooLong := c.count(p[:n]); tooLong != nil {
-		c.failed = true
-		return 0, tooLong
+	if c.failed = c.count(p[:n]); c.failed != nil {
+		return 0, c.failed
 	}
 	return n, err
 }
@@ -100,6 +101,11 @@
 			part = p
 		}
 		p = p[len(part):]
+		for _, b := range part {
+			if err := c.syntax.next(b); err != nil {
+				return err
+			}
+		}
 		c.cost += int64(len(part)) * byteCost
 		c.lineBytes += len(part)
 		c.line = append(c.line, part[:min(len(part), keptLineBytes-len(c.line))]...)
@@ -119,7 +125,7 @@
 		c.informational = len(c.line) == keptLineBytes && c.line[statusAt] == '1'
 		c.lines++
 	case empty && c.informational:
-		c.lines = 0
+		c.lines, c.syntax = 0, headSyntax{}
 	case empty:
 		c.reading = false
 	default:
--- a/internal/base/bound/head_test.go
+++ b/internal/base/bound/head_test.go
@@ -31,7 +31,7 @@
 func TestHeadsWithoutEndFail(t *testing.T) {
 	interim := "HTTP/1.1 103 Early Hints\r\n\r\n"
 	for name, text := range map[string]string{
-		"no line":                     strings.Repeat("x", 2*MaxHeaderBytes),
+		"no line":                     "HTTP/1.1 200 " + strings.Repeat("x", 2*MaxHeaderBytes),
 		"one line":                    okLine + strings.Repeat("x", 2*MaxHeaderBytes),
 		"lines":                       okLine + strings.Repeat("A: b\r\n", MaxHeaderBytes),
 		"informational":               strings.Repeat(interim, MaxHeaderBytes),
@@ -85,7 +85,7 @@
 		}
 		head.WriteString(okLine)
 		for range rapid.IntRange(0, 9).Draw(t, "lines") {
-			head.WriteString(rapid.SampledFrom([]string{"A: b\r\n", "B:\n", "C: \r\n  d\r\n"}).Draw(t, "line"))
+			head.WriteString(rapid.SampledFrom([]string{"A: b\r\n", "B:\n", "C: \td\r\n"}).Draw(t, "line"))
 		}
 		head.WriteString(rapid.SampledFrom([]string{"\r\n", "\n"}).Draw(t, "end"))
 		body := strings.Repeat("\n", rapid.IntRange(0, 3*MaxHeaderBytes).Draw(t, "body"))
--- a/internal/front/link/link.go
+++ b/internal/front/link/link.go
@@ -247,15 +247,12 @@
 		if err := checkFraming(raw, c.head.Old()); err != nil {
 			return nil, err
 		}
-		if raw.StatusCode < http.StatusContinue {
-			return nil, ErrMalformed
-		}
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
 		c.head.End()
 		if r.Matches(raw.Header) {
-			return &Response{Status: raw.StatusCode, Header: raw.Header, Body: quietBody{raw.Body}, pool: p, conn: c, raw: raw}, nil
+			return &Response{Status: raw.StatusCode, Header: raw.Header, Body: quietBody{bound.CheckTrailer(raw)}, pool: p, conn: c, raw: raw}, nil
 		}
 		if raw.Close {
 			return nil, ErrStray
--- a/internal/front/relay/head_test.go
+++ b/internal/front/relay/head_test.go
@@ -1,16 +1,13 @@
 package relay
 
 import (
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
 	"testing"
-	"testing/iotest"
 
 	"github.com/shoenig/test/must"
 
@@ -36,24 +33,10 @@
 		if err == nil {
 			_ = res.Body.Close()
 		}
-		must.ErrorIs(t, err, errFraming, must.Sprint(head))
+		must.ErrorIs(t, err, bound.ErrFraming, must.Sprint(head))
 	}
 }
 
-func TestCutHead(t *testing.T) {
-	const head = "HTTP/1.0 200 OK\r\nA: b\r\n"
-	for n := range len(head) + len("\r") {
-		_, whole := cutHead([]byte((head + "\r\n")[:n]))
-		must.False(t, whole)
-	}
-	got, whole := cutHead([]byte(head + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
-	must.True(t, whole)
-	must.Eq(t, head, string(got))
-	must.False(t, isWronglyFramed(got))
-	must.False(t, isWronglyFramed([]byte(strings.Replace(head, "A", "Transfer-Encoding", 1)[len("HTTP/1.0"):])))
-	must.True(t, isWronglyFramed([]byte(strings.Replace(head, "A", "Transfer-Encoding", 1))))
-}
-
 // send sends requests over one pool and returns the first error.
 func send(t *testing.T, pool *Pool, address string, requests int) error {
 	t.Helper()
@@ -93,7 +76,7 @@
 
 func TestFramingIsCheckedAfterAnInformationalResponse(t *testing.T) {
 	text := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
-	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, text, fake.CloseConn), 1), errFraming)
+	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, text, fake.CloseConn), 1), bound.ErrFraming)
 }
 
 // Only the first response on a connection was looked at.
@@ -109,7 +92,7 @@
 	t.Cleanup(u.Close)
 	pool := NewPool(DialTCP)
 	must.NoError(t, send(t, pool, u.Address(), 1))
-	must.ErrorIs(t, send(t, pool, u.Address(), 1), errFraming)
+	must.ErrorIs(t, send(t, pool, u.Address(), 1), bound.ErrFraming)
 }
 
 // A head of many short lines takes far more memory than its bytes.
@@ -125,56 +108,12 @@
 	must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, lines(5000), fake.KeepOpen), 1), bound.ErrTooLong)
 }
 
-// textConn reads a text and then stalls.
-type textConn struct {
-	net.Conn
-	io.Reader
-}
-
-func (c textConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
-func (c textConn) Close() error               { return nil }
-
-// Each connection held up to 64 KB of a head without end.
-func TestUnfinishedHeadsShareABudget(t *testing.T) {
-	const size = bound.MaxHeaderBytes - 1000
-	pool := NewPool(DialTCP)
-	pool.Memory = bound.NewBudget(1 << 20)
-	held := 0
-	var conns []*headConn
-	for range 200 {
-		text := "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", size)
-		c := newHeadConn(textConn{Reader: io.MultiReader(strings.NewReader(text), iotest.ErrReader(errStalled))}, pool.Memory)
-		conns = append(conns, c)
-		if _, err := io.Copy(io.Discard, readerOnly{c}); errors.Is(err, errStalled) {
-			held++
-		} else {
-			must.ErrorIs(t, err, bound.ErrTooLong)
-		}
-	}
-	must.Positive(t, held)
-	must.LessEq(t, 2*(1<<20)/size, held)
-	for _, c := range conns {
-		must.NoError(t, c.Close())
+// Guards against answers whose heads are none, which net/http accepts.
+func TestSpoiltHeadsAreRejected(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 200 OK\r\nX Foo: a\r\n", "HTTP/1.1 200 OK\r\nX-Foo : a\r\n",
+		"HTTP/1.1 200 OK\r\nX-Foo: a\r\n X-Bar: b\r\n", "HTTP/1.1 103 Early Hints\r\nX Foo: a\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		must.ErrorIs(t, send(t, NewPool(DialTCP), scripted(t, head+"Content-Length: 0\r\n\r\n", fake.CloseConn), 1), bound.ErrMalformed, must.Sprint(head))
 	}
-	must.Eq(t, 0, pool.Memory.Used())
-}
-
-type readerOnly struct{ io.Reader }
-
-// Heads that come a byte at a time are found, and their memory is released.
-func TestHeadsInPieces(t *testing.T) {
-	text := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 30<<10) + "\r\n\r\nbody" + strings.Repeat("\n", 1000)
-	memory := bound.NewBudget(1 << 20)
-	c := newHeadConn(textConn{Reader: iotest.OneByteReader(strings.NewReader(text + text))}, memory)
-	data, err := io.ReadAll(io.LimitReader(c, int64(len(text))))
-	must.NoError(t, err)
-	must.Eq(t, text, string(data))
-	must.Positive(t, memory.Used())
-	c.begin()
-	must.Eq(t, 0, memory.Used())
-	data, err = io.ReadAll(c)
-	must.NoError(t, err)
-	must.Eq(t, text, string(data))
-	must.NoError(t, c.Close())
-	must.Eq(t, 0, memory.Used())
 }
--- a/internal/front/relay/pool.go
+++ b/internal/front/relay/pool.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -107,7 +106,7 @@
 			if err != nil {
 				return nil, &DialError{Err: err}
 			}
-			return newHeadConn(c, p.Memory), nil
+			return bound.NewAnswerConn(c, p.Memory), nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -131,12 +130,7 @@
 
 // send sends a request. The body of the response ends with io.EOF only if the upstream is known to have ended it.
 func (p *Pool) send(t *http.Transport, req *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*headConn); ok {
-			c.begin()
-		}
-	}})
-	res, err := t.RoundTrip(req.WithContext(ctx))
+	res, err := bound.Checked(t, req)
 	if err == nil && endsWithConnection(req, res) {
 		res.Body = &closedBody{ReadCloser: res.Body, ctx: req.Context(), address: req.URL.Host, dial: p.dial}
 	}
