fatal: parts of one message are judged together, and a more suspect part replaces a block

Callers: none seen; found by reading the change again. An instance that learns of the crashes from messages judged each part when it was merged, so that a popular part could be refused before the crashing one of the same message was known; its block then explained the crashes of the other one, which was never refused.

Change: all parts of a message are merged first. A block explains the crashes of less suspect parts only, so that a more suspect one still reaches its limit and takes the block over. Some comments are reworded.

TestReportsAreJudgedTogether failed before.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -97,7 +97,7 @@
 }
 
 // Guards against a part that is never refused where only one instance gets requests (ReviewCaseQuiet): the others had no recent
-// connection of their own that showed whose fault a refused connection is, so that no crash was counted.
+// connection of their own, which distinguishes an upstream that has ended from a broken path, so that no crash was counted.
 func TestPromptPartIsRefusedOnAQuietSite(t *testing.T) {
 	t.Parallel()
 	const requests, refused = 7, 3
@@ -119,8 +119,8 @@
 	}
 }
 
-// Guards against the same where no other upstream could show that the path is sound: that the upstream is listed as another process
-// shows it later.
+// Guards against the same where there is no other upstream to connect to: the crash is counted when the upstream is listed as another
+// process.
 func TestPromptPartThatCrashesTheOnlyUpstreamIsRefused(t *testing.T) {
 	t.Parallel()
 	const requests, refused = 7, 3
@@ -189,7 +189,7 @@
 }
 
 // Guards against the refusal of a common first part in place of the part that crashes engines, after the instances were restarted
-// (ReviewCaseBlame): what told them apart was in memory only, and while engines crash no request lives long enough to tell it again.
+// (ReviewCaseBlame): the evidence that distinguishes them was in memory only, and no request survives while engines crash each second.
 func TestRightPartIsRefusedAfterARestart(t *testing.T) {
 	for name, together := range map[string]bool{"in turn": false, "all at once": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/app/edge/early_test.go
+++ b/internal/app/edge/early_test.go
@@ -15,7 +15,7 @@
 const (
 	// longBody is more than the kernel holds of what an upstream does not read.
 	longBody = 4 << 20
-	// earlyTries is how often each answer is tried: which call of the kernel gets the error of a reset is a matter of moments.
+	// earlyTries is the number of requests to each upstream: whether a read or a write gets the error of a reset is not determined.
 	earlyTries = 8
 )
 
--- a/internal/app/edge/relist_test.go
+++ b/internal/app/edge/relist_test.go
@@ -60,7 +60,7 @@
 	return routers, ordered
 }
 
-// Guards against requests to an upstream whose entry was removed while the store turned away the instances that read the list first
+// Guards against requests to an upstream whose entry was removed while the store refused the instances that read the list first
 // (ReviewCaseRelist): their failed reads were taken for an outage in which the entries of live upstreams lapse.
 func TestRemovedUpstreamGetsNothingWhileInstancesAreTurnedAway(t *testing.T) {
 	for _, turnedAway := range []int{1, 2} {
@@ -146,8 +146,8 @@
 	must.False(t, ok)
 }
 
-// Guards against an instance that goes on with an outdated list while the store turns it away: the changes that others report are of no
-// use to one that has missed earlier ones.
+// Guards against an outdated list at an instance that the store refuses: it cannot apply the changes that others report if it has missed
+// earlier ones.
 func TestInstanceThatMissedChangesCopiesTheList(t *testing.T) {
 	s := newSite(t, 0, 2)
 	routers, doors := startBehindDoors(t, s, 2)
--- a/internal/front/detour/check.go
+++ b/internal/front/detour/check.go
@@ -24,7 +24,7 @@
 	Ended Finding = "ended"
 	// Reachable means that this instance can connect to the upstream.
 	Reachable Finding = "reachable"
-	// Silent means that no instance that was asked can connect to the upstream, and that none can tell whether it has ended.
+	// Silent means that no instance that was asked can connect to the upstream, and that it is not known to have ended.
 	Silent Finding = "silent"
 	// PathBroken means that this instance has no path of its own to the upstream.
 	PathBroken Finding = "path broken"
--- a/internal/front/detour/detour_test.go
+++ b/internal/front/detour/detour_test.go
@@ -243,7 +243,7 @@
 }
 
 // Guards against crashes that are not counted on a quiet site (ReviewCaseQuiet): no instance had connected to an upstream recently, so
-// that none could tell its own broken path from the end of the upstream.
+// that a refused connection could be due to a broken path.
 func TestExamineOnAQuietSite(t *testing.T) {
 	ended, another := "127.0.0.1:1", startUpstream(t, func(c *net.TCPConn) { _ = c.Close() })
 	target := Target{ID: "u", Address: ended}
--- a/internal/front/detour/proof.go
+++ b/internal/front/detour/proof.go
@@ -41,7 +41,7 @@
 	return slices.DeleteFunc(d.Upstreams(), func(address string) bool { return address == refusing })
 }
 
-// isAlone reports whether there is neither another instance nor another upstream that could tell a broken path from the end of an upstream.
+// isAlone reports whether there is neither another instance nor another upstream to distinguish a broken path from the end of an upstream.
 func (d *Dialer) isAlone(refusing string) bool {
 	return len(d.Candidates()) == 0 && len(d.others(refusing)) == 0
 }
--- a/internal/front/serve/suspect.go
+++ b/internal/front/serve/suspect.go
@@ -13,7 +13,7 @@
 	maxSuspects = 256
 )
 
-// suspect is a request that broke off at an upstream of which no instance could tell whether it had ended.
+// suspect is a request that broke off at an upstream that is not known to have ended.
 type suspect struct {
 	id       string
 	upstream string
--- a/internal/once/fatal/judge.go
+++ b/internal/once/fatal/judge.go
@@ -21,10 +21,10 @@
 	return sum, first
 }
 
-// isExplained reports whether a refused part was in a crash, too. Of two refused parts, the more suspect one explains it.
+// isExplained reports whether a more suspect part that is refused was in a crash, too.
 func (tr *PartTracker) isExplained(p *part, c partCrash) bool {
 	for _, b := range tr.blocked {
-		if b != p && (p.blockedAt.IsZero() || b.moreSuspect(p)) && b.includes(c) {
+		if b != p && b.moreSuspect(p) && b.includes(c) {
 			return true
 		}
 	}
--- a/internal/once/fatal/parts_test.go
+++ b/internal/once/fatal/parts_test.go
@@ -405,7 +405,7 @@
 }
 
 // Guards against the refusal of the common first part of a client's prompts in place of the one that crashes upstreams
-// (ReviewCaseBlame): after a restart nothing told them apart, because no request lived long enough to survive.
+// (ReviewCaseBlame): after a restart both have the same evidence, because no request survives.
 func TestPartOfAnswersThatBeginIsNotBlocked(t *testing.T) {
 	tr := NewPartTracker()
 	at := start
@@ -499,6 +499,24 @@
 	must.SliceLen(t, maxSoundReports, a.ReportSound(start))
 }
 
+// Guards against a popular part that is refused because it was judged before the other parts of the same message were known.
+func TestReportsAreJudgedTogether(t *testing.T) {
+	a, b := NewPartTracker(), NewPartTracker()
+	at := crashTogether(a, start, minPartCrashes, []uint64{commonPart, deadPart}, nil)
+	reports := a.Report(at)
+	slices.SortFunc(reports, func(x, y PartReport) int { return x.Position - y.Position })
+	b.Merge(at, reports)
+	must.True(t, isListed(b, at, deadPart))
+	must.False(t, isListed(b, at, commonPart))
+	// The same in two messages.
+	b = NewPartTracker()
+	b.Merge(at, reports[:1])
+	must.True(t, isListed(b, at, commonPart))
+	b.Merge(at, reports[1:])
+	must.True(t, isListed(b, at, deadPart))
+	must.False(t, isListed(b, at, commonPart))
+}
+
 // Instances that each see a part of the crashes and answers refuse the same part, whichever part of the prompt it is.
 func TestInstancesBlockTheSamePart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/once/fatal/report.go
+++ b/internal/once/fatal/report.go
@@ -100,6 +100,7 @@
 func (tr *PartTracker) Merge(now time.Time, reports []PartReport) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	var merged []*part
 	for _, r := range reports {
 		id, err := strconv.ParseUint(r.Part, 16, 64)
 		if err != nil {
@@ -107,7 +108,13 @@
 		}
 		p := tr.getOrCreate(now, id)
 		tr.merge(now, p, r)
-		tr.update(now, p)
+		merged = append(merged, p)
+	}
+	// Parts are judged against each other.
+	for _, p := range merged {
+		if tr.parts[p.id] == p {
+			tr.update(now, p)
+		}
 	}
 }
 
--- a/internal/peer/outage/outage.go
+++ b/internal/peer/outage/outage.go
@@ -1,5 +1,5 @@
-// Package outage decides, from the reads of all instances, whether the platform's store was away for all of them. An instance that the
-// store turns away while it serves others has seen no outage.
+// Package outage decides, from the reads of all instances, whether the platform's store was away for all of them. Failed reads of one
+// instance are no outage while others read the store.
 package outage
 
 import (
@@ -13,7 +13,7 @@
 	Since, Until time.Duration
 }
 
-// Tracker knows when the store was last read by any instance, and when it was back from the latest outage. Times are on the boot-time
+// Tracker holds when the store was last read by any instance, and when it was back from the latest outage. Times are on the boot-time
 // clock, which counts suspensions. It is safe for concurrent use.
 type Tracker struct {
 	mu sync.Mutex
