--- a/internal/app/edge/handover.go
+++ b/internal/app/edge/handover.go
@@ -17,9 +17,10 @@
 	crashesPath = "/crashes"
 	// crashesTimeout bounds the response, which comes from memory.
 	crashesTimeout = 500 * time.Millisecond
-	// crashesInterval is the pause between attempts, and maxCrashesAsked their number. Instances of earlier builds have no answer.
+	// crashesInterval is the pause between attempts, and maxCrashesAsked their number. Instances of earlier builds have no answer, and
+	// others may have just started too.
 	crashesInterval = 200 * time.Millisecond
-	maxCrashesAsked = 10
+	maxCrashesAsked = 3
 )
 
 // crashKnowledge is what an instance hands on of crashes, beyond its messages, to one that starts.
@@ -50,8 +51,8 @@
 			e.log.Info("crash: copy from another instance failed", "from", from, "error", err.Error())
 			continue
 		}
-		e.log.Info("crash: copied from another instance", "from", from, "sound", len(known.Sound))
 		if len(known.Sound) > 0 {
+			e.log.Info("crash: copied from another instance", "from", from, "sound", len(known.Sound))
 			return
 		}
 	}
