Count the memory of requests that run

Cause: the account of what is held for callers counts 16 KB for a connection, which covers the server's buffers and its goroutine while idle. A request that runs takes some 24 KB more: grown stacks (9.3 MB in 605 goroutines at the peak) and its connection to an upstream. With 384 requests at once that were 9 MB that nothing bounded.

Ruled out: late garbage collection (at the peak the heap's goal is what is live, 13.4 MB) and the buffers of answers (3.6 MB, within their budget).

Change: a request takes hold.RequestBytes while it runs, after its key has been checked and before its quota is charged. Where that is not left, idle connections of others are cut as for bodies, or the request is refused with 503 and has not run.

TestRunningRequestsTakeMemory fails before: all eight requests run where there is memory for three.

--- a/internal/app/edge/edge_test.go
+++ b/internal/app/edge/edge_test.go
@@ -50,10 +50,23 @@
 
 // startRouterOn starts a router that connects to upstreams by the given function.
 func startRouterOn(t *testing.T, cfg Settings, dial platform.Dial) *router {
+	t.Helper()
+	e := newEdge(t, cfg)
+	e.dialer.Direct = dial
+	return runRouter(t, e)
+}
+
+// newEdge returns a router that does not run yet.
+func newEdge(t *testing.T, cfg Settings) *Edge {
 	t.Helper()
 	e, err := New(cfg, "", logr.Discard(), func() int64 { return 0 })
 	must.NoError(t, err)
-	e.dialer.Direct = dial
+	return e
+}
+
+// runRouter runs a router until the end of the test.
+func runRouter(t *testing.T, e *Edge) *router {
+	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	r := &router{Edge: e, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- e.Run(ctx) }()
--- a/internal/app/edge/hold_test.go
+++ b/internal/app/edge/hold_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/skylarkquay/skylarkquay/internal/limit/hold"
 	"github.com/skylarkquay/skylarkquay/platform/fake"
 )
 
@@ -97,6 +101,55 @@
 	eventually(t, "nothing is held", func() bool { return r.account.Count() == 0 && r.account.Used()["bodies"] == 0 })
 }
 
+// Hundreds of requests at once took more memory than their connections were counted with.
+func TestRunningRequestsTakeMemory(t *testing.T) {
+	const running, callers = 3, 8
+	s := newSite(t, 1, 1)
+	gate := make(chan struct{})
+	var open sync.Once
+	defer open.Do(func() { close(gate) })
+	var ran atomic.Int64
+	registerScripted(t, s, s.Jobs[0], func(*http.Request) fake.Answer {
+		ran.Add(1)
+		<-gate
+		return fake.Answer{Bytes: fake.SignedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\nwhole"}
+	})
+	e := newEdge(t, testSettings(t, s))
+	e.account = hold.NewAccount(hold.Limits{Bytes: callers*hold.ConnBytes + running*hold.RequestBytes, Conns: callers}, e.log, nil)
+	r := runRouter(t, e)
+	eventually(t, "ready", r.isReady)
+	conns := make([]*fake.Conn, callers)
+	for i := range conns {
+		var err error
+		conns[i], err = fake.Dial(t.Context(), r.settings.Listen)
+		must.NoError(t, err)
+		defer conns[i].Close()
+	}
+	eventually(t, "connected", func() bool { return r.account.Count() == callers })
+	results := make(chan fake.Response, callers)
+	for _, c := range conns {
+		go func() {
+			result, _, _, err := c.Send(context.Background(), newCall(http.MethodPost, fake.LookPath+"1"))
+			if err != nil {
+				result.Body = err.Error()
+			}
+			results <- result
+		}()
+	}
+	for range callers - running {
+		refused := <-results
+		must.Eq(t, http.StatusServiceUnavailable, refused.Status, must.Sprint(refused.Body))
+		must.Positive(t, refused.RetryAfter)
+	}
+	eventually(t, "the others run", func() bool { return ran.Load() == running })
+	open.Do(func() { close(gate) })
+	for range running {
+		must.Eq(t, http.StatusOK, (<-results).Status)
+	}
+	must.Eq(t, running, ran.Load())
+	eventually(t, "nothing is held", func() bool { return r.account.Used()[hold.Requests] == 0 })
+}
+
 // A stream whose caller reads nothing kept its upstream for ever.
 func TestUnreadStreamIsCut(t *testing.T) {
 	s := newSite(t, 1, 1)
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -136,9 +136,10 @@
 	workspace *policy.Workspace
 	service   string
 	body      []byte
-	// conn is the caller's connection, or nil; grant is the memory for the body.
-	conn  *hold.Conn
-	grant *hold.Grant
+	// conn is the caller's connection, or nil; grant is the memory for the body, running that for the rest of the request.
+	conn    *hold.Conn
+	grant   *hold.Grant
+	running *hold.Grant
 	// unread reports whether a part of the body has not been read, discarded whether it has been read but is not known.
 	unread, discarded bool
 	started           time.Time
@@ -204,6 +205,8 @@
 	x.conn = hold.FromContext(r.Context())
 	x.grant = hold.NewGrant(x.conn, hold.Bodies)
 	defer x.grant.Release()
+	x.running = hold.NewGrant(x.conn, hold.Requests)
+	defer x.running.Release()
 	if err := x.admit(); err != nil {
 		x.respondError(err)
 		return
@@ -258,6 +261,9 @@
 	if x.crashesUpstreams(x.started) {
 		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "upstreams crash while running requests with a part of the prompt")
 	}
+	if err := x.running.Grow(x.r.Context(), time.Now(), hold.RequestBytes); err != nil {
+		return fault.New(fault.Overloaded, "no memory for another request now")
+	}
 	return x.chargeQuota(boot)
 }
 
--- a/internal/limit/hold/hold.go
+++ b/internal/limit/hold/hold.go
@@ -11,8 +11,13 @@
 	"github.com/go-logr/logr"
 )
 
-// ConnBytes is the memory of a caller's connection with a request: its goroutine, buffers and header.
-const ConnBytes = 16 << 10
+const (
+	// ConnBytes is the memory of a caller's connection: its goroutine, buffers and header.
+	ConnBytes = 16 << 10
+	// RequestBytes is the memory of a request that runs, beside its connection, body and answer: the stacks of its goroutines and its
+	// connection to an upstream.
+	RequestBytes = 24 << 10
+)
 
 // ErrShort is returned when there is no memory and no connection of another caller may be cut for it.
 var ErrShort = errors.New("no memory for the request now")
@@ -25,6 +30,7 @@
 	Connections Kind = "connections"
 	Heads       Kind = "heads"
 	Bodies      Kind = "bodies"
+	Requests    Kind = "requests"
 	Answers     Kind = "answers"
 )
 
