fatal: instances that start copy the counts of crashes by request

Cause: counts are held in memory, and each instance reports its own only. What the last one to be restarted had counted was known to nobody afterwards; a smaller count of a restarted instance replaced the larger one from before as well.

Change: GET /crashes, which instances that start call already for the parts of sound requests, also returns all counts by instance and their age. The caller takes its own back and reports them again. Smaller counts don't replace larger ones. Earlier builds ignore the field, and give none.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -188,6 +188,40 @@
 	must.Eq(t, before, after)
 }
 
+// Guards against a request that crashes upstreams and is let through again after the instances were restarted in turn (ReviewCaseRoll).
+func TestCrashingRequestIsRefusedAfterARollingRestart(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 1, 3)
+	for _, u := range s.Jobs {
+		u.SetFaults(fake.Faults{Crash: true})
+	}
+	routers := startRouters(t, s, 3)
+	sends := func() (n int) {
+		for _, u := range s.Jobs {
+			n += len(u.Runs())
+		}
+		return n
+	}
+	send := func(r *router) fake.Response {
+		call := newCall(http.MethodPost, fake.LookPath+"1")
+		call.Body = "crashes upstreams"
+		return r.send(t, call)
+	}
+	for _, r := range routers {
+		eventually(t, "the request is refused", func() bool { return send(r).Status == http.StatusServiceUnavailable })
+	}
+	before := sends()
+	for i, r := range routers {
+		r.stopAndWait(t)
+		routers[i] = restart(t, []*router{r})[0]
+		eventually(t, "the counts are copied", func() bool { return len(routers[i].crashes.ReportRequests(time.Now(), "")) > 0 })
+	}
+	for _, r := range routers {
+		must.Eq(t, http.StatusServiceUnavailable, send(r).Status)
+	}
+	must.Eq(t, before, sends())
+}
+
 // Guards against the refusal of a common first part in place of the part that crashes engines, after the instances were restarted
 // (ReviewCaseBlame): the evidence that distinguishes them was in memory only, and no request survives while engines crash each second.
 func TestRightPartIsRefusedAfterARestart(t *testing.T) {
--- a/internal/app/edge/handover.go
+++ b/internal/app/edge/handover.go
@@ -27,11 +27,14 @@
 type crashKnowledge struct {
 	// Sound are the prompt parts that are known from sound requests.
 	Sound []fatal.PartReport `json:"sound"`
+	// Requests are the counts of crashes by request.
+	Requests []fatal.RequestReport `json:"requests"`
 }
 
 func (e *Edge) serveCrashes(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
 	// The requester may have disconnected.
-	_ = json.NewEncoder(w).Encode(crashKnowledge{Sound: e.parts.ReportSound(time.Now())})
+	_ = json.NewEncoder(w).Encode(crashKnowledge{Sound: e.parts.ReportSound(now), Requests: e.crashes.ReportRequests(now, e.settings.Peer)})
 }
 
 // copyCrashes copies what another instance knows of crashes, so that it outlasts a rolling restart.
@@ -51,8 +54,8 @@
 			e.log.Info("crash: copy from another instance failed", "from", from, "error", err.Error())
 			continue
 		}
-		if len(known.Sound) > 0 {
-			e.log.Info("crash: copied from another instance", "from", from, "sound", len(known.Sound))
+		if len(known.Sound)+len(known.Requests) > 0 {
+			e.log.Info("crash: copied from another instance", "from", from, "sound", len(known.Sound), "requests", len(known.Requests))
 			return
 		}
 	}
@@ -70,5 +73,6 @@
 		return known, oops.Wrapf(err, "crashes known to %s", from)
 	}
 	e.parts.LearnSound(asked, known.Sound)
+	e.crashes.LearnRequests(asked, e.settings.Peer, known.Requests)
 	return known, nil
 }
--- a/internal/once/fatal/fatal.go
+++ b/internal/once/fatal/fatal.go
@@ -19,13 +19,17 @@
 
 // record counts the crashes of one request.
 type record struct {
-	local int
+	// local counts those since this instance started, former those before, as other instances know them.
+	local, former int
 	// last is when a count last changed.
 	last time.Time
 	// peers are the counts reported by the peers, by address.
 	peers map[string]int
 }
 
+// own returns the count of this instance.
+func (r *record) own() int { return r.local + r.former }
+
 // Tracker holds the counts of this instance and its peers. It is safe for concurrent use.
 type Tracker struct {
 	mu      sync.Mutex
@@ -43,7 +47,7 @@
 	if !ok || now.Sub(r.last) > window {
 		return 0
 	}
-	sum := r.local
+	sum := r.own()
 	for _, n := range r.peers {
 		sum += n
 	}
@@ -92,14 +96,14 @@
 	tr.removeExpired(now)
 	counts := make(map[string]int)
 	for fingerprint, r := range tr.records {
-		if r.local > 0 && len(counts) < maxReported {
-			counts[strconv.FormatUint(fingerprint, 16)] = r.local
+		if r.own() > 0 && len(counts) < maxReported {
+			counts[strconv.FormatUint(fingerprint, 16)] = r.own()
 		}
 	}
 	return counts
 }
 
-// Merge records the counts of a peer.
+// Merge records the counts of a peer. A smaller one than before is that of a peer that has just started.
 func (tr *Tracker) Merge(now time.Time, peer string, counts map[string]int) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -112,7 +116,7 @@
 		if r == nil {
 			return
 		}
-		if r.peers[peer] != n {
+		if r.peers[peer] < n {
 			r.peers[peer] = n
 			r.last = now
 		}
