serve: ask for the crashes of a request before each send

Callers: a request that crashes upstreams took four with it where three are allowed, and with it what others had running there.

A further send of the same attempt asks for blocked parts of the prompt only, so that the attempt in which the third upstream crashes goes on to a fourth.

Change: crashesUpstreams holds both rules, and is asked at the arrival, before each further send and before a standby is opened.

--- a/internal/app/edge/crash_test.go
+++ b/internal/app/edge/crash_test.go
@@ -222,6 +222,26 @@
 	must.Eq(t, before, sends())
 }
 
+// Guards against a request that is sent again in the same attempt after it has crashed as many upstreams as are allowed (ReviewCaseRoll).
+func TestCrashingRequestIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	s, r := startSite(t, 1, 6)
+	for _, u := range s.Jobs {
+		u.SetFaults(fake.Faults{Crash: true})
+	}
+	call := func() fake.Call {
+		call := newCall(http.MethodPost, fake.LookPath+"1")
+		call.Body = "crashes upstreams"
+		return call
+	}
+	eventually(t, "the request is refused", func() bool { return r.send(t, call()).Status == http.StatusServiceUnavailable })
+	sends := 0
+	for _, u := range s.Jobs {
+		sends += len(u.Runs())
+	}
+	must.Eq(t, 3, sends)
+}
+
 // Guards against the refusal of a common first part in place of the part that crashes engines, after the instances were restarted
 // (ReviewCaseBlame): the evidence that distinguishes them was in memory only, and no request survives while engines crash each second.
 func TestRightPartIsRefusedAfterARestart(t *testing.T) {
--- a/internal/front/serve/crash.go
+++ b/internal/front/serve/crash.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/skylarkquay/skylarkquay/internal/base/bound"
+	"github.com/skylarkquay/skylarkquay/internal/base/fault"
 	"github.com/skylarkquay/skylarkquay/internal/front/detour"
 	"github.com/skylarkquay/skylarkquay/internal/front/link"
 )
@@ -93,9 +94,22 @@
 	return d.Sum64()
 }
 
-// crashesUpstreams reports whether a part of the prompt is known to crash upstreams.
-func (x *exchange) crashesUpstreams(now time.Time) bool {
-	return len(x.parts) > 0 && x.Parts.Blocked(now, x.parts)
+const (
+	// maxCrashes is the number of upstreams that may crash while running a request before it is refused.
+	maxCrashes = 3
+	// retryAfterCrashes is the Retry-After of requests that crash upstreams.
+	retryAfterCrashes = 5 * time.Second
+)
+
+// crashesUpstreams returns an error if the request or a part of its prompt is known to crash upstreams.
+func (x *exchange) crashesUpstreams(now time.Time) error {
+	if crashes := x.CrashCounter.Count(now, x.fingerprint); crashes >= maxCrashes {
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams died of this request", crashes)
+	}
+	if len(x.parts) > 0 && x.Parts.Blocked(now, x.parts) {
+		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "upstreams crash while running requests with a part of the prompt")
+	}
+	return nil
 }
 
 // recordSurvival records that an upstream has outlived the request. Responses without output prove nothing.
--- a/internal/front/serve/run.go
+++ b/internal/front/serve/run.go
@@ -105,7 +105,7 @@
 		return fail
 	}
 	now := time.Now()
-	if r != answered && r != failed && x.crashesUpstreams(now) {
+	if r != answered && r != failed && x.crashesUpstreams(now) != nil {
 		if x.counts.Ran == 0 {
 			return refuse
 		}
--- a/internal/front/serve/serve.go
+++ b/internal/front/serve/serve.go
@@ -254,12 +254,9 @@
 	x.service = x.route.ServiceFor(x.info.streamID())
 	x.deadline = x.started.Add(x.timeout())
 	x.fingerprint = x.requestHash()
-	if crashes := x.CrashCounter.Count(x.started, x.fingerprint); crashes >= maxCrashes {
-		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "%d upstreams died of this request", crashes)
-	}
 	x.parts = x.info.partHashes()
-	if x.crashesUpstreams(x.started) {
-		return fault.NewRetryAfter(fault.NoUpstream, retryAfterCrashes, "upstreams crash while running requests with a part of the prompt")
+	if err := x.crashesUpstreams(x.started); err != nil {
+		return err
 	}
 	if err := x.running.Grow(x.r.Context(), time.Now(), hold.RequestBytes); err != nil {
 		return fault.New(fault.Overloaded, "no memory for another request now")
@@ -267,12 +264,6 @@
 	return x.chargeQuota(boot)
 }
 
-// retryAfterCrashes is the Retry-After of requests that crash upstreams.
-const retryAfterCrashes = 5 * time.Second
-
-// maxCrashes is the number of upstreams that may crash while running a request before it is rejected.
-const maxCrashes = 3
-
 // checkKey returns an error if the caller's key may not be used. The workspace is that of the key in the document whose age is known,
 // nil if it has none.
 func (x *exchange) checkKey(w *policy.Workspace, known, fresh bool) error {
--- a/internal/front/serve/standby.go
+++ b/internal/front/serve/standby.go
@@ -94,7 +94,7 @@
 	if !x.counts.canSend(x.timeToSend(now)) || x.counts.Ran >= x.route.Attempts || x.unnumbered {
 		return errNoAttempt
 	}
-	if x.crashesUpstreams(now) {
+	if x.crashesUpstreams(now) != nil {
 		return errNoAttempt
 	}
 	choice, ok := x.place(now)
