--- a/internal/once/fatal/fatal_test.go
+++ b/internal/once/fatal/fatal_test.go
@@ -38,7 +38,7 @@
 	must.Eq(t, 1, len(b.records))
 }
 
-// Guards against counts that end with a rolling restart (ReviewCaseRoll): each instance told its own count only, and lost it.
+// Guards against counts that end with a rolling restart (ReviewCaseRoll): each instance reported its own count only, and lost it.
 func TestCountsOutlastARollingRestart(t *testing.T) {
 	addresses := []string{"a", "b", "c"}
 	instances := map[string]*Tracker{}
@@ -76,7 +76,7 @@
 	must.Eq(t, 4, instances["b"].Count(now, 7))
 }
 
-// A peer that has just started tells fewer crashes than it did before.
+// A peer that has just started reports fewer crashes than before.
 func TestSmallerCountsOfAPeerAreIgnored(t *testing.T) {
 	tr := NewTracker()
 	tr.Merge(start, "b", map[string]int{"7": 2})
