--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -68,6 +69,27 @@
 // playReborn cuts the busiest runner off from all machines while it sends streams. It crashes behind the cut and starts again; then the
 // cut heals.
 func playReborn(r *rig) (bool, error) {
+	return r.playStreams(func(_ []*router, e *engineProcess) error { return r.cutOff(e) })
+}
+
+// playFrozen does the same with a router that is frozen while the runner crashes, in place of the cut.
+func playFrozen(r *rig) (bool, error) {
+	return r.playStreams(func(routers []*router, e *engineProcess) error {
+		routers[0].signal(syscall.SIGSTOP)
+		r.note("router %s is frozen", routers[0].name)
+		if err := r.crash(e); err != nil {
+			return err
+		}
+		r.register(e)
+		time.Sleep(crashAfter)
+		routers[0].signal(syscall.SIGCONT)
+		r.note("router %s goes on", routers[0].name)
+		return nil
+	})
+}
+
+// playStreams sends streams through the routers and strikes while they run.
+func (r *rig) playStreams(strike func(routers []*router, busiest *engineProcess) error) (bool, error) {
 	r.publish()
 	var mu sync.Mutex
 	ranAt := make(map[string]int)
@@ -126,7 +148,7 @@
 			}
 		}
 		mu.Unlock()
-		if err := r.cutOff(engines[busiest]); err != nil {
+		if err := strike(routers, engines[busiest]); err != nil {
 			return false, err
 		}
 	}
@@ -152,14 +174,9 @@
 	healAt := time.Now().Add(cutTime)
 	e.link.cut()
 	r.note("runner %s is cut off", e.id)
-	time.Sleep(crashAfter)
-	e.kill()
-	r.note("runner %s has crashed", e.id)
-	time.Sleep(restartAfter)
-	if err := r.startEngine(e, func(string) {}); err != nil {
+	if err := r.crash(e); err != nil {
 		return err
 	}
-	r.note("runner %s has started again", e.id)
 	time.Sleep(time.Until(healAt))
 	if err := e.link.heal(); err != nil {
 		return err
@@ -168,3 +185,16 @@
 	r.register(e)
 	return nil
 }
+
+// crash ends the process of a runner after crashAfter and starts it again.
+func (r *rig) crash(e *engineProcess) error {
+	time.Sleep(crashAfter)
+	e.kill()
+	r.note("runner %s has crashed", e.id)
+	time.Sleep(restartAfter)
+	if err := r.startEngine(e, func(string) {}); err != nil {
+		return err
+	}
+	r.note("runner %s has started again", e.id)
+	return nil
+}
