review: streams of a killed router are refused where they are taken up (case 12)

Cause: the software version at which a stream began is known only to its router until that router's next message to the others, up to 250 ms later. A short stream whose router is killed before it has no record anywhere, and with two versions listed the others refuse its client for good.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(r *rig) (broken bool, err error){
 	"reborn": playReborn,
 	"frozen": playFrozen,
+	"takeup": playTakeup,
 }
 
 func main() {
--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -22,17 +22,29 @@
 	restartAfter = 600 * time.Millisecond
 )
 
+// streamFlags are the flags of a runner in these cases.
+var streamFlags = []string{"-events", fmt.Sprint(streamEvents), "-pause", eventPause.String()}
+
 // engineProcess is a runner behind a link.
 type engineProcess struct {
-	id     string
-	target string
-	link   *link
+	id, build string
+	target    string
+	// link is the way to the runner, nil if there is none but its address.
+	link *link
 	*process
 	born int64
 }
 
+// address returns the address in the runner's entry.
+func (e *engineProcess) address() string {
+	if e.link == nil {
+		return e.target
+	}
+	return e.link.address
+}
+
 // startEngine starts the process of a runner at its address.
-func (r *rig) startEngine(e *engineProcess, ran func(line string)) error {
+func (r *rig) startEngine(e *engineProcess, ran func(line string), flags ...string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -43,9 +55,10 @@
 			close(listens)
 			return
 		}
-		r.note("runner %s %s", e.id, line)
-		ran(line)
-	}, self, "runner", "-address", e.target, "-id", e.id, "-events", fmt.Sprint(streamEvents), "-pause", eventPause.String())
+		if ran != nil {
+			ran(line)
+		}
+	}, append([]string{self, "runner", "-address", e.target, "-id", e.id}, flags...)...)
 	if err != nil {
 		return err
 	}
@@ -61,7 +74,7 @@
 // register writes the runner's entry.
 func (r *rig) register(e *engineProcess) {
 	r.store.Put("servers", e.id, map[string]any{
-		"Service": engine, "Address": e.link.address, "Zone": "bizerte", "Version": "v1", "Slots": 48, "State": "ready", "ColdRemainingMs": 0,
+		"Service": engine, "Address": e.address(), "Zone": "bizerte", "Version": e.build, "Slots": 48, "State": "ready", "ColdRemainingMs": 0,
 		"Sequence": 1, "born": e.born, "Models": []map[string]any{{"Name": model, "Version": 1, "Adapters": []string{}}},
 	})
 }
@@ -95,7 +108,7 @@
 	ranAt := make(map[string]int)
 	var engines []*engineProcess
 	for i := range runners {
-		e := &engineProcess{id: fmt.Sprintf("i-%d", i+1)}
+		e := &engineProcess{id: fmt.Sprintf("i-%d", i+1), build: "v1"}
 		var err error
 		if e.target, err = freeAddress(); err != nil {
 			return false, err
@@ -104,12 +117,14 @@
 			return false, err
 		}
 		if err := r.startEngine(e, func(line string) {
+			r.note("runner %s %s", e.id, line)
 			if id, ok := strings.CutPrefix(line, "runs "); ok {
+				id, _, _ = strings.Cut(id, " ")
 				mu.Lock()
 				defer mu.Unlock()
 				ranAt[id] = i
 			}
-		}); err != nil {
+		}, streamFlags...); err != nil {
 			return false, err
 		}
 		r.register(e)
@@ -192,7 +207,7 @@
 	e.kill()
 	r.note("runner %s has crashed", e.id)
 	time.Sleep(restartAfter)
-	if err := r.startEngine(e, func(string) {}); err != nil {
+	if err := r.startEngine(e, func(string) {}, streamFlags...); err != nil {
 		return err
 	}
 	r.note("runner %s has started again", e.id)
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -163,6 +163,8 @@
 type router struct {
 	*process
 	name, listen, ready string
+	// settings is the path of its settings file.
+	settings string
 }
 
 // startRouter starts a router with the settings of a small deployment, and waits until it is ready.
@@ -202,11 +204,16 @@
 	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
 		return nil, err
 	}
-	p, err := r.start(name, nil, r.router, "run", "--config", path)
-	if err != nil {
-		return nil, err
+	rt := &router{name: name, listen: addresses[0], ready: addresses[1], settings: path}
+	return rt, r.restartRouter(rt)
+}
+
+// restartRouter starts the process of a router, and waits until it is ready.
+func (r *rig) restartRouter(rt *router) error {
+	var err error
+	if rt.process, err = r.start(rt.name, nil, r.router, "run", "--config", rt.settings); err != nil {
+		return err
 	}
-	rt := &router{p, name, addresses[0], addresses[1]}
 	for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(50 * time.Millisecond) {
 		resp, err := http.Get("http://" + rt.ready + "/readiness")
 		if err != nil {
@@ -214,11 +221,11 @@
 		}
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusOK {
-			r.note("router %s is ready", name)
-			return rt, nil
+			r.note("router %s is ready", rt.name)
+			return nil
 		}
 	}
-	return nil, fmt.Errorf("router %s is not ready", name)
+	return fmt.Errorf("router %s is not ready", rt.name)
 }
 
 // publish writes the next version of the configuration.
@@ -235,6 +242,9 @@
 		"Routes": []map[string]any{{
 			"Name": "crew-brief", "Host": host, "PathPrefix": "/brief/", "RouteKind": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 800,
 			"TargetGapMs": 300, "Priority": 0, "Service": engine, "MaxAttempts": 1, "Public": false, "StickySessions": true, "Resumable": false,
+		}, {
+			"Name": "quote-draft", "Host": host, "PathPrefix": "/quote/", "RouteKind": "streaming", "TimeoutMs": 5000, "TargetLatencyMs": 600,
+			"TargetGapMs": 300, "Priority": 1, "Service": engine, "MaxAttempts": 2, "Public": false, "StickySessions": true, "Resumable": true,
 		}},
 		"Services": []map[string]any{{
 			"Name": engine, "HealthCheckPath": "/health", "MaxConnections": 654,
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -14,12 +14,15 @@
 	"time"
 )
 
-// runner is the process of a model runner whose answers have neither a length nor chunks and end with their connection.
+// runner is the process of a model runner. Its answers have neither a length nor chunks and end with their connection, unless it sends
+// chunks.
 type runner struct {
-	id     string
-	events int
-	pause  time.Duration
-	mu     sync.Mutex
+	id, build string
+	events    int
+	// read is the time to the first event, pause that between two.
+	read, pause time.Duration
+	chunks      bool
+	mu          sync.Mutex
 }
 
 func runRunner(args []string) int {
@@ -29,6 +32,9 @@
 	flags.StringVar(&r.id, "id", "", "identifier")
 	flags.IntVar(&r.events, "events", 60, "events of a stream")
 	flags.DurationVar(&r.pause, "pause", 50*time.Millisecond, "pause between events")
+	flags.StringVar(&r.build, "build", "v1", "software version")
+	flags.DurationVar(&r.read, "read", 0, "time to the first event")
+	flags.BoolVar(&r.chunks, "chunks", false, "send chunks")
 	if err := flags.Parse(args); err != nil {
 		return exitFailed
 	}
@@ -76,28 +82,52 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			continue
 		}
-		r.stream(c, req)
-		return
+		if !r.stream(c, req) {
+			return
+		}
 	}
 }
 
-// stream writes the events of a stream and closes the connection.
-func (r *runner) stream(c net.Conn, req *http.Request) {
+// stream writes the events of a stream after the client's last one. It reports whether the connection can be used again.
+func (r *runner) stream(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get("X-Attempt-Identifier")
-	r.say("runs %s", id)
+	// An absent header counts as no event.
+	last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	events := r.events
+	// The path names the number of events.
+	if n, err := strconv.Atoi(strings.Split(req.URL.Path+"//", "/")[2]); err == nil && n > 0 {
+		events = n
+	}
+	r.say("runs %s after event %d", id, last)
+	time.Sleep(r.read)
 	head := []string{
 		"HTTP/1.1 200 OK", "X-Attempt-Identifier: " + id, "X-Server-Signature: " + r.id + "." + id, "X-Weight-Versions: 1",
-		"Content-Type: text/event-stream", "Connection: close",
+		"Content-Type: text/event-stream",
+	}
+	if r.chunks {
+		head = append(head, "Transfer-Encoding: chunked")
+	} else {
+		head = append(head, "Connection: close")
 	}
 	if _, err := io.WriteString(c, strings.Join(head, "\r\n")+"\r\n\r\n"); err != nil {
-		return
+		return false
 	}
-	for i := range r.events {
-		number := strconv.Itoa(i + 1)
-		if _, err := io.WriteString(c, "id: "+number+"\ndata: token "+number+"\n\n"); err != nil {
-			return
+	for i := last + 1; i <= events; i++ {
+		if i > last+1 {
+			time.Sleep(r.pause)
+		}
+		text := fmt.Sprintf("id: %d\ndata: token %d of version %s\n\n", i, i, r.build)
+		if r.chunks {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
-		time.Sleep(r.pause)
+		if _, err := io.WriteString(c, text); err != nil {
+			return false
+		}
+	}
+	r.say("ends %s with event %d", id, events)
+	if !r.chunks {
+		return false
 	}
-	r.say("ends %s with event %d", id, r.events)
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
 }
