review: a request that crashes runners is let through after a kill of all routers (case 13)

Cause: the counts of crashes by request are in the routers' memory only; those that run tell them to one that starts, but after a kill of all there is nobody left to tell.

--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -99,3 +99,26 @@
 	}
 	return a.events[len(a.events)-1]
 }
+
+// askPlain sends a request that is no stream to a router on a new connection and returns the status, zero if there is no whole answer.
+func askPlain(address, method, path, id, body string, deadline time.Duration) int {
+	c, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(deadline + time.Second))
+	_, err = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Identifier: %s\r\nX-Deadline-Milliseconds: %d\r\nAuthorization: Token %s\r\n"+
+		"Content-Length: %d\r\n\r\n%s", method, path, host, id, deadline.Milliseconds(), apiKey, len(body), body)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,6 +21,7 @@
 	"reborn": playReborn,
 	"frozen": playFrozen,
 	"takeup": playTakeup,
+	"herd":   playHerd,
 }
 
 func main() {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -22,6 +22,8 @@
 	apiKey = "key-of-acme-0123456789"
 	model  = "quotes"
 	engine = "fanwriter"
+	// desk is the service that books visits and looks orders up.
+	desk = "jobdesk"
 )
 
 // rig is one small deployment: a store, runners and routers, with a record of what is seen.
@@ -72,6 +74,13 @@
 	_, _ = fmt.Fprintf(r.record, "%8.3f s  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// isClosed reports whether the rig has ended its processes.
+func (r *rig) isClosed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.closed
+}
+
 // close ends all processes.
 func (r *rig) close() {
 	r.mu.Lock()
@@ -245,10 +254,18 @@
 		}, {
 			"Name": "quote-draft", "Host": host, "PathPrefix": "/quote/", "RouteKind": "streaming", "TimeoutMs": 5000, "TargetLatencyMs": 600,
 			"TargetGapMs": 300, "Priority": 1, "Service": engine, "MaxAttempts": 2, "Public": false, "StickySessions": true, "Resumable": true,
+		}, {
+			"Name": "visit-book", "Host": host, "PathPrefix": bookPath, "RouteKind": "non_idempotent", "TimeoutMs": 800, "TargetLatencyMs": 150,
+			"Priority": 2, "Service": desk, "MaxAttempts": 1, "Public": false, "StickySessions": false, "Resumable": false,
+		}, {
+			"Name": "order-look", "Host": host, "PathPrefix": lookPath, "RouteKind": "idempotent", "TimeoutMs": 800, "TargetLatencyMs": 150,
+			"Priority": 2, "Service": desk, "MaxAttempts": 2, "Public": false, "StickySessions": false, "Resumable": false,
 		}},
 		"Services": []map[string]any{{
 			"Name": engine, "HealthCheckPath": "/health", "MaxConnections": 654,
 			"Engine": map[string]any{"Slots": 48, "KvCacheTokens": 106776, "Models": []map[string]any{{"Name": model}}},
+		}, {
+			"Name": desk, "HealthCheckPath": "/health", "MaxConnections": 208,
 		}},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []map[string]any{tenant("acme", apiKey, false)},
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -11,18 +11,22 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// runner is the process of a model runner. Its answers have neither a length nor chunks and end with their connection, unless it sends
-// chunks.
+// runner is the process of a model runner, or of one that looks orders up and books visits. The streams of a model runner have neither a
+// length nor chunks and end with their connection, unless it sends chunks.
 type runner struct {
 	id, build string
 	events    int
 	// read is the time to the first event, pause that between two.
 	read, pause time.Duration
 	chunks      bool
-	mu          sync.Mutex
+	// work is how long a request takes that is no stream. The process ends within a request whose path begins with crash.
+	work  time.Duration
+	crash string
+	mu    sync.Mutex
 }
 
 func runRunner(args []string) int {
@@ -35,6 +39,8 @@
 	flags.StringVar(&r.build, "build", "v1", "software version")
 	flags.DurationVar(&r.read, "read", 0, "time to the first event")
 	flags.BoolVar(&r.chunks, "chunks", false, "send chunks")
+	flags.DurationVar(&r.work, "work", 0, "time for a request that is no stream, zero if all are streams")
+	flags.StringVar(&r.crash, "crash", "", "beginning of the path of requests that end the process")
 	if err := flags.Parse(args); err != nil {
 		return exitFailed
 	}
@@ -82,12 +88,31 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			continue
 		}
+		if r.work > 0 {
+			r.answer(c, req)
+			continue
+		}
 		if !r.stream(c, req) {
 			return
 		}
 	}
 }
 
+// answer answers a request that is no stream, or ends the process.
+func (r *runner) answer(c net.Conn, req *http.Request) {
+	id := req.Header.Get("X-Attempt-Identifier")
+	r.say("runs %s", id)
+	if r.crash != "" && strings.HasPrefix(req.URL.Path, r.crash) {
+		// It ends while it runs the request.
+		time.Sleep(crashTime)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
+	time.Sleep(r.work)
+	body := "done " + id + "\n"
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Identifier: %s\r\nX-Server-Signature: %s.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
+		id, r.id, id, len(body), body)
+}
+
 // stream writes the events of a stream after the client's last one. It reports whether the connection can be used again.
 func (r *runner) stream(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get("X-Attempt-Identifier")
