--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -41,7 +41,6 @@
 	store     *fake.Store
 	storeAddr string
 	revision  int64
-	isolated  bool
 }
 
 func newRig(router, record string, trouble bool) (*rig, error) {
